--- /dev/null
+++ b/nutmegscale/planner_controller.py
@@ -0,0 +1,327 @@
+"""Controller of the planners of cells, and of what their workers report."""
+
+from collections.abc import Callable
+
+from result import Ok
+
+from nutmegscale import blackboard
+from nutmegscale import cancel_controller
+from nutmegscale import cell
+from nutmegscale import engine
+from nutmegscale import errors
+from nutmegscale import home_controller
+from nutmegscale import mesh
+from nutmegscale import messages
+from nutmegscale import periodic
+from nutmegscale import placement
+from nutmegscale import planners
+from nutmegscale import rendezvous
+from nutmegscale import worker
+
+ACTIVE_AFTER_ASK_S = 5.0
+FAILURES_TO_LOSE = 2
+CHECKS_TO_CANCEL = 2
+ORPHAN_AGE_S = 0.5
+PLAN_TIMEOUT_S = 0.15
+LOCAL_RETRY_AFTER_S = 1.0
+
+
+class _ActiveCell:
+    """A cell that this host plans for."""
+
+    def __init__(self, planner: placement.Planner) -> None:
+        self.planner = planner
+        self.asked = 0.0
+        self.failures: dict[str, int] = {}
+        self.unclaimed: dict[str, int] = {}
+        self.polling: set[str] = set()
+        self.workers: tuple[worker.Worker, ...] = ()
+        self.config_revision = 0
+
+
+class PlannerController:
+    """Writes `Blackboard.leaving_workers`; plans for the cells it owns.
+
+    The owner of a cell is the first host in its rendezvous order. Any host
+    that is asked plans as well, since views of the hosts differ at times:
+    two planners cost goodput, and the engines refuse what doesn't fit.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        link: mesh.Mesh,
+        engines: Callable[[str], engine.Engine],
+        cancels: cancel_controller.CancelController,
+        homes: home_controller.HomeController,
+        *,
+        is_live: Callable[[str], bool],
+    ) -> None:
+        self._board = board
+        self._mesh = link
+        self._engines = engines
+        self._cancels = cancels
+        self._homes = homes
+        self._is_live = is_live
+        self._active: dict[str, _ActiveCell] = {}
+        self._polls = periodic.Periodic(
+            board.clock, board.settings.get("report_poll_s", 0.25), self._poll
+        )
+        link.on(messages.PlanRequest, self._receive_plan)
+        link.on(messages.RunStarted, self._receive_started)
+        link.on(messages.RunReleased, self._receive_released)
+        link.on(messages.LiveRequest, self._receive_live)
+        link.on(messages.WorkerLeaving, self._receive_leaving)
+
+    def start(self) -> None:
+        """Start to poll the workers of owned cells."""
+        self._polls.start()
+
+    def stop(self) -> None:
+        """Stop to poll."""
+        self._polls.stop()
+
+    def active_cells(self) -> dict[str, placement.Planner]:
+        """Return the planners of this host by cell."""
+        return {name: active.planner for name, active in self._active.items()}
+
+    def owners(self, place: cell.Cell) -> list[str]:
+        """Return the hosts that may plan for a cell, the owner first."""
+        alive = self._board.membership.alive(place.failure_domains)
+        if not alive:
+            alive = self._board.membership.alive()
+        return rendezvous.rank(place.name.encode(), alive)
+
+    async def plan(
+        self, place: cell.Cell, ask: placement.Ask
+    ) -> messages.PlanReply:
+        """Ask the owner of a cell for a placement; plan here if it is gone."""
+        request = messages.PlanRequest(place.name, ask)
+        for owner in self.owners(place)[:2]:
+            if owner == self._board.host:
+                break
+            try:
+                return await self._mesh.call(
+                    owner, request, messages.PlanReply, timeout_s=PLAN_TIMEOUT_S
+                )
+            except errors.PeerError:
+                self._board.note(
+                    "planner.unreachable", ask.exchange, owner=owner
+                )
+        reply = self._receive_plan(self._board.host, request)
+        return reply or messages.PlanReply(None, "no_cell", LOCAL_RETRY_AFTER_S)
+
+    def started(self, place: cell.Cell, exchange: str) -> None:
+        """Tell the planner that a run started."""
+        self._tell(place, messages.RunStarted(place.name, exchange))
+
+    def release(self, place: cell.Cell, exchange: str, tokens: int) -> None:
+        """Tell the planner that an exchange holds nothing any more."""
+        self._tell(place, messages.RunReleased(place.name, exchange, tokens))
+
+    def report_lost(self, name: str) -> None:
+        """Note that a worker failed a request of this host."""
+        for active in self._active.values():
+            if any(w.name == name for w in active.workers):
+                active.planner.lost(self._board.now(), name)
+
+    def _tell(
+        self,
+        place: cell.Cell,
+        message: messages.RunStarted | messages.RunReleased,
+    ) -> None:
+        owners = self.owners(place)[:1]
+        if owners and owners[0] != self._board.host:
+            self._mesh.send(owners[0], message)
+        # This host may have planned as well while the owner was out of reach.
+        if isinstance(message, messages.RunStarted):
+            self._receive_started(self._board.host, message)
+        else:
+            self._receive_released(self._board.host, message)
+
+    def _receive_plan(
+        self, sender: str, request: messages.PlanRequest
+    ) -> messages.PlanReply | None:
+        active = self._activate(request.cell)
+        if active is None:
+            return messages.PlanReply(None, "no_cell", LOCAL_RETRY_AFTER_S)
+        active.asked = self._board.now()
+        result = active.planner.plan(self._board.now(), request.ask)
+        if isinstance(result, Ok):
+            return messages.PlanReply(result.ok_value, "", 0.0)
+        refusal = result.err_value
+        return messages.PlanReply(None, refusal.reason, refusal.retry_after_s)
+
+    def _receive_started(
+        self, sender: str, message: messages.RunStarted
+    ) -> None:
+        active = self._active.get(message.cell)
+        if active is not None:
+            active.planner.started(self._board.now(), message.exchange)
+
+    def _receive_released(
+        self, sender: str, message: messages.RunReleased
+    ) -> None:
+        active = self._active.get(message.cell)
+        if active is not None:
+            active.planner.release(
+                self._board.now(), message.exchange, message.tokens
+            )
+
+    def _receive_live(
+        self, sender: str, request: messages.LiveRequest
+    ) -> messages.LiveReply:
+        live = tuple(run for run in request.run_ids if self._is_live(run))
+        return messages.LiveReply(live)
+
+    def _receive_leaving(
+        self, sender: str, message: messages.WorkerLeaving
+    ) -> None:
+        if message.leaving:
+            self._board.leaving_workers.add(message.worker)
+        else:
+            self._board.leaving_workers.discard(message.worker)
+
+    def _find(self, name: str) -> cell.Cell | None:
+        service = name.rpartition("@")[0]
+        for place in self._board.cells.get(service, []):
+            if place.name == name:
+                return place
+        return None
+
+    def _activate(self, name: str) -> _ActiveCell | None:
+        place = self._find(name)
+        config = self._board.config
+        if place is None or config is None:
+            return None
+        active = self._active.get(name)
+        if active is None:
+            policy = config.document["services"][place.service].get(
+                "policy", "joint"
+            )
+            planner = planners.make_planner(
+                policy, config.document["objective"]
+            )
+            active = self._active[name] = _ActiveCell(planner)
+        state = (place.workers, config.revision)
+        if state != (active.workers, active.config_revision):
+            active.workers, active.config_revision = state
+            engines = {}
+            for w in place.workers:
+                profile = config.engine_of(w.pool)
+                if profile is not None:
+                    engines[w.pool] = profile
+            active.planner.set_workers(list(place.workers), engines)
+        return active
+
+    async def _poll(self) -> None:
+        now = self._board.now()
+        for places in self._board.cells.values():
+            for place in places:
+                if self.owners(place)[:1] == [self._board.host]:
+                    owned = self._activate(place.name)
+                    if owned is not None:
+                        owned.asked = now
+        for name, active in list(self._active.items()):
+            is_idle = now - active.asked > ACTIVE_AFTER_ASK_S
+            if is_idle or self._activate(name) is None:
+                del self._active[name]
+                continue
+            for w in active.workers:
+                if w.name not in active.polling:
+                    active.polling.add(w.name)
+                    periodic.spawn(self._poll_worker(active, w))
+
+    async def _poll_worker(self, active: _ActiveCell, w: worker.Worker) -> None:
+        try:
+            last = active.planner.last_cache_event(w.name)
+            report = await self._engines(w.address).report(last)
+        except errors.EngineError:
+            failures = active.failures.get(w.name, 0) + 1
+            active.failures[w.name] = failures
+            if failures >= FAILURES_TO_LOSE:
+                active.planner.lost(self._board.now(), w.name)
+            if failures == FAILURES_TO_LOSE:
+                self._board.note("worker.lost", worker=w.name)
+            return
+        finally:
+            active.polling.discard(w.name)
+        active.failures[w.name] = 0
+        active.planner.observe(self._board.now(), w.name, report)
+        self._spread_leaving(w.name, report.leaving)
+        if report.running:
+            await self._cancel_orphans(active, w, report)
+
+    def _spread_leaving(self, name: str, leaving: bool) -> None:
+        """Tell every host of a worker that is leaving, until it is gone."""
+        was_leaving = name in self._board.leaving_workers
+        if not leaving and not was_leaving:
+            return
+        if leaving and not was_leaving:
+            self._board.note("worker.leaving", worker=name)
+        message = messages.WorkerLeaving(name, leaving)
+        self._receive_leaving(self._board.host, message)
+        for host in self._board.membership.alive():
+            if host != self._board.host:
+                self._mesh.send(host, message)
+
+    async def _cancel_orphans(
+        self, active: _ActiveCell, w: worker.Worker, report: worker.Report
+    ) -> None:
+        """Cancel the runs that no host serves any more."""
+        by_host: dict[str, list[str]] = {}
+        for run in report.running:
+            if run.phase != "decode" or run.age_s >= ORPHAN_AGE_S:
+                by_host.setdefault(run.host, []).append(run.run_id)
+        for host, run_ids in by_host.items():
+            live = await self._live_runs(host, run_ids)
+            for run_id in run_ids:
+                if run_id in live:
+                    active.unclaimed.pop(run_id, None)
+                    continue
+                checks = active.unclaimed.get(run_id, 0) + 1
+                active.unclaimed[run_id] = checks
+                if checks >= CHECKS_TO_CANCEL:
+                    del active.unclaimed[run_id]
+                    self._board.note(
+                        "run.orphaned",
+                        worker.exchange_of(run_id),
+                        worker=w.name,
+                        host=host,
+                    )
+                    self._cancels.cancel(w.address, run_id)
+
+    async def _live_runs(self, host: str, run_ids: list[str]) -> set[str]:
+        """Return the runs that their host, or a later one, still serves.
+
+        A host that gives no answer but isn't dead yet is given time.
+        """
+        request = messages.LiveRequest(tuple(run_ids))
+        if host == self._board.host:
+            return set(self._receive_live(host, request).run_ids)
+        member = self._board.membership.get(host)
+        if member is not None and not self._board.membership.is_dead(host):
+            try:
+                reply = await self._mesh.call(host, request, messages.LiveReply)
+                return set(reply.run_ids)
+            except errors.PeerError:
+                return set(run_ids)
+        return await self._taken_over(run_ids)
+
+    async def _taken_over(self, run_ids: list[str]) -> set[str]:
+        """Return the runs of a dead host that another one took over."""
+        live: set[str] = set()
+        for run_id in run_ids:
+            host = await self._homes.look_up(worker.exchange_of(run_id))
+            if host is None or self._board.membership.is_dead(host):
+                continue
+            request = messages.LiveRequest((run_id,))
+            if host == self._board.host:
+                live.update(self._receive_live(host, request).run_ids)
+                continue
+            try:
+                reply = await self._mesh.call(host, request, messages.LiveReply)
+                live.update(reply.run_ids)
+            except errors.PeerError:
+                continue
+        return live
--- /dev/null
+++ b/nutmegscale/planners.py
@@ -0,0 +1,35 @@
+"""Choice of the placement policy by its name in the configuration."""
+
+from typing import Protocol
+
+from nutmegscale import baselines
+from nutmegscale import config
+from nutmegscale import joint_planner
+from nutmegscale import placement
+
+
+class _Maker(Protocol):
+    def __call__(
+        self, *, goodput_weight: float, waste_weight: float
+    ) -> placement.Planner: ...
+
+
+_MAKERS: dict[str, _Maker] = {
+    "joint": joint_planner.JointPlanner,
+    "round_robin": baselines.RoundRobin,
+    "least_loaded": baselines.LeastLoaded,
+    "prefix_affinity": baselines.PrefixAffinity,
+}
+
+
+def make_planner(policy: str, objective: config.Objective) -> placement.Planner:
+    """Make a planner.
+
+    Args:
+      policy: "joint", "round_robin", "least_loaded" or "prefix_affinity".
+      objective: Weights of the deployment.
+    """
+    return _MAKERS[policy](
+        goodput_weight=objective["goodput_weight"],
+        waste_weight=objective["waste_weight"],
+    )
--- /dev/null
+++ b/nutmegscale/platform_http.py
@@ -0,0 +1,73 @@
+"""Wire form of the platform: HTTP with JSON rows."""
+
+import base64
+from typing import Any
+from urllib import parse
+
+from nutmegscale import errors
+from nutmegscale import http_client
+from nutmegscale import platform_service
+
+TIMEOUT_S = 1.0
+
+
+class HttpPlatform:
+    """Client of the platform; a `platform_service.Platform`."""
+
+    def __init__(
+        self, client: http_client.HttpClient, *, timeout_s: float = TIMEOUT_S
+    ) -> None:
+        self._client = client
+        self._timeout_s = timeout_s
+
+    async def read(
+        self, key: str, known_version: int = 0
+    ) -> platform_service.Row | None:
+        """Read a row; see `platform_service.Platform`."""
+        path = f"/table/{parse.quote(key)}?known={known_version}"
+        response = await self._send("GET", path)
+        if response.status == 404:
+            return None
+        return _row(response.json())
+
+    async def write(
+        self, key: str, expect_version: int, value: bytes
+    ) -> platform_service.Written | platform_service.Conflict:
+        """Write a row conditionally; see `platform_service.Platform`."""
+        path = f"/table/{parse.quote(key)}?expect={expect_version}"
+        response = await self._send("PUT", path, value)
+        if response.status == 412:
+            return platform_service.Conflict(_row(response.json()))
+        return platform_service.Written(int(response.json()["version"]))
+
+    async def put_object(self, name: str, content: bytes) -> None:
+        """Store an object; see `platform_service.Platform`."""
+        await self._send("PUT", f"/objects/{parse.quote(name)}", content)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Read an object; see `platform_service.Platform`."""
+        response = await self._send("GET", f"/objects/{parse.quote(name)}")
+        return None if response.status == 404 else response.body
+
+    async def hosts(self) -> list[dict[str, Any]]:
+        """Read the host list; see `platform_service.Platform`."""
+        rows = (await self._send("GET", "/hosts")).json()
+        return [row for row in rows if isinstance(row, dict)]
+
+    async def _send(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> http_client.Response:
+        try:
+            response = await self._client.request(
+                method, path, body=body, timeout_s=self._timeout_s
+            )
+        except errors.TransportError as exc:
+            raise errors.PlatformUnavailableError(str(exc)) from exc
+        if response.status not in (200, 404, 412):
+            raise errors.PlatformUnavailableError(f"status {response.status}")
+        return response
+
+
+def _row(value: dict[str, Any]) -> platform_service.Row:
+    content = base64.b64decode(value.get("value", ""))
+    return platform_service.Row(int(value["version"]), content)
--- /dev/null
+++ b/nutmegscale/retry_budget.py
@@ -0,0 +1,34 @@
+"""Budget that keeps retries to a fraction of the work."""
+
+RETRY_FRACTION = 0.1
+MAX_TOKENS = 10.0
+
+
+class RetryBudget:
+    """Token bucket filled by first tries and emptied by retries; pure."""
+
+    def __init__(
+        self,
+        *,
+        fraction: float = RETRY_FRACTION,
+        max_tokens: float = MAX_TOKENS,
+    ) -> None:
+        self._fraction = fraction
+        self._max_tokens = max_tokens
+        self._tokens = max_tokens / 2
+
+    @property
+    def tokens(self) -> float:
+        """Retries that may be made now."""
+        return self._tokens
+
+    def first_try(self) -> None:
+        """Note a first try."""
+        self._tokens = min(self._max_tokens, self._tokens + self._fraction)
+
+    def take(self) -> bool:
+        """Take a retry from the budget; False when it is spent."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/nutmegscale/schedule.py
@@ -0,0 +1,53 @@
+"""Time intervals booked on one prefill worker or one link."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+
+class Booking(NamedTuple):
+    """An interval booked for an exchange, in seconds."""
+
+    start: float
+    end: float
+    exchange: str
+
+
+class Schedule:
+    """Booked intervals of one resource, in order and without overlap."""
+
+    def __init__(self) -> None:
+        self._bookings: list[Booking] = []
+
+    def __iter__(self) -> Iterator[Booking]:
+        return iter(self._bookings)
+
+    def __len__(self) -> int:
+        return len(self._bookings)
+
+    def earliest(self, after: float, seconds: float) -> float:
+        """Return the earliest start of a free interval.
+
+        Args:
+          after: Earliest start that is allowed.
+          seconds: Length of the interval.
+        """
+        start = after
+        for booking in self._bookings:
+            if booking.start - start >= seconds:
+                return start
+            start = max(start, booking.end)
+        return start
+
+    def book(self, start: float, seconds: float, exchange: str) -> None:
+        """Book an interval found by `earliest`."""
+        self._bookings.append(Booking(start, start + seconds, exchange))
+        self._bookings.sort()
+
+    def release(self, exchange: str) -> None:
+        """Free the intervals of an exchange."""
+        self._bookings = [b for b in self._bookings if b.exchange != exchange]
+
+    def expire(self, now: float) -> None:
+        """Forget the intervals that have ended."""
+        if self._bookings and self._bookings[0].end <= now:
+            self._bookings = [b for b in self._bookings if b.end > now]
--- /dev/null
+++ b/nutmegscale/worker.py
@@ -0,0 +1,86 @@
+"""Backend servers as the hosts know them."""
+
+from typing import Any
+from typing import Literal
+from typing import NamedTuple
+
+Role = Literal["prefill", "decode", "plain"]
+
+
+class Worker(NamedTuple):
+    """A backend server of a pool.
+
+    Attributes:
+      name: Unique name.
+      address: Base address, as http://IP:PORT.
+      failure_domain: Failure domain that it stands in.
+      pool: Pool of the configuration.
+      service: Service of the pool.
+      role: Role of the pool.
+      leaving: Whether the platform lists it as leaving.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    pool: str
+    service: str
+    role: Role
+    leaving: bool
+
+
+class Running(NamedTuple):
+    """What holds memory or time of an engine."""
+
+    run_id: str
+    host: str
+    phase: Literal["prefill", "kv", "decode"]
+    age_s: float
+
+
+class CacheEvent(NamedTuple):
+    """A block that entered ("add") or left ("drop") a prefix cache."""
+
+    number: int
+    kind: Literal["add", "drop"]
+    digest: str
+
+
+class Report(NamedTuple):
+    """Load report of a worker, late by an unknown lag."""
+
+    leaving: bool
+    slots: int
+    running: tuple[Running, ...]
+    queued: int
+    cache_last: int
+    cache_events: tuple[CacheEvent, ...]
+
+
+def exchange_of(run_id: str) -> str:
+    """Return the exchange that a run belongs to."""
+    return run_id.partition(".")[0]
+
+
+def from_list(row: dict[str, Any], pools: dict[str, Any]) -> Worker | None:
+    """Make a worker of a row of the platform's host list.
+
+    Args:
+      row: Row with name, address, failure_domain, pool and state.
+      pools: Pools of the configuration.
+
+    Returns:
+      The worker, or None when its pool isn't in the configuration.
+    """
+    pool = pools.get(row.get("pool", ""))
+    if pool is None:
+        return None
+    return Worker(
+        row["name"],
+        row["address"],
+        row["failure_domain"],
+        row["pool"],
+        pool["service"],
+        pool["role"],
+        row.get("state") == "leaving",
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the engines, plain services and the platform."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,230 @@
+"""Model engine as a process: HTTP and JSON around the engine model."""
+
+import argparse
+import base64
+import os
+import random
+from typing import Any
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import reactor as _reactor
+
+from nutmegscale import errors
+from nutmegscale import http_client
+from nutmegscale import http_server
+from standins import engine_model
+from standins import serving
+
+reactor: Any = _reactor
+_STATUS = {
+    "leaving": 503,
+    "exists": 409,
+    "full": 429,
+    "kv_gone": 410,
+    "cancelled": 404,
+    "stale_fence": 412,
+    "unknown_run": 404,
+}
+REPORT_LAG_S = 0.2
+
+
+class EngineServer:
+    """Routes of the engine's wire form, and its faults."""
+
+    def __init__(self, engine: engine_model.Engine, seed: int) -> None:
+        self._engine = engine
+        self._random = random.Random(seed)
+        self._sources: dict[str, http_client.HttpClient] = {}
+        self._reports: list[tuple[float, dict[str, Any]]] = []
+        self.silent_until = 0.0
+        self.report_lag_s = REPORT_LAG_S
+        self.cache_loss = 0.0
+        self.lose_cancels = 0
+
+    async def handle(self, call: http_server.Call) -> http_server.Reply | None:
+        """Answer one request."""
+        try:
+            return await self._route(call)
+        except engine_model.EngineRefusedError as exc:
+            status = _STATUS.get(exc.reason, 500)
+            return http_server.json_reply(status, {"error": exc.reason})
+
+    async def _route(self, call: http_server.Call) -> http_server.Reply | None:
+        match (call.method, call.path):
+            case ("POST", ["v1", "prefills"]):
+                return await self._prefill(msgspec.json.decode(call.body))
+            case ("POST", ["v1", "exports", handle]):
+                kv_bytes = await self._engine.export(handle)
+                return http_server.json_reply(200, {"kv_bytes": kv_bytes})
+            case ("POST", ["v1", "runs"]):
+                return await self._start(msgspec.json.decode(call.body))
+            case ("GET", ["v1", "runs", run_id, "tokens"]):
+                return await self._tokens(call, run_id)
+            case ("DELETE", ["v1", "runs", run_id]):
+                if self.lose_cancels > 0:
+                    self.lose_cancels -= 1
+                    await defer.Deferred()
+                freed = self._engine.cancel(run_id)
+                return http_server.json_reply(200, {"freed": freed})
+            case ("GET", ["v1", "report"]):
+                return self._report(int(call.query("cache_after", "0")))
+            case ("GET", ["v1", "running"]):
+                return http_server.json_reply(200, self._engine.running())
+            case ("GET", ["v1", "counts"]):
+                return http_server.json_reply(
+                    200,
+                    {
+                        "counts": self._engine.counts,
+                        "runs": list(self._engine.log),
+                    },
+                )
+            case ("POST", ["v1", "orders"]):
+                return self._order(msgspec.json.decode(call.body))
+            case ("POST", ["v1", "faults"]):
+                return self._fault(msgspec.json.decode(call.body))
+        return http_server.json_reply(404, {"error": "not_found"})
+
+    def _crash_if_marked(self, prompt: str) -> None:
+        if engine_model.CRASH_MARK in prompt:
+            os._exit(13)
+
+    async def _prefill(self, asked: dict[str, Any]) -> http_server.Reply:
+        self._crash_if_marked(asked["prompt"])
+        result = await self._engine.prefill(
+            asked["run_id"], asked["host"], asked["prompt"], asked["priority"]
+        )
+        return http_server.json_reply(200, result._asdict())
+
+    async def _start(self, asked: dict[str, Any]) -> http_server.Reply:
+        run_id = asked["run_id"]
+        self._engine.reserve(run_id, asked["host"])
+        try:
+            source = self._source(asked["source"])
+            response = await source.request(
+                "POST", f"/v1/exports/{asked['handle']}", timeout_s=30.0
+            )
+        except errors.TransportError as exc:
+            self._engine.cancel(run_id)
+            raise engine_model.EngineRefusedError("kv_gone") from exc
+        if response.status != 200:
+            self._engine.cancel(run_id)
+            raise engine_model.EngineRefusedError("kv_gone")
+        self._engine.start(
+            run_id, asked["prompt"], asked["first_token"], asked["max_tokens"]
+        )
+        return http_server.json_reply(200, {})
+
+    def _source(self, base_url: str) -> http_client.HttpClient:
+        if base_url not in self._sources:
+            self._sources[base_url] = http_client.HttpClient(reactor, base_url)
+        return self._sources[base_url]
+
+    async def _tokens(
+        self, call: http_server.Call, run_id: str
+    ) -> http_server.Reply | None:
+        run = self._engine.find(run_id)
+        if run is None:
+            raise engine_model.EngineRefusedError("unknown_run")
+        sent = int(call.query("from", "0"))
+        request = call.request
+        request.setHeader("content-type", "application/x-ndjson")
+        while not call.gone.called:
+            opened = reactor.seconds()
+            while sent < run.made:
+                token = base64.b64encode(run.tokens[sent]).decode()
+                self._write(call, {"i": sent, "t": token}, opened)
+                sent += 1
+            if run.finished:
+                self._write(call, {"done": len(run.tokens)}, opened)
+                break
+            if self._engine.find(run_id) is None:
+                self._write(call, {"error": "cancelled"}, opened)
+                break
+            waiter: defer.Deferred[None] = defer.Deferred()
+            run.waiters.append(waiter)
+            await waiter
+        if not call.gone.called and reactor.seconds() >= self.silent_until:
+            request.finish()
+        return None
+
+    def _write(
+        self, call: http_server.Call, line: dict[str, Any], now: float
+    ) -> None:
+        if call.gone.called or getattr(call.request, "silenced", False):
+            return
+        if now < self.silent_until:
+            call.request.silenced = True  # type: ignore[attr-defined]
+            return
+        call.request.write(msgspec.json.encode(line) + b"\n")
+
+    def _report(self, cache_after: int) -> http_server.Reply:
+        now = reactor.seconds()
+        report = self._engine.report(cache_after)
+        report["cache_events"] = [
+            event
+            for event in report["cache_events"]
+            if self._random.random() >= self.cache_loss
+        ]
+        self._reports.append((now, report))
+        lagged = report
+        while self._reports and self._reports[0][0] <= now - self.report_lag_s:
+            lagged = self._reports.pop(0)[1]
+        if lagged is report and len(self._reports) > 1:
+            lagged = self._reports[0][1]
+        return http_server.json_reply(200, lagged)
+
+    def _order(self, asked: dict[str, Any]) -> http_server.Reply:
+        fence = asked.get("fence", 0)
+        if self._engine.honours_fence and fence < self._engine.fence:
+            raise engine_model.EngineRefusedError("stale_fence")
+        self._engine.fence = max(fence, self._engine.fence)
+        if "leaving" in asked:
+            self._engine.leaving = asked["leaving"]
+        if "role" in asked:
+            self._engine.role = asked["role"]
+        return http_server.json_reply(200, {"fence": self._engine.fence})
+
+    def _fault(self, asked: dict[str, Any]) -> http_server.Reply:
+        match asked.get("kind"):
+            case "die":
+                reactor.callLater(0.01, os._exit, 13)
+            case "silent":
+                # Streams that are open now never write again; new ones work.
+                self.silent_until = reactor.seconds() + asked.get("for_s", 0.1)
+            case "report_lag":
+                self.report_lag_s = asked["for_s"]
+            case "cache_loss":
+                self.cache_loss = asked["fraction"]
+            case "lose_cancels":
+                self.lose_cancels = asked["count"]
+            case "link_rate":
+                self._engine.costs = self._engine.costs._replace(
+                    link_bytes_s=asked["bytes_s"]
+                )
+            case "ignore_fence":
+                self._engine.honours_fence = False
+            case other:
+                return http_server.json_reply(
+                    400, {"error": f"no fault {other}"}
+                )
+        return http_server.json_reply(200, {})
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--role", choices=["prefill", "decode"], required=True)
+    parser.add_argument("--costs", default="{}", help="Costs as JSON")
+    parser.add_argument("--seed", type=int, default=1)
+
+
+def main() -> None:
+    """Run the engine process."""
+    asked = serving.parse_arguments(__doc__, _add_arguments)
+    costs = engine_model.Costs(**msgspec.json.decode(asked.costs))
+    engine = engine_model.Engine(reactor, asked.role, costs)
+    engine_server = EngineServer(engine, asked.seed)
+    serving.serve(reactor, asked.port, engine_server.handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/engine_model.py
@@ -0,0 +1,314 @@
+"""Model engine in one process: batching, memory, prefix cache and links."""
+
+from collections import OrderedDict
+from collections import deque
+import hashlib
+import heapq
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from nutmegscale import prompts
+from standins import answers
+
+CRASH_MARK = "\u2620crash\u2620"
+
+
+class Costs(NamedTuple):
+    """Linear costs of an engine.
+
+    Attributes:
+      prefill_base_s: Fixed time of a prefill.
+      prefill_token_s: Time of a prefill for each token not in the cache.
+      step_base_s: Fixed time of a decode step.
+      step_run_s: Time of a decode step for each run in the batch.
+      kv_token_bytes: KV cache of a token.
+      link_bytes_s: Export rate of the link.
+      kv_ttl_s: Time that a prefill result is kept.
+      slots: Runs that decode memory holds.
+      cache_blocks: Blocks that the prefix cache holds.
+    """
+
+    prefill_base_s: float = 0.01
+    prefill_token_s: float = 0.00005
+    step_base_s: float = 0.008
+    step_run_s: float = 0.0006
+    kv_token_bytes: int = 65_536
+    link_bytes_s: float = 2.5e9
+    kv_ttl_s: float = 0.8
+    slots: int = 20
+    cache_blocks: int = 256
+
+
+class Prefilled(NamedTuple):
+    """Result of a prefill."""
+
+    handle: str
+    kv_bytes: int
+    cached_tokens: int
+
+
+class EngineRefusedError(Exception):
+    """The engine refuses an operation; `reason` names why."""
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+        super().__init__(reason)
+
+
+class Run:
+    """A decode run in engine memory."""
+
+    def __init__(
+        self,
+        run_id: str,
+        host: str,
+        tokens: list[bytes],
+        start: int,
+        now: float,
+    ) -> None:
+        self.run_id = run_id
+        self.host = host
+        self.tokens = tokens
+        self.made = start
+        self.started = now
+        self.waiters: list[defer.Deferred[None]] = []
+
+    @property
+    def finished(self) -> bool:
+        """Whether every token was made."""
+        return self.made >= len(self.tokens)
+
+    def wake(self) -> None:
+        """Tell the readers that a token was made or that the run ended."""
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
+
+
+class Engine:
+    """Prefill and decode of one stand-in engine on an injected clock."""
+
+    def __init__(self, clock: Any, role: str, costs: Costs) -> None:
+        self._clock = clock
+        self.role = role
+        self.costs = costs
+        self.leaving = False
+        self.fence = 0
+        self.honours_fence = True
+        self.runs: dict[str, Run] = {}
+        self.ended: OrderedDict[str, Run] = OrderedDict()
+        self.kv: dict[str, tuple[int, int, str]] = {}
+        self.cache: OrderedDict[bytes, None] = OrderedDict()
+        self.cache_events: deque[tuple[int, str, str]] = deque(maxlen=512)
+        self.counts: dict[str, int] = {}
+        self._queue: list[tuple[int, int, Any]] = []
+        self._queued = 0
+        self._prefilling: dict[str, str] = {}
+        self._busy = False
+        self._link_free_at = 0.0
+        self._stepping = False
+        self._events_made = 0
+        self.log: deque[tuple[str, str]] = deque(maxlen=20_000)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name] = self.counts.get(name, 0) + amount
+
+    def prefill(
+        self, run_id: str, host: str, prompt: str, priority: int
+    ) -> defer.Deferred[Prefilled]:
+        """Queue a prefill; lower priority numbers go first."""
+        if self.leaving:
+            raise EngineRefusedError("leaving")
+        done: defer.Deferred[Prefilled] = defer.Deferred()
+        self._queued += 1
+        self._prefilling[run_id] = host
+        job = (run_id, prompt, done)
+        heapq.heappush(self._queue, (priority, self._queued, job))
+        self._next_prefill()
+        return done
+
+    def _next_prefill(self) -> None:
+        if self._busy or not self._queue:
+            return
+        _, _, (run_id, prompt, done) = heapq.heappop(self._queue)
+        if run_id not in self._prefilling:
+            done.errback(EngineRefusedError("cancelled"))
+            self._next_prefill()
+            return
+        self._busy = True
+        total = answers.prompt_tokens(prompt)
+        cached = min(total, self._touch_cache(prompt) * prompts.BLOCK_TOKENS)
+        self.count("prefill_tokens", total - cached)
+        seconds = self.costs.prefill_base_s + self.costs.prefill_token_s * (
+            total - cached
+        )
+        self._clock.callLater(
+            seconds, self._end_prefill, run_id, done, total, cached
+        )
+
+    def _end_prefill(
+        self,
+        run_id: str,
+        done: defer.Deferred[Prefilled],
+        total: int,
+        cached: int,
+    ) -> None:
+        self._busy = False
+        self._next_prefill()
+        host = self._prefilling.pop(run_id, None)
+        if host is None:
+            self.count("wasted_prefill_tokens", total - cached)
+            done.errback(EngineRefusedError("cancelled"))
+            return
+        kv_bytes = total * self.costs.kv_token_bytes
+        self.kv[run_id] = (kv_bytes, total - cached, host)
+        self._clock.callLater(self.costs.kv_ttl_s, self._drop_kv, run_id)
+        done.callback(Prefilled(run_id, kv_bytes, cached))
+
+    def _drop_kv(self, handle: str) -> None:
+        entry = self.kv.pop(handle, None)
+        if entry is not None:
+            self.count("wasted_prefill_tokens", entry[1])
+
+    def _touch_cache(self, prompt: str) -> int:
+        hits = 0
+        missed = False
+        for digest in prompts.block_digests(prompt):
+            missed = missed or digest not in self.cache
+            hits += not missed
+            if digest not in self.cache:
+                self._cache_event("add", digest)
+            self.cache[digest] = None
+            self.cache.move_to_end(digest)
+        while len(self.cache) > self.costs.cache_blocks:
+            digest, _ = self.cache.popitem(last=False)
+            self._cache_event("drop", digest)
+        return hits
+
+    def _cache_event(self, kind: str, digest: bytes) -> None:
+        self._events_made += 1
+        self.cache_events.append((self._events_made, kind, digest.hex()))
+
+    def export(self, handle: str) -> defer.Deferred[int]:
+        """Send a prefill result over the link; it is then freed here."""
+        if handle not in self.kv:
+            raise EngineRefusedError("kv_gone")
+        kv_bytes, _, _ = self.kv.pop(handle)
+        now = self._clock.seconds()
+        start = max(now, self._link_free_at)
+        self._link_free_at = start + kv_bytes / self.costs.link_bytes_s
+        done: defer.Deferred[int] = defer.Deferred()
+        self._clock.callLater(self._link_free_at - now, done.callback, kv_bytes)
+        return done
+
+    def reserve(self, run_id: str, host: str) -> None:
+        """Take a slot for a run that is about to be imported."""
+        if self.leaving:
+            raise EngineRefusedError("leaving")
+        if run_id in self.runs or run_id in self.ended:
+            raise EngineRefusedError("exists")
+        if len(self.runs) >= self.costs.slots:
+            raise EngineRefusedError("full")
+        self.runs[run_id] = Run(run_id, host, [], 0, self._clock.seconds())
+
+    def start(
+        self, run_id: str, prompt: str, first_token: int, max_tokens: int
+    ) -> None:
+        """Begin to decode an imported run."""
+        run = self.runs.get(run_id)
+        if run is None:
+            raise EngineRefusedError("cancelled")
+        run.tokens = answers.answer_tokens(prompt, max_tokens)
+        run.made = min(first_token, len(run.tokens))
+        self.count("decode_runs")
+        digest = hashlib.blake2b(prompt.encode(), digest_size=8).hexdigest()
+        self.log.append((run_id, digest))
+        if not self._stepping:
+            self._stepping = True
+            self._schedule_step()
+
+    def _schedule_step(self) -> None:
+        active = sum(1 for run in self.runs.values() if run.tokens)
+        seconds = self.costs.step_base_s + self.costs.step_run_s * active
+        self._clock.callLater(seconds, self._step)
+
+    def _step(self) -> None:
+        for run in list(self.runs.values()):
+            if not run.tokens:
+                continue
+            if not run.finished:
+                run.made += 1
+                self.count("decode_tokens")
+            if run.finished:
+                self._end(run)
+            run.wake()
+        if any(run.tokens for run in self.runs.values()):
+            self._schedule_step()
+        else:
+            self._stepping = False
+
+    def _end(self, run: Run) -> None:
+        self.runs.pop(run.run_id, None)
+        self.ended[run.run_id] = run
+        while len(self.ended) > 256:
+            self.ended.popitem(last=False)
+
+    def find(self, run_id: str) -> Run | None:
+        """Return a running or recently ended run."""
+        return self.runs.get(run_id) or self.ended.get(run_id)
+
+    def cancel(self, run_id: str) -> bool:
+        """Free everything held for a run.
+
+        Returns:
+          Whether anything was held.
+        """
+        held = self._prefilling.pop(run_id, None) is not None
+        if run_id in self.kv:
+            held = True
+            self._drop_kv(run_id)
+        run = self.runs.pop(run_id, None)
+        self.ended.pop(run_id, None)
+        if run is not None:
+            held = True
+            self.count("cancelled_runs")
+            run.wake()
+        return held
+
+    def running(self) -> list[dict[str, Any]]:
+        """List what holds memory or prefill time."""
+        now = self._clock.seconds()
+        listed = [
+            {
+                "run_id": r.run_id,
+                "host": r.host,
+                "phase": "decode",
+                "age_s": round(now - r.started, 3),
+            }
+            for r in self.runs.values()
+        ]
+        listed += [
+            {"run_id": run_id, "host": host, "phase": "prefill", "age_s": 0.0}
+            for run_id, host in self._prefilling.items()
+        ]
+        listed += [
+            {"run_id": run_id, "host": entry[2], "phase": "kv", "age_s": 0.0}
+            for run_id, entry in self.kv.items()
+        ]
+        return listed
+
+    def report(self, cache_after: int) -> dict[str, Any]:
+        """Return the load report and the cache events after a number."""
+        events = [e for e in self.cache_events if e[0] > cache_after]
+        return {
+            "role": self.role,
+            "leaving": self.leaving,
+            "slots": self.costs.slots,
+            "running": self.running(),
+            "queued": len(self._queue) + self._busy,
+            "cache_last": self._events_made,
+            "cache_events": events[-64:],
+        }
--- /dev/null
+++ b/standins/plain.py
@@ -0,0 +1,81 @@
+"""Plain service as a process: counts the runs of each call."""
+
+import argparse
+import os
+from typing import Any
+
+import msgspec
+from twisted.internet import reactor as _reactor
+from twisted.internet import task
+
+from nutmegscale import http_server
+from standins import serving
+
+reactor: Any = _reactor
+
+
+class PlainServer:
+    """Service whose every call counts a run and echoes its body."""
+
+    def __init__(self, latency_s: float) -> None:
+        self._latency_s = latency_s
+        self._runs: dict[str, int] = {}
+        self._after: str | None = None
+        self.leaving = False
+
+    async def handle(self, call: http_server.Call) -> http_server.Reply | None:
+        """Answer one request."""
+        match (call.method, call.path):
+            case ("GET", ["_report"]):
+                return http_server.json_reply(
+                    200,
+                    {
+                        "role": "plain",
+                        "leaving": self.leaving,
+                        "slots": 1_000,
+                        "running": [],
+                        "queued": 0,
+                        "cache_last": 0,
+                        "cache_events": [],
+                    },
+                )
+            case ("GET", ["_counts"]):
+                return http_server.json_reply(200, self._runs)
+            case ("POST", ["_faults"]):
+                asked = msgspec.json.decode(call.body)
+                self._after = asked.get("after_run", self._after)
+                self.leaving = asked.get("leaving", self.leaving)
+                self._latency_s = asked.get("latency_s", self._latency_s)
+                return http_server.json_reply(200, {})
+        key = call.header("x-run-key") or "?"
+        self._runs[key] = self._runs.get(key, 0) + 1
+        run = self._runs[key]
+        await task.deferLater(reactor, self._latency_s, lambda: None)
+        if self._after == "die":
+            os._exit(13)
+        if self._after == "lose":
+            self._after = None
+            transport: Any = call.request.transport
+            transport.abortConnection()
+            return None
+        body = {
+            "service": "plain",
+            "path": "/".join(call.path),
+            "run": run,
+            "echo": call.body.decode("utf-8", "replace"),
+        }
+        return http_server.json_reply(200, body)
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--latency", type=float, default=0.005, metavar="S")
+
+
+def main() -> None:
+    """Run the plain service process."""
+    asked = serving.parse_arguments(__doc__, _add_arguments)
+    serving.serve(reactor, asked.port, PlainServer(asked.latency).handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,163 @@
+"""The platform as a process: table, object store and lagging host list."""
+
+import argparse
+import base64
+from collections import deque
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import reactor as _reactor
+from twisted.internet import task
+
+from nutmegscale import http_server
+from standins import serving
+
+reactor: Any = _reactor
+WRITES_PER_S = 400
+READS_PER_S = 2_000
+
+
+class Row(NamedTuple):
+    """A table row with its version, from 1."""
+
+    version: int
+    value: bytes
+
+
+class RateLimit:
+    """Count of operations in the last second."""
+
+    def __init__(self, per_second: int) -> None:
+        self._per_second = per_second
+        self._times: deque[float] = deque()
+
+    def take(self, now: float) -> bool:
+        """Count an operation; False when the rate is spent."""
+        while self._times and self._times[0] <= now - 1.0:
+            self._times.popleft()
+        if len(self._times) >= self._per_second:
+            return False
+        self._times.append(now)
+        return True
+
+
+class PlatformServer:
+    """Routes of the platform's wire form, and its faults."""
+
+    def __init__(self, list_lag_s: float) -> None:
+        self._rows: dict[str, Row] = {}
+        self._objects: dict[str, bytes] = {}
+        self._hosts: dict[str, dict[str, Any]] = {}
+        self._listed: list[dict[str, Any]] = []
+        self._list_lag_s = list_lag_s
+        self._writes = RateLimit(WRITES_PER_S)
+        self._reads = RateLimit(READS_PER_S)
+        self.down = False
+        self.slow_s = 0.0
+        self.lose_answers = 0
+        self.counts = {"reads": 0, "writes": 0}
+
+    async def handle(self, call: http_server.Call) -> http_server.Reply | None:
+        """Answer one request."""
+        if call.path[:1] == ["_admin"]:
+            return self._admin(call)
+        if self.down:
+            await defer.Deferred()
+        if self.slow_s:
+            await task.deferLater(reactor, self.slow_s, lambda: None)
+        return await self._route(call)
+
+    async def _route(self, call: http_server.Call) -> http_server.Reply | None:
+        is_read = call.method == "GET"
+        limit = self._reads if is_read else self._writes
+        self.counts["reads" if is_read else "writes"] += 1
+        if not limit.take(reactor.seconds()):
+            return http_server.json_reply(429, {"error": "rate"})
+        reply = self._apply(call)
+        if not is_read and self.lose_answers > 0:
+            self.lose_answers -= 1
+            await defer.Deferred()
+        return reply
+
+    def _apply(self, call: http_server.Call) -> http_server.Reply:
+        match (call.method, call.path):
+            case ("GET", ["table", *key]):
+                return self._read_row(
+                    "/".join(key), int(call.query("known", "0"))
+                )
+            case ("PUT", ["table", *key]):
+                return self._write_row(
+                    "/".join(key), int(call.query("expect", "0")), call.body
+                )
+            case ("GET", ["objects", name]):
+                if name not in self._objects:
+                    return http_server.json_reply(404, {"error": "no_object"})
+                return http_server.Reply(
+                    200, self._objects[name], "application/octet-stream"
+                )
+            case ("PUT", ["objects", name]):
+                self._objects[name] = call.body
+                return http_server.json_reply(200, {})
+            case ("GET", ["hosts"]):
+                return http_server.json_reply(200, self._listed)
+        return http_server.json_reply(404, {"error": "not_found"})
+
+    def _read_row(self, key: str, known: int) -> http_server.Reply:
+        row = self._rows.get(key)
+        if row is None:
+            return http_server.json_reply(404, {"error": "no_row"})
+        if row.version == known:
+            return http_server.json_reply(200, {"version": known})
+        return http_server.json_reply(200, _row_json(row))
+
+    def _write_row(
+        self, key: str, expect: int, value: bytes
+    ) -> http_server.Reply:
+        row = self._rows.get(key)
+        version = row.version if row else 0
+        if version != expect:
+            current = _row_json(row) if row else {"version": 0}
+            return http_server.json_reply(412, current)
+        self._rows[key] = Row(version + 1, value)
+        return http_server.json_reply(200, {"version": version + 1})
+
+    def _admin(self, call: http_server.Call) -> http_server.Reply:
+        asked = msgspec.json.decode(call.body) if call.body else {}
+        match call.path[1:]:
+            case ["hosts"]:
+                for row in asked:
+                    self._hosts[row["name"]] = row
+                reactor.callLater(self._list_lag_s, self._publish)
+            case ["faults"]:
+                self.down = asked.get("down", self.down)
+                self.slow_s = asked.get("slow_s", self.slow_s)
+                self.lose_answers = asked.get("lose_answers", self.lose_answers)
+            case ["counts"]:
+                return http_server.json_reply(200, self.counts)
+        return http_server.json_reply(200, {})
+
+    def _publish(self) -> None:
+        self._listed = sorted(self._hosts.values(), key=lambda r: r["name"])
+
+
+def _row_json(row: Row) -> dict[str, Any]:
+    return {
+        "version": row.version,
+        "value": base64.b64encode(row.value).decode(),
+    }
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--list-lag", type=float, default=0.3, metavar="S")
+
+
+def main() -> None:
+    """Run the platform process."""
+    asked = serving.parse_arguments(__doc__, _add_arguments)
+    serving.serve(reactor, asked.port, PlatformServer(asked.list_lag).handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package; each file mirrors a module."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for demonstrations and measurements."""
--- /dev/null
+++ b/tools/cluster.py
@@ -0,0 +1,336 @@
+"""Processes of a deployment on this machine: platform, engines, hosts."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+from typing import NamedTuple
+import urllib.error
+import urllib.request
+
+from nutmegscale import folder
+
+MESH_KEY = "5d1f6f7a1c3e4b2a9d8c7b6a5f4e3d2c"
+OPERATOR_TOKEN = "operators-demo-token"
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+class WorkerPlan(NamedTuple):
+    """A backend server to start."""
+
+    name: str
+    failure_domain: str
+    pool: str
+    role: str
+
+
+class HostPlan(NamedTuple):
+    """An entry host to start."""
+
+    name: str
+    failure_domain: str
+
+
+class Plan(NamedTuple):
+    """A deployment to start."""
+
+    hosts: tuple[HostPlan, ...]
+    workers: tuple[WorkerPlan, ...]
+    config_folder: str
+
+
+class Host(NamedTuple):
+    """A started entry host."""
+
+    plan: HostPlan
+    process: subprocess.Popen[bytes]
+    caller_url: str
+    operator_url: str
+
+
+class Worker(NamedTuple):
+    """A started backend server."""
+
+    plan: WorkerPlan
+    process: subprocess.Popen[bytes]
+    url: str
+
+
+def free_ports(count: int) -> list[int]:
+    """Find free TCP ports of the loopback address."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [int(item.getsockname()[1]) for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def call(
+    method: str,
+    url: str,
+    body: Any = None,
+    *,
+    token: str = "",
+    timeout_s: float = 5.0,
+) -> Any:
+    """Send a JSON request and return the JSON answer."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    if token:
+        request.add_header("authorization", f"Bearer {token}")
+    with urllib.request.urlopen(request, timeout=timeout_s) as response:
+        return json.loads(response.read())
+
+
+class Cluster:
+    """A running deployment; use as a context manager."""
+
+    def __init__(self, plan: Plan, *, logs: str | None = None) -> None:
+        self._plan = plan
+        self._temporary = tempfile.TemporaryDirectory()
+        self.folder = logs or self._temporary.name
+        self._children: list[subprocess.Popen[bytes]] = []
+        self.workers: dict[str, Worker] = {}
+        self.hosts: dict[str, Host] = {}
+        self.platform_url = ""
+        self._host_ports: dict[str, tuple[int, int, int]] = {}
+        self._listed: dict[str, dict[str, Any]] = {}
+
+    def __enter__(self) -> "Cluster":
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.stop()
+
+    def _start(self) -> None:
+        self._start_platform()
+        for item in self._plan.workers:
+            self.start_worker(item)
+        self._publish()
+        for host in self._plan.hosts:
+            self.start_host(host)
+        self._publish()
+        self.wait_reachable()
+        self.apply(self._plan.config_folder)
+        self.wait_ready(list(self.hosts))
+
+    def _spawn(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
+        path = os.path.join(self.folder, f"{name}.log")
+        with open(path, "ab") as log:
+            child = subprocess.Popen(
+                [sys.executable, "-m", *arguments], stdout=log, stderr=log
+            )
+        self._children.append(child)
+        return child
+
+    def _start_platform(self) -> None:
+        (port,) = free_ports(1)
+        self._spawn("platform", "standins.platform", "--port", str(port))
+        self.platform_url = f"http://127.0.0.1:{port}"
+        self.wait(lambda: call("GET", f"{self.platform_url}/_admin/counts"))
+
+    def start_worker(self, item: WorkerPlan) -> None:
+        """Start a backend server, on a new port."""
+        (port,) = free_ports(1)
+        url = f"http://127.0.0.1:{port}"
+        if item.role == "plain":
+            child = self._spawn(
+                item.name, "standins.plain", "--port", str(port)
+            )
+        else:
+            child = self._spawn(
+                item.name,
+                "standins.engine",
+                "--port",
+                str(port),
+                "--role",
+                item.role,
+                "--costs",
+                json.dumps(self._costs(item.pool)),
+            )
+        self.workers[item.name] = Worker(item, child, url)
+        self._listed[item.name] = {
+            "name": item.name,
+            "kind": "backend",
+            "address": url,
+            "failure_domain": item.failure_domain,
+            "pool": item.pool,
+            "state": "live",
+        }
+
+    def _costs(self, pool: str) -> Any:
+        document = folder.load(self._plan.config_folder)
+        return document["engines"][document["pools"][pool]["engine"]]
+
+    def start_host(self, item: HostPlan) -> None:
+        """Start an entry host; a restarted one keeps its ports."""
+        if item.name not in self._host_ports:
+            ports = free_ports(3)
+            self._host_ports[item.name] = (ports[0], ports[1], ports[2])
+        caller, operator, mesh = self._host_ports[item.name]
+        settings = {
+            "host": item.name,
+            "failure_domain": item.failure_domain,
+            "caller_port": caller,
+            "operator_port": operator,
+            "mesh_address": f"tcp://127.0.0.1:{mesh}",
+            "mesh_key": MESH_KEY,
+            "operator_token": OPERATOR_TOKEN,
+            "platform_url": self.platform_url,
+        }
+        path = os.path.join(self.folder, f"{item.name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        child = self._spawn(item.name, "nutmegscale", "--settings", path)
+        self.hosts[item.name] = Host(
+            item,
+            child,
+            f"http://127.0.0.1:{caller}",
+            f"http://127.0.0.1:{operator}",
+        )
+        self._listed[item.name] = {
+            "name": item.name,
+            "kind": "entry",
+            "state": "live",
+            "address": settings["mesh_address"],
+            "failure_domain": item.failure_domain,
+        }
+
+    def _publish(self) -> None:
+        rows = list(self._listed.values())
+        call("POST", f"{self.platform_url}/_admin/hosts", rows)
+
+    def publish_state(self, name: str, state: str) -> None:
+        """Change the state of a host or worker in the platform's list."""
+        self._listed[name]["state"] = state
+        self._publish()
+
+    def publish(self) -> None:
+        """Publish the list of hosts and workers again."""
+        self._publish()
+
+    def platform_faults(self, **faults: Any) -> None:
+        """Switch faults of the platform."""
+        call("POST", f"{self.platform_url}/_admin/faults", faults)
+
+    def status(self, name: str) -> Any:
+        """Read the status of a host."""
+        return call(
+            "GET",
+            f"{self.hosts[name].operator_url}/v1/status",
+            token=OPERATOR_TOKEN,
+        )
+
+    def wait(self, check: Any, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until a check returns a true value without an error."""
+        deadline = time.monotonic() + timeout_s
+        problem: object = None
+        while time.monotonic() < deadline:
+            try:
+                if check():
+                    return
+            except (OSError, urllib.error.URLError, ValueError) as exc:
+                problem = exc
+            time.sleep(POLL_S)
+        raise TimeoutError(f"not in {timeout_s} s: {problem}")
+
+    def wait_reachable(self) -> None:
+        """Wait until every process answers."""
+        for worker in self.workers.values():
+            path = "/_report" if worker.plan.role == "plain" else "/v1/report"
+            self.wait(lambda url=worker.url + path: call("GET", url))
+        for name in self.hosts:
+            self.wait(lambda name=name: self.status(name))
+
+    def wait_ready(self, names: list[str]) -> None:
+        """Wait until hosts are ready and know each other."""
+        count = len(self.hosts)
+        for name in names:
+            self.wait(lambda name=name: self._is_ready(name, count))
+
+    def _is_ready(self, name: str, count: int) -> bool:
+        found = self.status(name)
+        alive = [h for h in found["hosts"] if h["state"] == "alive"]
+        return bool(found["ready"]) and len(alive) >= count
+
+    def apply(self, path: str) -> None:
+        """Apply a configuration folder through the command line tool."""
+        from nutmegscale import cli  # noqa: PLC0415
+
+        os.environ[cli.TOKEN_VARIABLE] = OPERATOR_TOKEN
+        urls = [host.operator_url for host in self.hosts.values()]
+        arguments = ["config", "apply", path, "--json"]
+        for url in urls:
+            arguments += ["--host", url]
+        if cli.main(arguments) != cli.EXIT_OK:
+            raise RuntimeError("the configuration wasn't accepted")
+
+    def kill(self, process: subprocess.Popen[bytes]) -> None:
+        """Kill a process of this deployment."""
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    def stop(self) -> None:
+        """End every process of this deployment."""
+        for child in self._children:
+            if child.poll() is None:
+                child.send_signal(signal.SIGKILL)
+        for child in self._children:
+            child.wait()
+        self._temporary.cleanup()
+
+
+def federation_plan() -> Plan:
+    """Return the Federation's layout: 8 hosts, 5 engines, 4 plain workers."""
+    domains = ("maadi", "nasr", "giza", "shorouk")
+    hosts = tuple(HostPlan(f"{d}-{n}", d) for d in domains for n in (1, 2))
+    engines = (
+        WorkerPlan("prefill-maadi", "maadi", "notes-prefill", "prefill"),
+        WorkerPlan("prefill-giza", "giza", "notes-prefill", "prefill"),
+        WorkerPlan("decode-maadi", "maadi", "notes-decode", "decode"),
+        WorkerPlan("decode-nasr", "nasr", "notes-decode", "decode"),
+        WorkerPlan("decode-shorouk", "shorouk", "notes-decode", "decode"),
+    )
+    plain = tuple(
+        WorkerPlan(f"entries-{d}", d, "entries", "plain") for d in domains
+    )
+    return Plan(hosts, (*engines, *plain), "examples/federation")
+
+
+def consortium_plan() -> Plan:
+    """Return the Consortium's layout: 8 hosts, 5 engines, 3 plain workers."""
+    domains = ("brisbane-north", "ipswich", "gold-coast")
+    numbers = {"brisbane-north": 3, "ipswich": 3, "gold-coast": 2}
+    hosts = tuple(
+        HostPlan(f"{d}-{n}", d)
+        for d in domains
+        for n in range(1, numbers[d] + 1)
+    )
+    engines = (
+        WorkerPlan(
+            "prefill-north", "brisbane-north", "appraise-prefill", "prefill"
+        ),
+        WorkerPlan("prefill-ipswich", "ipswich", "appraise-prefill", "prefill"),
+        WorkerPlan(
+            "decode-north", "brisbane-north", "appraise-decode", "decode"
+        ),
+        WorkerPlan("decode-ipswich", "ipswich", "appraise-decode", "decode"),
+        WorkerPlan("decode-coast", "gold-coast", "appraise-decode", "decode"),
+    )
+    plain = tuple(
+        WorkerPlan(f"storefront-{d}", d, "storefront", "plain") for d in domains
+    )
+    return Plan(hosts, (*engines, *plain), "examples/consortium")
