Demo of the Federation's deployment; a cancelled request stays cancelled

Cause: in the first demo two exchanges were retried with EngineLostError and an empty message. Both were cancelled by their caller: a cancelled request of the HTTP client fails as a broken response, which the runner took for a lost engine and tried again, marking the content as suspect.

Ruled out: the killed host (the retries came before and after the kill, on other hosts) and closed idle connections (the same two exchanges in each run).

Also: a prompt too long for the target on an idle pool was refused on each of its 12 sends (14 requests never answered). It is now admitted when its wait is within 1.25 times its own time alone.

--- a/nutmegscale/exchange_runner.py
+++ b/nutmegscale/exchange_runner.py
@@ -341,7 +341,11 @@
             "exchange.retried", x.id, worker=step.worker, cause=kind
         )
         logs.get().info(
-            "exchange_retried", exchange=x.id, worker=step.worker, cause=kind
+            "exchange_retried",
+            exchange=x.id,
+            worker=step.worker,
+            cause=kind,
+            message=str(failure),
         )
         is_gone = isinstance(
             failure, errors.EngineLostError | errors.ConnectError
--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -110,6 +110,10 @@
                 "stream made no progress"
             ) from exc
 
+    def rest(self) -> bytes:
+        """Return what came after the last whole line."""
+        return self._buffer
+
     def close(self) -> None:
         """Abort the connection."""
         if self._closed:
@@ -206,7 +210,13 @@
         return await self._guard(_exchange(), timeout_s)
 
     async def stream(
-        self, method: str, path: str, *, timeout_s: float = REQUEST_TIMEOUT_S
+        self,
+        method: str,
+        path: str,
+        *,
+        json: Any = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = REQUEST_TIMEOUT_S,
     ) -> tuple[int, LineStream]:
         """Send a request and return its status and body stream.
 
@@ -214,7 +224,7 @@
           errors.TransportError: As for `request`.
         """
         response = await self._guard(
-            self._send(method, path, None, None, None), timeout_s
+            self._send(method, path, json, None, headers), timeout_s
         )
         lines = LineStream(self._reactor)
         response.deliverBody(lines)
@@ -241,33 +251,57 @@
 
     async def _guard(self, work: Awaitable[_T], timeout_s: float) -> _T:
         waiting: Any = defer.ensureDeferred(work)  # type: ignore[arg-type]
-        waiting.addTimeout(timeout_s, self._reactor)
+        timer = self._reactor.callLater(timeout_s, waiting.cancel)
         try:
             return await waiting  # type: ignore[no-any-return]
-        except (defer.TimeoutError, error.TimeoutError) as exc:
-            self.drop_connections()
-            if isinstance(exc, error.TCPTimedOutError | error.UserError):
-                raise errors.ConnectError(str(exc)) from exc
-            raise errors.ResponseTimeoutError(
-                f"{self._base_url}: {exc}"
-            ) from exc
-        except (
-            error.ConnectError,
-            error.ConnectionRefusedError,
-            error.NoRouteError,
-        ) as exc:
-            raise errors.ConnectError(f"{self._base_url}: {exc}") from exc
-        except (
-            error.ConnectionLost,
-            error.ConnectionDone,
-            error.ConnectionAborted,
-            client.ResponseFailed,
-            _newclient.RequestNotSent,
-            client.RequestTransmissionFailed,
-        ) as exc:
-            raise errors.TransportError(
-                f"{self._base_url}: {_reason(exc)}"
-            ) from exc
+        except _FAILURES as exc:
+            if not timer.active():
+                self.drop_connections()
+                raise errors.ResponseTimeoutError(
+                    f"{self._base_url}: no answer in {timeout_s:.2f} s"
+                ) from exc
+            raise self._translate(exc) from exc
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def _translate(self, exc: Exception) -> Exception:
+        """Return the typed error of a failed request.
+
+        A cancelled request may fail as a broken response; it stays a
+        cancellation, so that nobody takes it for a fault of the server.
+        """
+        if _is_cancelled(exc):
+            return defer.CancelledError()
+        message = f"{self._base_url}: {_reason(exc)}"
+        if isinstance(exc, _NEVER_SENT):
+            return errors.ConnectError(message)
+        return errors.TransportError(message)
+
+
+_NEVER_SENT = (
+    error.ConnectError,
+    error.TimeoutError,
+    error.NoRouteError,
+    _newclient.RequestNotSent,
+)
+_FAILURES = (
+    *_NEVER_SENT,
+    error.ConnectionLost,
+    error.ConnectionDone,
+    error.ConnectionAborted,
+    client.ResponseFailed,
+    client.RequestTransmissionFailed,
+    defer.CancelledError,
+)
+
+
+def _is_cancelled(exc: Exception) -> bool:
+    reasons = getattr(exc, "reasons", None) or ()
+    return isinstance(exc, defer.CancelledError) or any(
+        isinstance(r, failure.Failure) and r.check(defer.CancelledError)
+        for r in reasons
+    )
 
 
 def _plain_headers(response: Any) -> dict[str, str]:
--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -17,6 +17,7 @@
 LOWEST_PRIORITY = 9
 PRIORITY_STEP = 0.05
 ACCEPTED_PATIENCE_S = 20.0
+ALONE_FACTOR = 1.25
 RESERVATION_SLACK_S = 1.0
 CONTENTION_FRACTION = 0.5
 CALLER_MEMORY_S = 5.0
@@ -115,7 +116,8 @@
             )
         step_s = _step_s(decode.engine, decode.batch + 1)
         first_at = prefill.transfer_at + prefill.transfer_s + step_s
-        refusal = self._admit(now, ask, first_at)
+        alone_s = prefill.prefill_s + prefill.transfer_s + step_s
+        refusal = self._admit(now, ask, first_at, alone_s)
         if refusal is not None:
             return Err(refusal)
         self._book(now, ask, decode, prefill, first_at)
@@ -246,7 +248,7 @@
         )
 
     def _admit(
-        self, now: float, ask: placement.Ask, first_at: float
+        self, now: float, ask: placement.Ask, first_at: float, alone_s: float
     ) -> placement.Refusal | None:
         wait_s = first_at - now + ask.waited_s
         if ask.accepted:
@@ -256,7 +258,9 @@
             fraction = ADMIT_FRACTION - PRIORITY_STEP * (
                 urgency / LOWEST_PRIORITY
             )
-            allowed_s = ask.first_token_s * fraction
+            allowed_s = max(
+                ask.first_token_s * fraction, alone_s * ALONE_FACTOR
+            )
         if wait_s > allowed_s:
             late_s = max(MIN_RETRY_AFTER_S, wait_s - allowed_s)
             return placement.Refusal("first_token_too_late", late_s)
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,91 @@
+"""Demonstration: the Federation's deployment under work, one host killed."""
+
+import argparse
+import random
+import sys
+from typing import Any
+
+from rich import console
+from rich import table
+from twisted.internet import reactor as _reactor
+
+from nutmegscale import periodic
+from tools import cluster
+from tools import load
+from tools import promises
+
+reactor: Any = _reactor
+SECONDS = 20.0
+KILL_FRACTION = 0.5
+SETTLE_TRIES = 100
+SETTLE_POLL_S = 0.1
+VICTIM = "nasr-1"
+
+
+def read_records(deployment: cluster.Cluster) -> promises.Records:
+    """Read what every backend server counted."""
+    engines, plain, running = [], [], []
+    for worker in deployment.workers.values():
+        if worker.process.poll() is not None:
+            continue
+        if worker.plan.role == "plain":
+            plain.append(cluster.call("GET", f"{worker.url}/_counts"))
+        else:
+            engines.append(cluster.call("GET", f"{worker.url}/v1/counts"))
+            running.append(cluster.call("GET", f"{worker.url}/v1/running"))
+    return promises.collect(engines, plain, running)
+
+
+async def _run(deployment: cluster.Cluster, seconds: float, seed: int) -> int:
+    rng = random.Random(seed)
+    urls = {name: h.caller_url for name, h in deployment.hosts.items()}
+    callers = load.Callers(reactor, urls, rng)
+    works = load.federation_work(rng, seconds)
+
+    def _kill() -> None:
+        deployment.kill(deployment.hosts[VICTIM].process)
+        reactor.callLater(1.0, callers.down.add, VICTIM)
+
+    reactor.callLater(seconds * KILL_FRACTION, _kill)
+    outcomes = await load.send_all(reactor, callers, works)
+    for _ in range(SETTLE_TRIES):
+        records = read_records(deployment)
+        if not records.held:
+            break
+        await periodic.sleep(reactor, SETTLE_POLL_S)
+    summary = promises.summarize(outcomes, records)
+    _print(summary, seconds, seed)
+    return 1 if summary.broken else 0
+
+
+def _print(summary: promises.Summary, seconds: float, seed: int) -> None:
+    out = console.Console()
+    title = f"{seconds:.0f} s, seed {seed}, host {VICTIM} killed halfway"
+    drawn = table.Table("", "figure", title=title, title_justify="left")
+    for row in summary.rows:
+        drawn.add_row(*row)
+    out.print(drawn)
+    for line in summary.broken:
+        out.print(f"BROKEN: {line}")
+    out.print(f"promises broken: {len(summary.broken)}")
+
+
+def main() -> None:
+    """Run the demonstration; exit 1 when a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=SECONDS)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--logs", metavar="DIR", help="keep logs there")
+    asked = parser.parse_args()
+    status: list[int] = []
+
+    with cluster.Cluster(cluster.federation_plan(), logs=asked.logs) as running:
+        work = periodic.spawn(_run(running, asked.seconds, asked.seed))
+        work.addCallback(status.append)
+        work.addBoth(lambda _: reactor.stop())
+        reactor.run()
+    sys.exit(status[0] if status and status[0] is not None else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,286 @@
+"""Callers under load: they send work, check every answer, and retry."""
+
+import random
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet import defer
+
+from nutmegscale import errors
+from nutmegscale import http_client
+from nutmegscale import periodic
+from standins import answers
+
+MAX_SENDS = 12
+EVENT_TIMEOUT_S = 4.0
+CONNECTION_RETRY_S = 0.1
+
+
+class Work(NamedTuple):
+    """One request that a caller sends.
+
+    Attributes:
+      at_s: Time from the start at which it is first sent.
+      caller: Caller's name; its key is the name and "-key".
+      service: Service that it asks for.
+      name: Request id, or idempotency key.
+      prompt: Prompt, or body of a plain call.
+      max_tokens: Bound of the answer; 0 for a plain call.
+      cancel_after_s: Time after which the caller closes, or None.
+    """
+
+    at_s: float
+    caller: str
+    service: str
+    name: str
+    prompt: str
+    max_tokens: int
+    cancel_after_s: float | None = None
+
+
+class Outcome(NamedTuple):
+    """How a request ended for its caller.
+
+    Attributes:
+      work: The request.
+      result: "answered", "wrong", "cancelled" or the type of the failure.
+      outcome: What the failure said of the run, "ran" when answered.
+      first_token_s: Time to the first token.
+      gap_s: Mean time between tokens.
+      sends: How often the caller sent it.
+      refusals: Types of the failures before the last send.
+    """
+
+    work: Work
+    result: str
+    outcome: str
+    first_token_s: float
+    gap_s: float
+    sends: int
+    refusals: tuple[str, ...]
+
+
+class _SendFailedError(Exception):
+    """A send got a failure; the connection broke when `type` is ""."""
+
+    def __init__(
+        self, kind: str, outcome: str, retry_after_s: float | None
+    ) -> None:
+        self.kind = kind
+        self.outcome = outcome
+        self.retry_after_s = retry_after_s
+        super().__init__(kind)
+
+
+class Callers:
+    """Sends work to entry hosts as the platform's balancer would."""
+
+    def __init__(
+        self, reactor: Any, urls: dict[str, str], rng: random.Random
+    ) -> None:
+        self._reactor = reactor
+        self._clients = {
+            name: http_client.HttpClient(reactor, url)
+            for name, url in urls.items()
+        }
+        self._rng = rng
+        self.down: set[str] = set()
+
+    def _pick(self, last: str) -> str:
+        names = [n for n in self._clients if n not in self.down and n != last]
+        return self._rng.choice(names or list(self._clients))
+
+    async def send(self, work: Work) -> Outcome:
+        """Send a request until it has a final answer."""
+        began = self._reactor.seconds()
+        refusals: list[str] = []
+        last = ""
+        problem = _SendFailedError("not_sent", "not_run", None)
+        for number in range(1, MAX_SENDS + 1):
+            last = self._pick(last)
+            try:
+                first_s, gap_s, text = await self._send_once(last, work, began)
+            except _SendFailedError as exc:
+                problem = exc
+                refusals.append(exc.kind)
+                if exc.kind and exc.retry_after_s is None:
+                    break
+                await periodic.sleep(
+                    self._reactor, exc.retry_after_s or CONNECTION_RETRY_S
+                )
+                continue
+            result = "answered" if text == expected_text(work) else "wrong"
+            return Outcome(
+                work, result, "ran", first_s, gap_s, number, tuple(refusals)
+            )
+        return Outcome(
+            work,
+            problem.kind or "connection_lost",
+            problem.outcome,
+            0.0,
+            0.0,
+            len(refusals),
+            tuple(refusals[:-1]),
+        )
+
+    async def _send_once(
+        self, host: str, work: Work, began: float
+    ) -> tuple[float, float, str]:
+        if work.max_tokens:
+            return await self._complete(host, work, began)
+        return await self._call(host, work, began)
+
+    async def _call(
+        self, host: str, work: Work, began: float
+    ) -> tuple[float, float, str]:
+        headers = {
+            "authorization": f"Bearer {work.caller}-key",
+            "idempotency-key": work.name,
+        }
+        try:
+            response = await self._clients[host].request(
+                "POST",
+                f"/services/{work.service}/entries",
+                body=work.prompt.encode(),
+                headers=headers,
+                timeout_s=EVENT_TIMEOUT_S,
+            )
+        except errors.TransportError as exc:
+            raise _SendFailedError("", "maybe_run", None) from exc
+        value = response.json()
+        if response.status != 200:
+            raise _failure(value)
+        return self._reactor.seconds() - began, 0.0, str(value["echo"])
+
+    async def _complete(
+        self, host: str, work: Work, began: float
+    ) -> tuple[float, float, str]:
+        headers = {
+            "authorization": f"Bearer {work.caller}-key",
+            "x-request-id": work.name,
+        }
+        body = {
+            "model": work.service,
+            "prompt": work.prompt,
+            "max_tokens": work.max_tokens,
+            "stream": True,
+        }
+        try:
+            status, lines = await self._clients[host].stream(
+                "POST",
+                "/v1/completions",
+                json=body,
+                headers=headers,
+                timeout_s=EVENT_TIMEOUT_S,
+            )
+        except errors.TransportError as exc:
+            raise _SendFailedError("", "maybe_run", None) from exc
+        try:
+            return await self._read_events(lines, status, work, began)
+        finally:
+            lines.close()
+
+    async def _read_events(
+        self,
+        lines: http_client.LineStream,
+        status: int,
+        work: Work,
+        began: float,
+    ) -> tuple[float, float, str]:
+        texts: list[str] = []
+        first_at = last_at = 0.0
+        while True:
+            try:
+                line = await lines.next_line(EVENT_TIMEOUT_S)
+            except errors.ResponseTimeoutError as exc:
+                raise _SendFailedError("", "maybe_run", None) from exc
+            if line is None:
+                tail = lines.rest()
+                if status != 200 and tail:
+                    raise _failure(msgspec.json.decode(tail))
+                raise _SendFailedError("", "maybe_run", None)
+            if line == b"data: [DONE]":
+                break
+            if not line.startswith(b"data: "):
+                continue
+            value = msgspec.json.decode(line[6:])
+            if "error" in value:
+                raise _failure(value)
+            now = self._reactor.seconds()
+            first_at = first_at or now
+            last_at = now
+            texts.append(value["choices"][0]["text"])
+        tokens = len(answers.answer_tokens(work.prompt, work.max_tokens))
+        gap_s = (last_at - first_at) / max(1, tokens - 1)
+        return first_at - began, gap_s, "".join(texts)
+
+
+def _failure(value: dict[str, Any]) -> _SendFailedError:
+    error = value["error"]
+    return _SendFailedError(
+        error["type"], error["outcome"], error.get("retry_after_s")
+    )
+
+
+def expected_text(work: Work) -> str:
+    """Return the text that answers a request."""
+    if work.max_tokens:
+        return answers.answer_text(work.prompt, work.max_tokens)
+    return work.prompt
+
+
+async def send_all(
+    reactor: Any, callers: Callers, works: list[Work]
+) -> list[Outcome]:
+    """Send each request at its time and wait for every outcome."""
+
+    async def _one(work: Work) -> Outcome | None:
+        await periodic.sleep(reactor, work.at_s)
+        sending = defer.ensureDeferred(callers.send(work))
+        if work.cancel_after_s is not None:
+            sending.addTimeout(work.cancel_after_s, reactor)
+        try:
+            return await sending
+        except (defer.TimeoutError, TimeoutError, defer.CancelledError):
+            return Outcome(work, "cancelled", "maybe_run", 0.0, 0.0, 1, ())
+
+    running = [periodic.spawn(_one(work)) for work in works]
+    results = await defer.gatherResults(running)
+    return [outcome for outcome in results if outcome is not None]
+
+
+def federation_work(rng: random.Random, seconds: float) -> list[Work]:
+    """Make mixed work of the Federation: briefs and entry confirmations."""
+    works = []
+    at_s = 0.0
+    number = 0
+    while at_s < seconds:
+        at_s += rng.expovariate(14.0)
+        number += 1
+        if rng.random() < 0.5:
+            caller = rng.choice(["entry-pages", "cairo-club"])
+            body = f"entry {number} بطاقة 🧭 {rng.randrange(10**9)}"
+            works.append(
+                Work(at_s, caller, "entries-app", f"e{number}", body, 0)
+            )
+            continue
+        length = int(rng.lognormvariate(7.2, 0.8))
+        topic = f"brief {number} {rng.randrange(10**9)} "
+        prompt = (topic + "control flag é 🧭 " * length)[
+            : 4 * min(length, 12_000)
+        ]
+        caller = rng.choice(["cairo-club", "alex-club"])
+        cancel = rng.uniform(0.05, 1.0) if rng.random() < 0.05 else None
+        works.append(
+            Work(
+                at_s,
+                caller,
+                "notes-model",
+                f"b{number}",
+                topic + prompt,
+                rng.randrange(16, 160),
+                cancel,
+            )
+        )
+    return works
--- /dev/null
+++ b/tools/promises.py
@@ -0,0 +1,143 @@
+"""Checks of what must always hold, from callers' and engines' records."""
+
+import statistics
+from typing import Any
+from typing import NamedTuple
+
+from standins import engine_model
+from tools import load
+
+FIRST_TOKEN_S = 0.54
+TOKEN_GAP_S = 0.031
+
+
+class Records(NamedTuple):
+    """What the backend servers counted.
+
+    Attributes:
+      prefilled: Digests of the prompts that any engine prefilled.
+      runs: Run count of each call of the plain services, by its key.
+      prefill_tokens: Tokens prefilled.
+      wasted_tokens: Tokens whose prefill result was discarded.
+      held: Runs that still hold memory, at the end.
+    """
+
+    prefilled: frozenset[str]
+    runs: dict[str, int]
+    prefill_tokens: int
+    wasted_tokens: int
+    held: int
+
+
+class Summary(NamedTuple):
+    """Figures of a run, and the promises that were broken."""
+
+    rows: list[tuple[str, str]]
+    broken: list[str]
+
+
+def collect(
+    engines: list[dict[str, Any]],
+    plain: list[dict[str, int]],
+    running: list[list[Any]],
+) -> Records:
+    """Combine what each engine and plain service counted."""
+    prefilled: set[str] = set()
+    runs: dict[str, int] = {}
+    for record in engines:
+        prefilled |= {row[2] for row in record["runs"] if row[0] == "prefill"}
+    for counts in plain:
+        for key, count in counts.items():
+            runs[key] = runs.get(key, 0) + count
+    counters = [record["counts"] for record in engines]
+    return Records(
+        frozenset(prefilled),
+        runs,
+        sum(c.get("prefill_tokens", 0) for c in counters),
+        sum(c.get("wasted_prefill_tokens", 0) for c in counters),
+        sum(len(listed) for listed in running),
+    )
+
+
+def broken_promises(
+    outcomes: list[load.Outcome], records: Records
+) -> list[str]:
+    """Return one line for each promise that was broken."""
+    broken = []
+    for outcome in outcomes:
+        work = outcome.work
+        if outcome.result == "wrong":
+            broken.append(f"{work.name}: the answer isn't that of its request")
+        ran = engine_model.prompt_digest(work.prompt) in records.prefilled
+        told_not_run = outcome.outcome == "not_run" and outcome.sends == 1
+        if work.max_tokens and told_not_run and ran:
+            broken.append(f"{work.name}: told not_run, but an engine ran it")
+        runs = records.runs.get(work.name, 0)
+        if not work.max_tokens and runs > 1:
+            broken.append(f"{work.name}: ran {runs} times")
+        if not work.max_tokens and outcome.outcome == "not_run" and runs:
+            broken.append(f"{work.name}: told not_run, but the service ran it")
+    if records.held:
+        broken.append(f"{records.held} runs still hold engine memory")
+    return broken
+
+
+def _quantile(values: list[float], fraction: float) -> float:
+    if len(values) < 2:
+        return values[0] if values else 0.0
+    cuts = statistics.quantiles(values, n=100, method="inclusive")
+    return cuts[round(fraction * 100) - 1]
+
+
+def summarize(outcomes: list[load.Outcome], records: Records) -> Summary:
+    """Make the table of a run."""
+    models = [o for o in outcomes if o.work.max_tokens]
+    answered = [o for o in models if o.result == "answered"]
+    calls = [o for o in outcomes if not o.work.max_tokens]
+    refused: dict[str, int] = {}
+    for outcome in outcomes:
+        for kind in outcome.refusals:
+            name = f"{kind or 'connection_lost'} (sent again)"
+            refused[name] = refused.get(name, 0) + 1
+        if outcome.result not in ("answered", "cancelled"):
+            refused[outcome.result] = refused.get(outcome.result, 0) + 1
+    good = [
+        o
+        for o in answered
+        if o.first_token_s <= FIRST_TOKEN_S and o.gap_s <= TOKEN_GAP_S
+    ]
+    first = [o.first_token_s * 1e3 for o in answered]
+    gaps = [o.gap_s * 1e3 for o in answered]
+    sent = [o for o in models if o.result != "cancelled"]
+    wasted = records.wasted_tokens / max(1, records.prefill_tokens)
+    rows = [
+        ("model requests sent", str(len(models))),
+        ("  cancelled by the caller", str(len(models) - len(sent))),
+        ("  answered once, in full", str(len(answered))),
+        ("plain calls sent", str(len(calls))),
+        (
+            "  answered, run once",
+            str(sum(o.result == "answered" for o in calls)),
+        ),
+    ]
+    rows += [(f"  {k}", str(v)) for k, v in sorted(refused.items())]
+    rows += [
+        (
+            "first token p50 / p95, ms",
+            f"{_quantile(first, 0.5):.0f} / {_quantile(first, 0.95):.0f}",
+        ),
+        (
+            "token gap p50 / p95, ms",
+            f"{_quantile(gaps, 0.5):.1f} / {_quantile(gaps, 0.95):.1f}",
+        ),
+        (
+            "goodput, of requests not cancelled",
+            f"{len(good)} of {len(sent)} ({len(good) / max(1, len(sent)):.1%})",
+        ),
+        (
+            "wasted prefill tokens",
+            f"{records.wasted_tokens} of {records.prefill_tokens}"
+            f" ({wasted:.2%})",
+        ),
+    ]
+    return Summary(rows, broken_promises(outcomes, records))
