--- a/nutmegscale/application.py
+++ b/nutmegscale/application.py
@@ -19,6 +19,7 @@
 from nutmegscale import mesh
 from nutmegscale import metrics
 from nutmegscale import periodic
+from nutmegscale import platform_guard
 from nutmegscale import platform_service
 from nutmegscale import settings
 
@@ -52,6 +53,7 @@
             period_s=host_settings.get("probe_period_s", 0.5),
             rng=rng,
         )
+        platform = platform_guard.PlatformGuard(platform, clock.seconds)
         self.board = blackboard.Blackboard(
             host_settings,
             clock,
--- a/nutmegscale/engine_http.py
+++ b/nutmegscale/engine_http.py
@@ -154,6 +154,16 @@
         reason = str(response.json().get("error"))
     except errors.TransportError:
         reason = ""
+    if reason not in REASONS:
+        reason = f"status {response.status} {reason}"
+    return error_of(reason)
+
+
+REASONS = frozenset({"full", "leaving", "kv_gone", "cancelled", "unknown_run"})
+
+
+def error_of(reason: str) -> errors.EngineError:
+    """Return the typed error for an engine's reason."""
     match reason:
         case "full":
             return errors.EngineBusyError("no free slot")
@@ -163,4 +173,4 @@
             return errors.KvCacheGoneError("the prefill result expired")
         case "cancelled" | "unknown_run":
             return errors.RunGoneError(reason)
-    return errors.EngineLostError(f"status {response.status} {reason}")
+    return errors.EngineLostError(reason)
--- a/nutmegscale/exchange_controller.py
+++ b/nutmegscale/exchange_controller.py
@@ -25,8 +25,8 @@
 ANSWER_LIFE_S = 90.0
 CLAIM_TRIES = 6
 CLAIM_POLL_S = 0.05
-HANDOVER_TIMEOUT_S = 3.0
-HANDOVER_WAIT_S = 2.5
+HANDOVER_WAIT_S = 3.0
+SILENT_HANDOVERS = 2
 HANDED_OVER_LIFE_S = 120.0
 NOT_READY_RETRY_AFTER_S = 2.0
 DRAINING_RETRY_AFTER_S = 0.2
@@ -305,14 +305,10 @@
         Returns:
           Whether the sink was served; else the claim is to be replaced.
         """
-        try:
-            reply = await self._mesh.call(
-                claim.host,
-                messages.HandoverRequest(x.id, claim.attempt),
-                messages.HandoverReply,
-                timeout_s=HANDOVER_TIMEOUT_S,
-            )
-        except errors.PeerError:
+        reply = await self._ask_handover(x, claim)
+        # Whoever held the claim had accepted the request.
+        x.was_accepted = True
+        if reply is None:
             return False
         if reply.state == "finished":
             self._answers.put(self._board.now(), x.id, reply.text, reply.tokens)
@@ -332,24 +328,40 @@
             return True
         return False
 
-    async def _receive_handover(
-        self, sender: str, request: messages.HandoverRequest
-    ) -> messages.HandoverReply:
+    async def _ask_handover(
+        self, x: exchange.Exchange, claim: messages.ClaimReply
+    ) -> messages.HandoverReply | None:
+        """Ask until the other host has a run to hand over, or is silent."""
+        request = messages.HandoverRequest(x.id, claim.attempt)
         deadline = self._board.now() + HANDOVER_WAIT_S
-        while self._board.now() < deadline:
-            live = self._live.get(request.exchange)
-            if live is None or live.exchange.has_started:
-                break
+        silent = 0
+        while silent < SILENT_HANDOVERS and self._board.now() < deadline:
+            try:
+                reply = await self._mesh.call(
+                    claim.host, request, messages.HandoverReply
+                )
+            except errors.PeerError:
+                silent += 1
+                continue
+            if reply.state != "wait":
+                return reply
             await periodic.sleep(self._board.clock, CLAIM_POLL_S)
+        return None
+
+    def _receive_handover(
+        self, sender: str, request: messages.HandoverRequest
+    ) -> messages.HandoverReply:
         answer = self._answers.get(self._board.now(), request.exchange)
         if answer is not None:
             return messages.HandoverReply(
                 "finished", answer.text, answer.tokens, "", "", ""
             )
         live = self._live.get(request.exchange)
-        if live is None or live.exchange.run is None:
-            return messages.HandoverReply("unknown", "", 0, "", "", "")
-        return self._hand_over(sender, live)
+        if live is not None and live.exchange.run is not None:
+            return self._hand_over(sender, live)
+        is_coming = live is not None or request.exchange in self._claiming
+        state = "wait" if is_coming else "unknown"
+        return messages.HandoverReply(state, "", 0, "", "", "")
 
     def _hand_over(self, sender: str, live: _Live) -> messages.HandoverReply:
         run = live.exchange.run
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -84,7 +84,7 @@
     """State of an exchange that is handed over.
 
     Attributes:
-      state: "finished", "running" or "unknown".
+      state: "finished", "running", "wait" or "unknown".
       text: Whole answer when finished.
       tokens: Number of tokens of the answer when finished.
       run_id: Run to read from the first token on, when running.
--- /dev/null
+++ b/tests/claim_explorer.py
@@ -0,0 +1,288 @@
+"""Exploration of the interleavings of attempts at one at-most-once call.
+
+Each attempt is stepped from one awaited operation to the next. At each
+step a choice decides who goes on and what becomes of its operation: done,
+done with its answer lost, not done, or done later; a host may also crash,
+or freeze for ten seconds. An execution is a list of choices, so that all
+of them up to a bound can be walked through.
+"""
+
+from collections.abc import Callable
+from collections.abc import Generator
+import random
+import types
+from typing import Any
+from typing import NamedTuple
+
+from nutmegscale import claim
+from nutmegscale import errors
+from nutmegscale import platform_service
+
+FREEZE_S = 10.0
+LONG_SLEEP_S = 7.0
+KEY = "claims/x"
+
+
+class Op(NamedTuple):
+    """An operation that an attempt waits for."""
+
+    kind: str
+    args: tuple[Any, ...]
+
+
+@types.coroutine
+def _ask(op: Op) -> Generator[Op, Any, Any]:
+    return (yield op)
+
+
+class _Table:
+    """The platform's table as an attempt sees it."""
+
+    async def write(self, key: str, expect: int, value: bytes) -> Any:
+        return await _ask(Op("write", (expect, value)))
+
+    async def read(self, key: str, known_version: int = 0) -> Any:
+        raise NotImplementedError
+
+    put_object = get_object = hosts = read
+
+
+class Attempt:
+    """One attempt at its host."""
+
+    def __init__(self, world: "World", number: int) -> None:
+        self.number = number
+        self.now = 0.0
+        self.attempts = claim.Attempts()
+        self.runs = 0
+        self.is_crashed = False
+        self.result: Any = None
+        self.pending: Op | None = None
+        table: Any = _Table()
+        call = claim.ClaimedCall(
+            table,
+            self,
+            self.attempts,
+            now=lambda: self.now,
+            sleep=lambda s: _ask(Op("sleep", (s,))),
+            key=KEY,
+            attempt=f"a{number}",
+            host=str(number),
+            content=b"c",
+            timeout_s=5.0,
+        )
+        self._coroutine = call.run(lambda: _ask(Op("send", ())))
+        self._world = world
+
+    async def attempt_state(self, host: str, attempt: str) -> str:
+        """Ask another host; see `claim.Peers`."""
+        state = await _ask(Op("peer", (int(host), attempt)))
+        return str(state)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more will happen here."""
+        return self.is_crashed or self.result is not None
+
+    def step(self, value: Any = None, failure: Exception | None = None) -> None:
+        """Go on to the next operation."""
+        try:
+            if failure is not None:
+                self.pending = self._coroutine.throw(failure)
+            else:
+                self.pending = self._coroutine.send(value)
+        except StopIteration as stop:
+            self.pending = None
+            self.result = stop.value
+
+    def crash(self) -> None:
+        """End the process of this attempt."""
+        self.is_crashed = True
+        self._coroutine.close()
+
+
+Transition = tuple[str, int, str]
+
+
+class World:
+    """Attempts, the row, and writes that are still on their way."""
+
+    def __init__(self, count: int, faults: int) -> None:
+        self.row = platform_service.Row(0, b"")
+        self.delayed: list[tuple[int, bytes]] = []
+        self.faults = faults
+        self.unknown_told = False
+        self.attempts = [Attempt(self, n) for n in range(count)]
+        for attempt in self.attempts:
+            attempt.step()
+
+    def transitions(self) -> list[Transition]:
+        """List everything that may happen next."""
+        found: list[Transition] = []
+        for attempt in self.attempts:
+            if attempt.is_over or attempt.pending is None:
+                continue
+            for outcome in _OUTCOMES[attempt.pending.kind]:
+                if outcome in ("ok", "long") or self.faults > 0:
+                    found.append(("op", attempt.number, outcome))
+            if self.faults > 0:
+                found.append(("crash", attempt.number, ""))
+                found.append(("freeze", attempt.number, ""))
+        found += [("land", n, "") for n in range(len(self.delayed))]
+        return found
+
+    def take(self, transition: Transition) -> None:
+        """Let one thing happen."""
+        kind, number, outcome = transition
+        if kind == "land":
+            self._write(*self.delayed.pop(number))
+            return
+        attempt = self.attempts[number]
+        if kind == "crash":
+            self.faults -= 1
+            attempt.crash()
+        elif kind == "freeze":
+            self.faults -= 1
+            attempt.now += FREEZE_S
+        else:
+            self.faults -= outcome not in ("ok", "long")
+            self._operate(attempt, outcome)
+
+    def _operate(self, attempt: Attempt, outcome: str) -> None:
+        assert attempt.pending is not None
+        kind, args = attempt.pending
+        attempt.now += 0.001
+        if kind == "sleep":
+            attempt.now += LONG_SLEEP_S if outcome == "long" else args[0]
+            attempt.step()
+        elif kind == "peer":
+            asked = self.attempts[args[0]]
+            known = outcome == "ok" and not asked.is_crashed
+            attempt.step(asked.attempts.state(args[1]) if known else "unknown")
+        elif kind == "send":
+            self._send(attempt, outcome)
+        else:
+            self._table(attempt, args, outcome)
+
+    def _send(self, attempt: Attempt, outcome: str) -> None:
+        if outcome == "refused":
+            attempt.step(failure=errors.ConnectError("refused"))
+            return
+        attempt.runs += 1
+        if outcome == "lost":
+            attempt.step(failure=errors.TransportError("lost"))
+        else:
+            answer = claim.Answer(200, "", f"by {attempt.number}".encode())
+            attempt.step(answer)
+
+    def _table(
+        self, attempt: Attempt, args: tuple[Any, ...], outcome: str
+    ) -> None:
+        if outcome == "later":
+            self.delayed.append((args[0], args[1]))
+        result = self._write(*args) if outcome in ("ok", "lost") else None
+        if outcome == "ok":
+            attempt.step(result)
+        else:
+            attempt.step(failure=errors.PlatformUnavailableError("lost"))
+
+    def _write(self, expect: int, value: bytes) -> Any:
+        if expect != self.row.version:
+            return platform_service.Conflict(self.row)
+        before = self.row
+        if before.value:
+            state = claim.decode_row(before.value).state
+            assert state not in ("done", "unknown"), "a final row changed"
+        self.row = platform_service.Row(expect + 1, value)
+        return platform_service.Written(expect + 1)
+
+    def check(self) -> None:
+        """Check what must hold at every moment."""
+        runs = sum(attempt.runs for attempt in self.attempts)
+        assert runs <= 1, f"the call ran {runs} times"
+        for attempt in self.attempts:
+            self._check_result(attempt)
+
+    def _check_result(self, attempt: Attempt) -> None:
+        result = attempt.result
+        if isinstance(result, errors.Failure):
+            told = result.outcome
+            assert told != "not_run" or attempt.runs == 0, "wrong not_run"
+            assert told != "ran"
+        elif isinstance(result, claim.Answer):
+            runner = [a.number for a in self.attempts if a.runs]
+            assert result.body == f"by {runner[0]}".encode(), "wrong answer"
+
+
+_OUTCOMES = {
+    "write": ("ok", "lost", "failed", "later"),
+    "send": ("ok", "lost", "refused"),
+    "sleep": ("ok", "long"),
+    "peer": ("ok", "unknown"),
+}
+
+
+def execute(
+    make: Callable[[], World],
+    choose: Callable[[int, int], int],
+    max_steps: int,
+) -> list[int]:
+    """Run one execution.
+
+    Args:
+      make: Makes the world.
+      choose: Takes the depth and the number of transitions.
+      max_steps: Longest execution.
+
+    Returns:
+      The number of transitions at each depth.
+    """
+    world = make()
+    widths: list[int] = []
+    for depth in range(max_steps):
+        transitions = world.transitions()
+        if not transitions:
+            break
+        widths.append(len(transitions))
+        world.take(transitions[choose(depth, len(transitions))])
+        world.check()
+    for attempt in world.attempts:
+        if not attempt.is_over:
+            attempt.crash()
+    return widths
+
+
+def _follow(path: list[int]) -> Callable[[int, int], int]:
+    return lambda depth, width: path[depth] if depth < len(path) else 0
+
+
+def explore(make: Callable[[], World], *, depth: int, max_steps: int) -> int:
+    """Walk every execution whose choices differ up to a depth.
+
+    Beyond the depth the first transition is taken each time.
+
+    Returns:
+      The number of executions.
+    """
+    prefix: list[int] = []
+    count = 0
+    while True:
+        path = list(prefix)
+        widths = execute(make, _follow(path), max_steps)
+        count += 1
+        path += [0] * (min(depth, len(widths)) - len(path))
+        while path and path[-1] + 1 >= widths[len(path) - 1]:
+            path.pop()
+        if not path:
+            return count
+        path[-1] += 1
+        prefix = path
+
+
+def explore_random(
+    make: Callable[[], World], *, executions: int, max_steps: int, seed: int
+) -> None:
+    """Walk random executions."""
+    rng = random.Random(seed)
+    for _ in range(executions):
+        execute(make, lambda _, width: rng.randrange(width), max_steps)
--- /dev/null
+++ b/tests/test_claim.py
@@ -0,0 +1,97 @@
+"""Tests of at-most-once calls: every interleaving up to a bound."""
+
+from nutmegscale import claim
+from nutmegscale import errors
+from tests import claim_explorer
+from tests import fakes
+
+
+def test_every_interleaving_of_two_attempts_with_two_faults() -> None:
+    count = claim_explorer.explore(
+        lambda: claim_explorer.World(2, 2), depth=7, max_steps=40
+    )
+    assert count > 10_000
+
+
+def test_random_interleavings_of_three_attempts_with_four_faults() -> None:
+    claim_explorer.explore_random(
+        lambda: claim_explorer.World(3, 4),
+        executions=10_000,
+        max_steps=60,
+        seed=7,
+    )
+
+
+def test_explorer_finds_a_claim_that_is_sent_before_it_is_held() -> None:
+    class _Hasty(claim.ClaimedCall):
+        async def _acquire(self) -> int:
+            return 0
+
+    original, claim.ClaimedCall = claim.ClaimedCall, _Hasty  # type: ignore[misc]
+    try:
+        claim_explorer.explore(
+            lambda: claim_explorer.World(2, 0), depth=4, max_steps=10
+        )
+    except AssertionError as exc:
+        assert "ran 2 times" in str(exc)
+    else:
+        raise AssertionError("the explorer missed a double run")
+    finally:
+        claim.ClaimedCall = original  # type: ignore[misc]
+
+
+def _pay(farm: fakes.Farm, host: str, key: str, body: bytes = b"pay") -> object:
+    from nutmegscale import call_controller
+
+    call = call_controller.PlainCall(
+        "entry-pages", key, "entries-app", "POST", "/pay", "text/plain", body
+    )
+    return farm.wait(farm.hosts[host].calls.serve(call))
+
+
+def _runs(farm: fakes.Farm, key: str) -> int:
+    return sum(s.plain_runs.get(key, 0) for s in farm.servers.values())
+
+
+def test_repeat_at_another_host_gets_the_recorded_answer() -> None:
+    farm = fakes.federation()
+    first = _pay(farm, "maadi-1", "k")
+    second = _pay(farm, "giza-2", "k")
+    assert first == second == claim.Answer(200, "text/plain", b"pay")
+    assert _runs(farm, "k") == 1
+
+
+def test_lost_answer_is_unknown_to_every_later_retry() -> None:
+    farm = fakes.federation()
+    for server in farm.servers.values():
+        server.lose_plain_answers = 1
+    told = [_pay(farm, host, "k") for host in ("maadi-1", "nasr-2", "giza-1")]
+    assert {getattr(t, "outcome", None) for t in told} == {"maybe_run"}
+    assert _runs(farm, "k") == 1
+
+
+def test_platform_down_refuses_at_once_with_retry_after() -> None:
+    farm = fakes.federation()
+    farm.platform.is_down = True
+    told = _pay(farm, "maadi-1", "k")
+    assert isinstance(told, errors.Failure)
+    assert (told.outcome, told.type) == ("not_run", "platform_unavailable")
+    assert told.retry_after_s
+    farm.platform.is_down = False
+    assert isinstance(_pay(farm, "maadi-1", "k"), claim.Answer)
+    assert _runs(farm, "k") == 1
+
+
+def test_lost_table_answers_run_the_call_once() -> None:
+    farm = fakes.federation()
+    farm.platform.lose_answers = 1
+    assert isinstance(_pay(farm, "maadi-1", "k"), claim.Answer)
+    assert _runs(farm, "k") == 1
+
+
+def test_key_of_one_caller_does_not_reach_another_call() -> None:
+    farm = fakes.federation()
+    _pay(farm, "maadi-1", "k", b"pay 10")
+    told = _pay(farm, "maadi-2", "k", b"pay 20")
+    assert isinstance(told, errors.Failure)
+    assert told.type == "key_reused"
