--- /dev/null
+++ b/nutmegscale/lease.py
@@ -0,0 +1,131 @@
+"""Control lease: which host may give orders, with a fencing number.
+
+The lease is a row of the platform's table. No wall clock is compared: the
+holder stops on its own monotonic clock, counted from before it asked, and
+a successor waits until it has seen the row unchanged for longer than that.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from nutmegscale import errors
+from nutmegscale import platform_service
+
+LIFE_S = 6.0
+HOLDER_MARGIN_S = 2.0
+TAKEOVER_MARGIN_S = 2.0
+
+
+class LeaseRow(NamedTuple):
+    """Content of a lease's row.
+
+    Attributes:
+      holder: Host that holds it, or "" after it was given back.
+      fence: Grows with each holder; orders carry it.
+      renewals: Grows with each renewal.
+    """
+
+    holder: str
+    fence: int
+    renewals: int
+
+
+class Lease:
+    """One host's side of a lease; pure but for the table it is given."""
+
+    def __init__(
+        self,
+        table: platform_service.Platform,
+        key: str,
+        host: str,
+        *,
+        now: Callable[[], float],
+        life_s: float = LIFE_S,
+    ) -> None:
+        self._table = table
+        self._key = key
+        self._host = host
+        self._now = now
+        self._life_s = life_s
+        self._valid_until = 0.0
+        self._fence = 0
+        self._seen: tuple[int, float] = (-1, 0.0)
+
+    @property
+    def fence(self) -> int | None:
+        """Fencing number while orders may be given, else None.
+
+        Read it again for each order: it is None as soon as the time is up,
+        also after this process stood still.
+        """
+        return self._fence if self._now() < self._valid_until else None
+
+    async def maintain(self) -> int | None:
+        """Renew the lease, or take it when its holder is gone.
+
+        Call it a few times in each life of the lease.
+
+        Returns:
+          The fencing number when the lease is held.
+        """
+        began = self._now()
+        try:
+            row = await self._table.read(self._key)
+            await self._renew_or_take(row, began)
+        except errors.PlatformUnavailableError:
+            # A renewal whose answer was lost doesn't lengthen our time.
+            pass
+        return self.fence
+
+    async def _renew_or_take(
+        self, row: platform_service.Row | None, began: float
+    ) -> None:
+        version = row.version if row else 0
+        current = _decode(row)
+        if current.holder == self._host and current.fence == self._fence:
+            renewed = current._replace(renewals=current.renewals + 1)
+            await self._write(version, renewed, began)
+            return
+        self._valid_until = 0.0
+        if version != self._seen[0]:
+            self._seen = (version, began)
+        unchanged_s = began - self._seen[1]
+        is_over = unchanged_s >= self._life_s + TAKEOVER_MARGIN_S
+        if not current.holder or is_over:
+            taken = LeaseRow(self._host, current.fence + 1, 0)
+            await self._write(version, taken, began)
+
+    async def _write(self, version: int, row: LeaseRow, began: float) -> None:
+        outcome = await self._table.write(
+            self._key, version, msgspec.msgpack.encode(row)
+        )
+        if isinstance(outcome, platform_service.Written):
+            self._fence = row.fence
+            self._valid_until = began + self._life_s - HOLDER_MARGIN_S
+        else:
+            self._valid_until = 0.0
+
+    async def give_back(self) -> None:
+        """End the lease, so that a successor needn't wait."""
+        self._valid_until = 0.0
+        try:
+            row = await self._table.read(self._key)
+            current = _decode(row)
+            if row and (current.holder, current.fence) == (
+                self._host,
+                self._fence,
+            ):
+                freed = LeaseRow("", current.fence, 0)
+                await self._table.write(
+                    self._key, row.version, msgspec.msgpack.encode(freed)
+                )
+        except errors.PlatformUnavailableError:
+            pass
+
+
+def _decode(row: platform_service.Row | None) -> LeaseRow:
+    if row is None:
+        return LeaseRow("", 0, 0)
+    return msgspec.msgpack.decode(row.value, type=LeaseRow)
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,99 @@
+"""Tests of the control lease under pauses and lost answers."""
+
+import random
+
+import msgspec
+import pytest
+
+from nutmegscale import lease
+from nutmegscale import platform_service
+from tests import fakes
+
+
+class _Orders:
+    """An engine that records orders, and honours fencing or not."""
+
+    def __init__(self, *, honours: bool) -> None:
+        self.honours = honours
+        self.fence = 0
+        self.taken: list[int] = []
+
+    def order(self, fence: int) -> None:
+        """Take an order, or refuse an old one."""
+        if self.honours and fence < self.fence:
+            return
+        self.fence = max(self.fence, fence)
+        self.taken.append(fence)
+
+
+def _make(farm: fakes.Farm, host: str, offset: list[float]) -> lease.Lease:
+    table = fakes.HostPlatform(farm.platform, farm.network, host)
+    return lease.Lease(
+        table,
+        "lease/maadi",
+        host,
+        now=lambda: farm.clock.seconds() + offset[0],
+    )
+
+
+def test_a_successor_waits_out_the_holder() -> None:
+    farm = fakes.Farm({}, {}, ready=False)
+    one = _make(farm, "maadi-1", [0.0])
+    two = _make(farm, "maadi-2", [0.0])
+    assert farm.wait(one.maintain()) == 1
+    assert farm.wait(two.maintain()) is None
+    farm.run(lease.LIFE_S - lease.HOLDER_MARGIN_S)
+    assert one.fence is None
+    assert farm.wait(two.maintain()) is None
+    farm.run(lease.HOLDER_MARGIN_S + lease.TAKEOVER_MARGIN_S)
+    assert farm.wait(two.maintain()) == 2
+    assert farm.wait(one.maintain()) is None
+
+
+def test_a_lease_given_back_is_taken_at_once() -> None:
+    farm = fakes.Farm({}, {}, ready=False)
+    one = _make(farm, "maadi-1", [0.0])
+    two = _make(farm, "maadi-2", [0.0])
+    farm.wait(one.maintain())
+    farm.wait(one.give_back())
+    assert farm.wait(two.maintain()) == 2
+
+
+@pytest.mark.parametrize("honours", [True, False])
+@pytest.mark.parametrize("seed", range(8))
+def test_orders_never_go_back(seed: int, honours: bool) -> None:
+    """Three hosts, lost answers, outages and pauses: fences only grow."""
+    farm = fakes.Farm({}, {}, ready=False, seed=seed)
+    rng = random.Random(seed)
+    engine = _Orders(honours=honours)
+    leases = [_make(farm, f"maadi-{n}", [0.0]) for n in (1, 2)]
+    leases.append(_make(farm, "nasr-1", [0.0]))
+    paused = dict.fromkeys(range(3), 0.0)
+    for _ in range(120):
+        farm.platform.is_down = rng.random() < 0.1
+        farm.platform.lose_answers = int(rng.random() < 0.2)
+        for number, held in enumerate(leases):
+            if paused[number] > farm.clock.seconds():
+                continue
+            if rng.random() < 0.03:
+                paused[number] = farm.clock.seconds() + rng.uniform(9, 20)
+                continue
+            farm.wait(held.maintain())
+            fence = held.fence
+            if fence is not None:
+                engine.order(fence)
+        farm.run(0.5)
+    assert engine.taken == sorted(engine.taken)
+    assert len(set(engine.taken)) > 1
+
+
+def test_a_row_of_another_version_isnt_overwritten() -> None:
+    farm = fakes.Farm({}, {}, ready=False)
+    one = _make(farm, "maadi-1", [0.0])
+    farm.wait(one.maintain())
+    row = farm.platform.rows["lease/maadi"]
+    farm.platform.rows["lease/maadi"] = platform_service.Row(
+        row.version + 1,
+        msgspec.msgpack.encode(lease.LeaseRow("other", 9, 0)),
+    )
+    assert farm.wait(one.maintain()) is None
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,58 @@
+"""Tests of content that crashes the servers that run it."""
+
+from nutmegscale import quarantine
+from standins import answers
+from standins import engine_model
+from tests import fakes
+
+POISON = "map " * 40 + engine_model.CRASH_MARK
+
+
+def _over(*sinks: fakes.Sink) -> bool:
+    return all(sink.ended or sink.failure for sink in sinks)
+
+
+def _more_prefills(farm: fakes.Farm) -> None:
+    for number in range(3):
+        farm.add_server(f"extra-{number}", "nasr", "notes-prefill", "prefill")
+    farm.run(2.5)
+
+
+def test_poison_takes_down_two_servers_at_most_and_refuses_no_other() -> None:
+    farm = fakes.federation()
+    _more_prefills(farm)
+    innocent = [
+        (f"{n} " * 300, farm.send("maadi-2", f"{n} " * 300, 40))
+        for n in range(6)
+    ]
+    poison = [farm.send("maadi-1", POISON, 8, "p1")]
+    farm.run_until(lambda: _over(*poison), 15.0)
+    for number, host in enumerate(("giza-1", "shorouk-2", "nasr-1")):
+        poison.append(farm.send(host, POISON, 8, f"again{number}"))
+        farm.run_until(lambda: _over(*poison), 15.0)
+    farm.run_until(lambda: _over(*(s for _, s in innocent)), 20.0)
+    dead = [s.name for s in farm.servers.values() if s.is_dead]
+    assert len(dead) == 2
+    assert {s.failure.type for s in poison if s.failure} == {"quarantined"}
+    for prompt, sink in innocent:
+        assert sink.text == answers.answer_text(prompt, 40)
+
+
+def test_a_suspect_that_runs_on_is_cleared() -> None:
+    known = quarantine.Quarantine()
+    known.suspect(0.0, b"x", "crash 1")
+    assert known.is_suspect(1.0, b"x")
+    known.clear(b"x")
+    assert not known.is_suspect(1.0, b"x")
+    known.suspect(2.0, b"x", "crash 2")
+    assert not known.is_quarantined(2.0, b"x")
+
+
+def test_two_crashes_quarantine_for_good_measure_of_time() -> None:
+    known = quarantine.Quarantine()
+    assert known.suspect(0.0, b"x", "crash 1")
+    assert not known.suspect(0.0, b"x", "crash 1")
+    known.suspect(1.0, b"x", "crash 2")
+    known.clear(b"x")
+    assert known.is_quarantined(2.0, b"x")
+    assert not known.is_quarantined(quarantine.QUARANTINE_LIFE_S + 2, b"x")
