--- /dev/null
+++ b/tests/test_envelope.py
@@ -0,0 +1,58 @@
+"""Tests that nothing unauthenticated, misdirected or repeated gets in."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from nutmegscale import envelope
+from nutmegscale import messages
+
+HINT = messages.ConfigHint(7)
+
+
+def _sealers() -> tuple[envelope.Sealer, envelope.Sealer]:
+    key = b"k" * 16
+    return envelope.Sealer("a", key, 1), envelope.Sealer("b", key, 2)
+
+
+def test_a_sealed_message_is_opened_once() -> None:
+    a, b = _sealers()
+    data = a.seal("b", HINT, lamport=3, call=4)
+    opened = b.open(data)
+    assert opened.message == HINT
+    assert opened.header.sender == "a"
+    assert (opened.header.lamport, opened.header.call) == (3, 4)
+    with pytest.raises(envelope.EnvelopeError, match="received before"):
+        b.open(data)
+
+
+def test_a_message_for_another_host_is_refused() -> None:
+    a, b = _sealers()
+    with pytest.raises(envelope.EnvelopeError, match="for c"):
+        b.open(a.seal("c", HINT, lamport=1))
+
+
+def test_a_message_of_another_key_is_refused() -> None:
+    _, b = _sealers()
+    stranger = envelope.Sealer("a", b"x" * 16, 1)
+    with pytest.raises(envelope.EnvelopeError, match="wrong digest"):
+        b.open(stranger.seal("b", HINT, lamport=1))
+
+
+@given(st.integers(0, 10_000), st.integers(1, 255))
+@settings(derandomize=True, max_examples=200)
+def test_a_changed_byte_is_refused(position: int, change: int) -> None:
+    a, b = _sealers()
+    data = bytearray(a.seal("b", HINT, lamport=1))
+    data[position % len(data)] ^= change
+    with pytest.raises(envelope.EnvelopeError):
+        b.open(bytes(data))
+
+
+@given(st.binary(max_size=200))
+@settings(derandomize=True, max_examples=200)
+def test_noise_is_refused(data: bytes) -> None:
+    _, b = _sealers()
+    with pytest.raises(envelope.EnvelopeError):
+        b.open(data)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,137 @@
+"""Tests of membership on a lossy network with cuts and restarts."""
+
+from collections import deque
+import random
+
+import pytest
+
+from nutmegscale import membership
+
+PERIOD_S = 0.5
+
+
+class _World:
+    """Views of many hosts that exchange messages in rounds."""
+
+    def __init__(self, count: int, seed: int, loss: float = 0.0) -> None:
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.now = 0.0
+        self.down: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.sent = 0
+        self.views = {
+            f"h{n}": membership.Membership(
+                f"h{n}",
+                f"d{n % 4}",
+                f"tcp://h{n}",
+                period_s=PERIOD_S,
+                rng=random.Random(seed * 1_000 + n),
+            )
+            for n in range(count)
+        }
+        for view in self.views.values():
+            for n in range(count):
+                view.learn(0.0, f"h{n}", f"d{n % 4}", f"tcp://h{n}")
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += PERIOD_S / 4
+            for name in self.views:
+                if name not in self.down:
+                    self._carry(name, self.views[name].tick(self.now))
+
+    def _carry(self, source: str, outgoing: list[membership.Outgoing]) -> None:
+        waiting = deque((source, item) for item in outgoing)
+        while waiting:
+            sender, item = waiting.popleft()
+            self.sent += 1
+            lost = (
+                item.host in self.down
+                or frozenset((sender, item.host)) in self.cut
+                or self.rng.random() < self.loss
+            )
+            if lost or item.host not in self.views:
+                continue
+            answers = self.views[item.host].receive(self.now, item.message)
+            waiting.extend((item.host, answer) for answer in answers)
+
+    def agreed(self) -> set[tuple[str, ...]]:
+        """Return the distinct sets of hosts that the live ones see alive."""
+        return {
+            tuple(view.alive())
+            for name, view in self.views.items()
+            if name not in self.down
+        }
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_dead_host_is_seen_dead_by_all(seed: int) -> None:
+    world = _World(24, seed)
+    world.run(5.0)
+    world.down.add("h3")
+    world.run(10.0)
+    (alive,) = world.agreed()
+    assert "h3" not in alive
+    assert len(alive) == 23
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_of_a_tenth_of_the_messages_kills_nobody_for_good(
+    seed: int,
+) -> None:
+    world = _World(24, seed, loss=0.1)
+    world.run(30.0)
+    world.loss = 0.0
+    world.run(10.0)
+    assert world.agreed() == {tuple(sorted(world.views))}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_healed_cut_is_forgotten(seed: int) -> None:
+    world = _World(16, seed)
+    inside = {f"h{n}" for n in range(0, 16, 4)}
+    outside = set(world.views) - inside
+    world.cut = {frozenset((a, b)) for a in inside for b in outside}
+    world.run(15.0)
+    assert world.agreed() == {tuple(sorted(inside)), tuple(sorted(outside))}
+    world.cut.clear()
+    world.run(12.0)
+    assert world.agreed() == {tuple(sorted(world.views))}
+
+
+def test_a_restarted_host_with_its_old_name_is_alive_again() -> None:
+    world = _World(8, 1)
+    world.down.add("h2")
+    world.run(8.0)
+    world.down.clear()
+    world.views["h2"] = membership.Membership(
+        "h2", "d2", "tcp://h2", period_s=PERIOD_S
+    )
+    for n in range(8):
+        world.views["h2"].learn(world.now, f"h{n}", f"d{n % 4}", f"tcp://h{n}")
+    world.run(8.0)
+    assert world.agreed() == {tuple(sorted(world.views))}
+
+
+def test_a_leaving_host_owns_nothing_at_once_and_isnt_revived() -> None:
+    world = _World(8, 1)
+    world.run(3.0)
+    world.views["h2"].leave(world.now)
+    world.run(3.0)
+    assert all("h2" not in alive for alive in world.agreed())
+    world.down.add("h2")
+    world.run(5.0)
+    (alive,) = world.agreed()
+    assert "h2" not in alive
+
+
+def test_messages_of_a_host_dont_grow_with_the_number_of_hosts() -> None:
+    rates = []
+    for count in (8, 64):
+        world = _World(count, 1)
+        world.run(20.0)
+        rates.append(world.sent / count / 20.0)
+    assert rates[1] < rates[0] * 1.1
