Experiment on the placement policies: goodput and waste against a bound

Cause: the policy had no figures beside what users would pick instead.

The pure planners run over the stand-in engine on virtual time, with an event queue; load 1.0 fills the scarcest resource. The bound is that of an oracle that knows every length, sees no lag and counts each resource alone.

--- /dev/null
+++ b/tools/policy.py
@@ -0,0 +1,206 @@
+"""Experiment: goodput and wasted prefill of the placement policies."""
+
+import argparse
+import itertools
+import json
+import multiprocessing
+import os
+import statistics
+import sys
+from typing import NamedTuple
+
+from rich import console
+from rich import table
+
+from nutmegscale import folder
+from tools import policy_bound
+from tools import policy_world
+
+POLICIES = ("joint", "round_robin", "least_loaded", "prefix_affinity")
+LOADS = (0.5, 0.75, 1.0, 1.25, 1.5, 2.0)
+DEPLOYMENTS = {
+    "federation": policy_world.FEDERATION,
+    "consortium": policy_world.CONSORTIUM,
+}
+SECONDS = 40.0
+
+
+class Case(NamedTuple):
+    """One run to make."""
+
+    deployment: str
+    policy: str
+    fault: str
+    load: float
+    seed: int
+    seconds: float
+
+
+class Row(NamedTuple):
+    """Mean figures of the seeds of a case."""
+
+    deployment: str
+    fault: str
+    load: float
+    policy: str
+    offered: float
+    bound: float
+    good: float
+    good_of_bound: float
+    least_of_bound: float
+    refused: float
+    wasted_fraction: float
+
+
+def run_case(case: Case) -> policy_world.Result:
+    """Make one run."""
+    deployment = DEPLOYMENTS[case.deployment]
+    world = policy_world.World(deployment, case.policy, case.fault, case.seed)
+    service = folder.load(f"examples/{deployment.name}")["services"][
+        deployment.service
+    ]
+    gap_s = service.get("token_gap_s", 0.031)
+    first_s = service.get("first_token_s", 0.54)
+    rate = case.load * policy_bound.full_rate(deployment, world.profile, gap_s)
+    requests = policy_bound.make_requests(
+        deployment, rate, case.seconds, case.seed
+    )
+    bound = policy_bound.best_possible(
+        deployment, world.profile, requests, case.seconds, first_s, gap_s
+    )
+    world.run(requests, case.seconds)
+    return world.result(requests, bound)
+
+
+def combine(
+    key: tuple[str, str, float, str], results: list[policy_world.Result]
+) -> Row:
+    """Combine the seeds of a case."""
+    mean = statistics.fmean
+    shares = [r.good / r.bound for r in results]
+    return Row(
+        *key,
+        mean(r.offered for r in results),
+        mean(r.bound for r in results),
+        mean(r.good for r in results),
+        mean(shares),
+        min(shares),
+        mean(r.refused for r in results),
+        sum(r.wasted_tokens for r in results)
+        / max(1, sum(r.prefill_tokens for r in results)),
+    )
+
+
+def run_all(cases: list[Case], processes: int) -> list[Row]:
+    """Make all runs and combine their seeds."""
+    with multiprocessing.Pool(processes) as pool:
+        results = pool.map(run_case, cases, chunksize=1)
+    grouped: dict[tuple[str, str, float, str], list[policy_world.Result]] = {}
+    for case, result in zip(cases, results, strict=True):
+        key = (case.deployment, case.fault, case.load, case.policy)
+        grouped.setdefault(key, []).append(result)
+    return [combine(key, found) for key, found in grouped.items()]
+
+
+def print_rows(rows: list[Row]) -> None:
+    """Print the table."""
+    drawn = table.Table(
+        "deployment",
+        "fault",
+        "load",
+        "policy",
+        "offered",
+        "bound",
+        "good",
+        "good/bound",
+        "least",
+        "refused",
+        "wasted",
+    )
+    for row in rows:
+        drawn.add_row(
+            row.deployment,
+            row.fault,
+            f"{row.load:g}",
+            row.policy,
+            f"{row.offered:.0f}",
+            f"{row.bound:.0f}",
+            f"{row.good:.0f}",
+            f"{row.good_of_bound:.1%}",
+            f"{row.least_of_bound:.1%}",
+            f"{row.refused:.0f}",
+            f"{row.wasted_fraction:.2%}",
+        )
+    console.Console(width=130).print(drawn)
+
+
+def plot(rows: list[Row], path: str) -> None:
+    """Draw goodput and waste over load, without faults."""
+    import matplotlib  # noqa: PLC0415
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot  # noqa: PLC0415
+
+    figure, axes = pyplot.subplots(2, 2, figsize=(10, 7), sharex=True)
+    for column, deployment in enumerate(DEPLOYMENTS):
+        for policy in POLICIES:
+            found = [
+                r
+                for r in rows
+                if (r.deployment, r.policy, r.fault)
+                == (deployment, policy, "none")
+            ]
+            loads = [r.load for r in found]
+            axes[0][column].plot(
+                loads,
+                [r.good_of_bound for r in found],
+                marker="o",
+                label=policy,
+            )
+            axes[1][column].plot(
+                loads,
+                [r.wasted_fraction for r in found],
+                marker="o",
+                label=policy,
+            )
+        axes[0][column].set_title(deployment)
+        axes[1][column].set_xlabel("load")
+    axes[0][0].set_ylabel("goodput / bound")
+    axes[1][0].set_ylabel("wasted prefill")
+    axes[0][0].legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def main() -> None:
+    """Run the experiment, print its table and keep it under out/policy."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=SECONDS)
+    parser.add_argument("--loads", type=float, nargs="*", default=LOADS)
+    parser.add_argument("--faults", nargs="*", default=policy_world.FAULTS)
+    parser.add_argument("--policies", nargs="*", default=POLICIES)
+    parser.add_argument("--deployments", nargs="*", default=list(DEPLOYMENTS))
+    parser.add_argument("--processes", type=int, default=os.cpu_count())
+    asked = parser.parse_args()
+    cases = [
+        Case(deployment, policy, fault, load, seed, asked.seconds)
+        for deployment, fault, load, policy, seed in itertools.product(
+            asked.deployments,
+            asked.faults,
+            asked.loads,
+            asked.policies,
+            range(1, asked.seeds + 1),
+        )
+    ]
+    rows = run_all(cases, asked.processes)
+    print_rows(rows)
+    os.makedirs("out/policy", exist_ok=True)
+    with open("out/policy/rows.json", "w", encoding="utf-8") as file:
+        json.dump([row._asdict() for row in rows], file, indent=1)
+    plot(rows, "out/policy/policy.png")
+    sys.stdout.write(f"{len(cases)} runs; kept under out/policy\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/policy_world.py
@@ -0,0 +1,377 @@
+"""One run of a placement policy over stand-in engines on virtual time."""
+
+import random
+from typing import Any
+from typing import NamedTuple
+
+from result import Ok
+
+from nutmegscale import config
+from nutmegscale import engine_http
+from nutmegscale import folder
+from nutmegscale import placement
+from nutmegscale import planners
+from nutmegscale import prompts
+from nutmegscale import worker
+from standins import answers
+from standins import engine_model
+from tools import event_clock
+
+MESSAGE_S = 0.0005
+REPORT_PERIOD_S = 0.25
+REPORT_LAG_S = 0.2
+SLOW_REPORT_LAG_S = 2.0
+MAX_TRIES = 4
+FULL_RETRY_S = 0.02
+LOST_TIMEOUT_S = 0.6
+OWNER_GAP_S = 1.5
+GAP_PLANNERS = 3
+FAULTS = (
+    "none",
+    "worker_dies",
+    "link_slow",
+    "reports_lag",
+    "events_lost",
+    "host_dies",
+    "domain_cut",
+)
+
+
+class Deployment(NamedTuple):
+    """A deployment and the work that its callers send.
+
+    Attributes:
+      name: Name of its example folder.
+      service: Model service.
+      prefills: Number of prefill workers.
+      decodes: Number of decode workers.
+      preamble_tokens: Length of the preamble that prompts share.
+      prompt_tokens: Median length of the rest of the prompts.
+      spread: Sigma of the lognormal length.
+      output_tokens: Least and largest bound on the answers.
+    """
+
+    name: str
+    service: str
+    prefills: int
+    decodes: int
+    preamble_tokens: int
+    prompt_tokens: int
+    spread: float
+    output_tokens: tuple[int, int]
+
+
+FEDERATION = Deployment(
+    "federation", "notes-model", 2, 3, 0, 1_000, 0.7, (24, 160)
+)
+CONSORTIUM = Deployment(
+    "consortium", "appraiser-llm", 2, 3, 2_048, 600, 0.6, (32, 200)
+)
+
+
+class Request(NamedTuple):
+    """A request of the run."""
+
+    number: int
+    arrives: float
+    caller: str
+    prompt: str
+    max_tokens: int
+
+
+class Result(NamedTuple):
+    """Figures of a run.
+
+    Attributes:
+      offered: Requests that arrived.
+      bound: Most that any policy could have answered within both targets.
+      good: Answered within both targets.
+      answered: Answered at all.
+      refused: Refused at once.
+      prefill_tokens: Tokens prefilled.
+      wasted_tokens: Tokens whose result was discarded.
+    """
+
+    offered: int
+    bound: float
+    good: int
+    answered: int
+    refused: int
+    prefill_tokens: int
+    wasted_tokens: int
+
+
+class _Server(NamedTuple):
+    """An engine and how the planner knows it."""
+
+    worker: worker.Worker
+    engine: engine_model.Engine
+
+
+class _Progress:
+    """State of one request in the run."""
+
+    def __init__(self, request: Request) -> None:
+        self.request = request
+        self.tries = 0
+        self.avoid: tuple[str, ...] = ()
+        self.first_at: float | None = None
+        self.planner: placement.Planner | None = None
+
+
+class World:
+    """Engines, a planner and the requests of one run."""
+
+    def __init__(
+        self, deployment: Deployment, policy: str, fault: str, seed: int
+    ) -> None:
+        self.clock = event_clock.EventClock()
+        self._deployment = deployment
+        self._policy = policy
+        self._fault = fault
+        self._rng = random.Random(seed)
+        document = folder.load(f"examples/{deployment.name}")
+        self._document = document
+        self._service = document["services"][deployment.service]
+        profile: Any = document.get("engines", {})["standard"]
+        self.profile: config.Engine = profile
+        self._costs = engine_model.Costs(**profile)
+        self._servers: dict[str, _Server] = {}
+        for number in range(deployment.prefills):
+            self._add(f"prefill-{number}", "prefill")
+        for number in range(deployment.decodes):
+            self._add(f"decode-{number}", "decode")
+        self._planner = self._make_planner()
+        self._gap_planners: list[placement.Planner] = []
+        self._cut: set[str] = set()
+        self._dead: set[str] = set()
+        self._event_loss = 0.5 if fault == "events_lost" else 0.0
+        self._lag_s = (
+            SLOW_REPORT_LAG_S if fault == "reports_lag" else REPORT_LAG_S
+        )
+        self.good = self.answered = self.refused = 0
+
+    def _add(self, name: str, role: Any) -> None:
+        known = worker.Worker(
+            name,
+            f"http://{name}",
+            "d",
+            role,
+            self._deployment.service,
+            role,
+            False,
+        )
+        engine = engine_model.Engine(self.clock, role, self._costs)
+        self._servers[name] = _Server(known, engine)
+
+    def _make_planner(self) -> placement.Planner:
+        made = planners.make_planner(self._policy, self._document["objective"])
+        made.set_workers(
+            [s.worker for s in self._servers.values()],
+            {"prefill": self.profile, "decode": self.profile},
+        )
+        return made
+
+    def run(self, requests: list[Request], seconds: float) -> None:
+        """Run all requests, and a while longer so that they end."""
+        for request in requests:
+            self.clock.callLater(
+                request.arrives, self._plan, _Progress(request)
+            )
+        self._schedule_faults(seconds)
+        self._report()
+        self.clock.run(seconds + 15.0)
+
+    def _schedule_faults(self, seconds: float) -> None:
+        early, late = seconds / 3, seconds * 2 / 3
+        later = self.clock.callLater
+        if self._fault == "worker_dies":
+            later(early, self._die, "decode-0")
+            later(late, self._revive, "decode-0")
+        elif self._fault == "link_slow":
+            later(early, self._set_link, self.profile["link_bytes_s"] / 3)
+            later(late, self._set_link, self.profile["link_bytes_s"])
+        elif self._fault == "host_dies":
+            later(seconds / 2, self._owner_dies)
+        elif self._fault == "domain_cut":
+            later(early, self._cut.update, ("prefill-0", "decode-0"))
+            later(late, self._cut.clear)
+
+    def _die(self, name: str) -> None:
+        self._dead.add(name)
+        engine = self._servers[name].engine
+        for run_id in list(engine.runs):
+            engine.cancel(run_id)
+
+    def _revive(self, name: str) -> None:
+        self._dead.discard(name)
+
+    def _set_link(self, bytes_s: float) -> None:
+        for server in self._servers.values():
+            engine = server.engine
+            engine.costs = engine.costs._replace(link_bytes_s=bytes_s)
+
+    def _owner_dies(self) -> None:
+        """Hosts plan alone until a new owner with empty memory takes over."""
+        self._gap_planners = [self._make_planner() for _ in range(GAP_PLANNERS)]
+        self.clock.callLater(OWNER_GAP_S, self._new_owner)
+
+    def _new_owner(self) -> None:
+        self._gap_planners = []
+        self._planner = self._make_planner()
+
+    def _reaches(self, name: str) -> bool:
+        return name not in self._dead and name not in self._cut
+
+    def _report(self) -> None:
+        for name, server in self._servers.items():
+            last = self._planner.last_cache_event(name)
+            report = server.engine.report(last)
+            report["cache_events"] = [
+                e
+                for e in report["cache_events"]
+                if self._rng.random() >= self._event_loss
+            ]
+            lag_s = self._lag_s if self._reaches(name) else LOST_TIMEOUT_S
+            self.clock.callLater(lag_s, self._take_report, name, report)
+        self.clock.callLater(REPORT_PERIOD_S, self._report)
+
+    def _take_report(self, name: str, report: dict[str, Any]) -> None:
+        now = self.clock.seconds()
+        parsed = engine_http.parse_report(report)
+        for planner in (self._planner, *self._gap_planners):
+            if self._reaches(name):
+                planner.observe(now, name, parsed)
+            else:
+                planner.lost(now, name)
+
+    def _plan(self, p: _Progress) -> None:
+        if p.tries >= MAX_TRIES:
+            return
+        p.tries += 1
+        now = self.clock.seconds()
+        request = p.request
+        planner = self._planner
+        if self._gap_planners:
+            planner = self._rng.choice(self._gap_planners)
+        p.planner = planner
+        ask = placement.Ask(
+            str(request.number),
+            request.caller,
+            1.0,
+            3,
+            prompts.count_tokens(request.prompt),
+            prompts.block_digests(request.prompt),
+            request.max_tokens,
+            self._service.get("first_token_s", 0.54),
+            self._service.get("token_gap_s", 0.031),
+            now - request.arrives,
+            p.tries > 1,
+            False,
+            p.avoid,
+        )
+        result = planner.plan(now, ask)
+        if not isinstance(result, Ok):
+            self.refused += 1
+            return
+        grant = result.ok_value
+        self.clock.callLater(
+            MESSAGE_S * 2 + grant.start_in_s, self._prefill, p, grant
+        )
+
+    def _again(self, p: _Progress, after_s: float, avoid: str = "") -> None:
+        if avoid:
+            p.avoid = (*p.avoid, avoid)
+        self.clock.callLater(after_s, self._plan, p)
+
+    def _prefill(self, p: _Progress, grant: placement.Grant) -> None:
+        if not self._reaches(grant.prefill):
+            self._again(p, LOST_TIMEOUT_S, grant.prefill)
+            return
+        run_id = f"{p.request.number}.{p.tries}"
+        engine = self._servers[grant.prefill].engine
+        work = engine.prefill(run_id, "h", p.request.prompt, 3)
+        work.addCallback(lambda _: self._import(p, grant, run_id, 0))
+        work.addErrback(lambda _: self._again(p, 0.0))
+
+    def _import(
+        self, p: _Progress, grant: placement.Grant, run_id: str, waits: int
+    ) -> None:
+        if not self._reaches(grant.decode):
+            self._again(p, LOST_TIMEOUT_S, grant.decode)
+            return
+        source = self._servers[grant.prefill].engine
+        target = self._servers[grant.decode].engine
+        if run_id not in source.kv:
+            self._again(p, 0.0)
+            return
+        try:
+            target.reserve(run_id, "h")
+        except engine_model.EngineRefusedError:
+            self.clock.callLater(
+                FULL_RETRY_S, self._import, p, grant, run_id, waits + 1
+            )
+            return
+        done = source.export(run_id)
+        done.addCallback(lambda _: self._start(p, grant, run_id))
+
+    def _start(self, p: _Progress, grant: placement.Grant, run_id: str) -> None:
+        engine = self._servers[grant.decode].engine
+        if run_id not in engine.runs:
+            self._again(p, 0.0, grant.decode)
+            return
+        engine.start(run_id, p.request.prompt, 0, p.request.max_tokens)
+        assert p.planner is not None
+        p.planner.started(self.clock.seconds(), str(p.request.number))
+        self._wait_token(p, grant, run_id)
+
+    def _wait_token(
+        self, p: _Progress, grant: placement.Grant, run_id: str
+    ) -> None:
+        run = self._servers[grant.decode].engine.find(run_id)
+        if run is None:
+            self._again(p, LOST_TIMEOUT_S, grant.decode)
+            return
+        now = self.clock.seconds()
+        if run.made and p.first_at is None:
+            p.first_at = now
+        if run.finished:
+            self._end(p, len(run.tokens), now)
+            return
+        from twisted.internet import defer  # noqa: PLC0415
+
+        waiter: defer.Deferred[None] = defer.Deferred()
+        run.waiters.append(waiter)
+        waiter.addCallback(lambda _: self._wait_token(p, grant, run_id))
+
+    def _end(self, p: _Progress, tokens: int, now: float) -> None:
+        assert p.first_at is not None
+        assert p.planner is not None
+        number = str(p.request.number)
+        p.planner.release(now, number, tokens)
+        self._planner.release(now, number, tokens)
+        self.answered += 1
+        gap_s = (now - p.first_at) / max(1, tokens - 1)
+        wait_s = p.first_at - p.request.arrives + MESSAGE_S
+        in_time = wait_s <= self._service.get("first_token_s", 0.54)
+        self.good += in_time and gap_s <= self._service.get(
+            "token_gap_s", 0.031
+        )
+
+    def result(self, requests: list[Request], bound: float) -> Result:
+        """Return the figures of the run."""
+        engines = [s.engine for s in self._servers.values()]
+        return Result(
+            len(requests),
+            bound,
+            self.good,
+            self.answered,
+            self.refused,
+            sum(e.counts.get("prefill_tokens", 0) for e in engines),
+            sum(e.counts.get("wasted_prefill_tokens", 0) for e in engines),
+        )
+
+
+def answer_length(request: Request) -> int:
+    """Return the true length of a request's answer."""
+    return len(answers.answer_tokens(request.prompt, request.max_tokens))
