Admission margin learnt from how late plans come true

Cause: admission kept 15% of the first-token target free whatever the error of the predictions; on the Consortium's tight links that refused work at load 1 that would have been in time.

Ruled out: a smaller constant alone, since it would be late where reports and links are worse than the profile; the margin follows the observed lateness.

--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -6,6 +6,7 @@
 from result import Ok
 
 from nutmegscale import config
+from nutmegscale import lateness
 from nutmegscale import ledger
 from nutmegscale import placement
 from nutmegscale import prefix
@@ -13,7 +14,8 @@
 from nutmegscale import schedule
 from nutmegscale import worker
 
-ADMIT_FRACTION = 0.85
+ADMIT_FRACTION = 0.98
+MAX_MARGIN_FRACTION = 0.5
 LOWEST_PRIORITY = 9
 PRIORITY_STEP = 0.05
 ACCEPTED_PATIENCE_S = 20.0
@@ -72,6 +74,8 @@
         self._callers: dict[str, tuple[float, float]] = {}
         self._length_fraction = START_LENGTH_FRACTION
         self._asked: dict[str, int] = {}
+        self._predicted: dict[str, float] = {}
+        self._lateness = lateness.Lateness()
 
     @property
     def ledger(self) -> ledger.Ledger:
@@ -137,11 +141,15 @@
     def started(self, now: float, exchange: str) -> None:
         """Note that a run started; see `placement.Planner`."""
         self._ledger.started(now, exchange)
+        predicted = self._predicted.pop(exchange, None)
+        if predicted is not None:
+            self._lateness.observe(now - predicted)
 
     def release(self, now: float, exchange: str, tokens: int) -> None:
         """Free what an exchange holds; see `placement.Planner`."""
         held = self._ledger.release(exchange)
         asked = self._asked.pop(exchange, 0)
+        self._predicted.pop(exchange, None)
         if held is not None and tokens and asked:
             sample = min(1.0, tokens / asked)
             self._length_fraction += LENGTH_SMOOTHING * (
@@ -258,8 +266,13 @@
             fraction = ADMIT_FRACTION - PRIORITY_STEP * (
                 urgency / LOWEST_PRIORITY
             )
+            margin_s = min(
+                self._lateness.margin_s,
+                ask.first_token_s * MAX_MARGIN_FRACTION,
+            )
             allowed_s = max(
-                ask.first_token_s * fraction, alone_s * ALONE_FACTOR
+                ask.first_token_s * fraction - margin_s,
+                alone_s * ALONE_FACTOR,
             )
         if wait_s > allowed_s:
             late_s = max(MIN_RETRY_AFTER_S, wait_s - allowed_s)
@@ -295,6 +308,7 @@
         gap_s = _step_s(decode.engine, decode.batch + 1)
         tokens = max(1.0, ask.max_tokens * self._length_fraction)
         self._asked[ask.exchange] = ask.max_tokens
+        self._predicted[ask.exchange] = first_at - gap_s
         self._ledger.reserve(
             ledger.Reservation(
                 ask.exchange,
