--- a/nutmegscale/daemon.py
+++ b/nutmegscale/daemon.py
@@ -110,6 +110,9 @@
             app.mesh,
             scrape=self._scrape,
             drain=self.shut_down,
+            traffic=lambda: sum(
+                client.traffic_bytes for client in self._clients.values()
+            ),
         )
         self._transport.start(app.mesh.receive)
         self._listen(self._settings["caller_port"], callers.handle)
--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -151,6 +151,12 @@
         self._connect_timeout_s = connect_timeout_s
         self._headers = headers or {}
         self._agent, self._pool = self._new_agent()
+        self._traffic_bytes = 0
+
+    @property
+    def traffic_bytes(self) -> int:
+        """Bytes of heads and whole bodies, sent and received."""
+        return self._traffic_bytes
 
     @property
     def base_url(self) -> str:
@@ -205,6 +211,8 @@
         async def _exchange() -> Response:
             response = await self._send(method, path, json, body, headers)
             data = await client.readBody(response)
+            received = response.headers.getAllRawHeaders()
+            self._traffic_bytes += len(data) + _head_bytes(received)
             return Response(response.code, _plain_headers(response), data)
 
         return await self._guard(_exchange(), timeout_s)
@@ -246,6 +254,8 @@
             sent.setRawHeaders("content-type", ["application/json"])
         producer = None if body is None else _BytesProducer(body)
         url = (self._base_url + path).encode()
+        self._traffic_bytes += len(url) + len(body or b"")
+        self._traffic_bytes += _head_bytes(sent.getAllRawHeaders())
         agent: Any = self._agent
         return await agent.request(method.encode(), url, sent, producer)
 
@@ -304,6 +314,14 @@
     )
 
 
+def _head_bytes(headers: Any) -> int:
+    return sum(
+        len(name) + len(value) + 4
+        for name, values in headers
+        for value in values
+    )
+
+
 def _plain_headers(response: Any) -> dict[str, str]:
     return {
         name.decode().lower(): values[-1].decode("latin-1")
--- a/nutmegscale/operators.py
+++ b/nutmegscale/operators.py
@@ -32,6 +32,7 @@
         *,
         scrape: Callable[[], bytes],
         drain: Callable[[], None],
+        traffic: Callable[[], int] = lambda: 0,
     ) -> None:
         self._board = board
         self._configs = configs
@@ -39,6 +40,7 @@
         self._mesh = link
         self._scrape = scrape
         self._drain = drain
+        self._traffic = traffic
 
     async def handle(self, call: http_server.Call) -> http_server.Reply | None:
         """Answer one request of an operator."""
@@ -107,6 +109,7 @@
             ],
             "cells": self._cells(),
             "mesh": self._mesh.counts._asdict(),
+            "http_bytes": self._traffic(),
         }
 
     def _cells(self) -> dict[str, dict[str, int]]:
--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,340 @@
+"""Figures of the daemon: memory, control cost, throughput, latency.
+
+Figures only: nothing here passes or fails by time.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import statistics
+import tempfile
+import threading
+import time
+from typing import Any
+from typing import NamedTuple
+from urllib import parse
+
+from rich import console
+from rich import table
+
+from nutmegscale import folder
+from tools import cluster
+
+REST_S = 10.0
+LATENCY_CALLS = 40
+PROMPT = "course planning brief " * 40
+CLIENTS = 8
+CALLS = 20
+TOKENS = 64
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Rest(NamedTuple):
+    """Cost of a host at rest.
+
+    Attributes:
+      hosts: Number of hosts in the deployment.
+      resident_mb: Mean resident memory, MB.
+      largest_mb: Largest resident memory, MB.
+      cpu: Mean fraction of a core.
+      largest_cpu: Largest fraction of a core.
+      mesh_bytes_s: Mean bytes a second to and from peers.
+      http_bytes_s: Mean bytes a second of polls of platform and workers.
+      largest_bytes_s: Largest sum of both.
+    """
+
+    hosts: int
+    resident_mb: float
+    largest_mb: float
+    cpu: float
+    largest_cpu: float
+    mesh_bytes_s: float
+    http_bytes_s: float
+    largest_bytes_s: float
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1_024
+    return 0.0
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def plan_of(hosts: int, path: str = "examples/federation") -> cluster.Plan:
+    """Return the Federation's layout with another number of hosts."""
+    base = cluster.federation_plan()
+    domains = ("maadi", "nasr", "giza", "shorouk")
+    names = tuple(
+        cluster.HostPlan(f"{domains[n % 4]}-{n // 4}", domains[n % 4])
+        for n in range(hosts)
+    )
+    return cluster.Plan(names, base.workers, path)
+
+
+class _Sample(NamedTuple):
+    cpu: float
+    mesh: int
+    http: int
+
+
+def _sample(deployment: cluster.Cluster) -> dict[str, _Sample]:
+    samples = {}
+    for name, host in deployment.hosts.items():
+        status = deployment.status(name)
+        mesh = status["mesh"]
+        samples[name] = _Sample(
+            cpu_s(host.process.pid),
+            mesh["sent_bytes"] + mesh["received_bytes"],
+            status["http_bytes"],
+        )
+    return samples
+
+
+def measure_rest(hosts: int, seconds: float) -> Rest:
+    """Measure hosts without work."""
+    with cluster.Cluster(plan_of(hosts)) as deployment:
+        time.sleep(seconds / 2)
+        before = _sample(deployment)
+        time.sleep(seconds)
+        after = _sample(deployment)
+        memory = [resident_mb(h.process.pid) for h in deployment.hosts.values()]
+    cpu = [(after[n].cpu - before[n].cpu) / seconds for n in after]
+    mesh = [(after[n].mesh - before[n].mesh) / seconds for n in after]
+    http = [(after[n].http - before[n].http) / seconds for n in after]
+    both = [a + b for a, b in zip(mesh, http, strict=True)]
+    mean = statistics.fmean
+    return Rest(
+        hosts,
+        mean(memory),
+        max(memory),
+        mean(cpu),
+        max(cpu),
+        mean(mesh),
+        mean(http),
+        max(both),
+    )
+
+
+class Work(NamedTuple):
+    """Cost of work at one host.
+
+    Attributes:
+      requests_s: Requests a second that the clients got through.
+      tokens_s: Tokens a second.
+      cpu: Fraction of a core that the host used.
+      cpu_ms_request: Processor time for each request, ms.
+    """
+
+    requests_s: float
+    tokens_s: float
+    cpu: float
+    cpu_ms_request: float
+
+
+def complete(url: str, number: int, tokens: int, *, stream: bool) -> float:
+    """Send one completion and return the time to its first byte of text."""
+    address = parse.urlsplit(url)
+    connection = http.client.HTTPConnection(
+        str(address.hostname), address.port, timeout=30.0
+    )
+    body = json.dumps(
+        {
+            "model": "notes-model",
+            "prompt": f"{number} {PROMPT}",
+            "max_tokens": tokens,
+            "stream": stream,
+        }
+    )
+    began = time.perf_counter()
+    connection.request(
+        "POST",
+        "/v1/completions",
+        body.encode(),
+        {"authorization": "Bearer cairo-club-key"},
+    )
+    response = connection.getresponse()
+    response.readline()
+    first_s = time.perf_counter() - began
+    response.read()
+    connection.close()
+    return first_s
+
+
+def direct(deployment: cluster.Cluster, number: int) -> float:
+    """Do a completion on the engines, without the daemon."""
+    urls = {name: w.url for name, w in deployment.workers.items()}
+    prefill, decode = urls["prefill-maadi"], urls["decode-maadi"]
+    run_id = f"direct{number}.x"
+    prompt = f"{number} {PROMPT}"
+    began = time.perf_counter()
+    asked = {"run_id": run_id, "host": "x", "prompt": prompt, "priority": 0}
+    result = cluster.call("POST", f"{prefill}/v1/prefills", asked)
+    order = {
+        "run_id": run_id,
+        "host": "x",
+        "prompt": prompt,
+        "first_token": 0,
+        "max_tokens": 8,
+        "source": prefill,
+        "handle": result["handle"],
+    }
+    cluster.call("POST", f"{decode}/v1/runs", order)
+    address = parse.urlsplit(decode)
+    connection = http.client.HTTPConnection(
+        str(address.hostname), address.port, timeout=30.0
+    )
+    connection.request("GET", f"/v1/runs/{run_id}/tokens?from=0")
+    response = connection.getresponse()
+    response.readline()
+    first_s = time.perf_counter() - began
+    response.read()
+    connection.close()
+    return first_s
+
+
+def fast_folder() -> tempfile.TemporaryDirectory[str]:
+    """Make a configuration whose engines are never the limit."""
+    made = tempfile.TemporaryDirectory()
+    document: Any = folder.load("examples/federation")
+    document["engines"]["standard"].update(
+        prefill_base_s=0.001,
+        prefill_token_s=1e-7,
+        step_base_s=0.002,
+        step_run_s=1e-6,
+        kv_token_bytes=16,
+        slots=500,
+    )
+    with open(
+        os.path.join(made.name, "10.json"), "w", encoding="utf-8"
+    ) as file:
+        json.dump(document, file)
+    return made
+
+
+def measure_work(*, stream: bool, tokens: int) -> Work:
+    """Measure one host under closed-loop work of several clients."""
+    with fast_folder() as path, cluster.Cluster(plan_of(1, path)) as deployment:
+        (host,) = deployment.hosts.values()
+        url = host.caller_url
+        complete(url, 0, tokens, stream=stream)
+        before = cpu_s(host.process.pid)
+        began = time.perf_counter()
+
+        def _client(client: int) -> None:
+            for call in range(CALLS):
+                complete(url, client * 1_000 + call, tokens, stream=stream)
+
+        threads = [
+            threading.Thread(target=_client, args=(n,)) for n in range(CLIENTS)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        seconds = time.perf_counter() - began
+        used = cpu_s(host.process.pid) - before
+    count = CLIENTS * CALLS
+    mean_tokens = tokens * 0.65
+    return Work(
+        count / seconds,
+        count * mean_tokens / seconds,
+        used / seconds,
+        used / count * 1e3,
+    )
+
+
+def measure_latency() -> tuple[float, float]:
+    """Return the median time to the first token, direct and by a host, ms."""
+    with cluster.Cluster(cluster.federation_plan()) as deployment:
+        url = deployment.hosts["maadi-1"].caller_url
+        by_host, alone = [], []
+        for number in range(LATENCY_CALLS):
+            alone.append(direct(deployment, number) * 1e3)
+            by_host.append(complete(url, number, 8, stream=True) * 1e3)
+    return statistics.median(alone), statistics.median(by_host)
+
+
+def _print_rest(rows: list[Rest]) -> None:
+    drawn = table.Table(
+        "hosts",
+        "resident MB (largest)",
+        "CPU of a core (largest)",
+        "mesh B/s",
+        "polls B/s",
+        "largest B/s",
+        title="At rest, for each host",
+        title_justify="left",
+    )
+    for row in rows:
+        drawn.add_row(
+            str(row.hosts),
+            f"{row.resident_mb:.1f} ({row.largest_mb:.1f})",
+            f"{row.cpu:.2%} ({row.largest_cpu:.2%})",
+            f"{row.mesh_bytes_s:.0f}",
+            f"{row.http_bytes_s:.0f}",
+            f"{row.largest_bytes_s:.0f}",
+        )
+    console.Console(width=110).print(drawn)
+
+
+def _print_work(rows: dict[str, Work]) -> None:
+    drawn = table.Table(
+        "work",
+        "requests/s",
+        "tokens/s",
+        "CPU of a core",
+        "CPU ms a request",
+        title="One host under closed-loop work",
+        title_justify="left",
+    )
+    for name, row in rows.items():
+        drawn.add_row(
+            name,
+            f"{row.requests_s:.0f}",
+            f"{row.tokens_s:.0f}",
+            f"{row.cpu:.0%}",
+            f"{row.cpu_ms_request:.1f}",
+        )
+    console.Console(width=110).print(drawn)
+
+
+def main() -> None:
+    """Measure and print the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--hosts", type=int, nargs="*", default=[8, 25])
+    parser.add_argument("--seconds", type=float, default=REST_S)
+    parser.add_argument("--rest-only", action="store_true")
+    asked = parser.parse_args()
+    _print_rest([measure_rest(n, asked.seconds) for n in asked.hosts])
+    if asked.rest_only:
+        return
+    _print_work(
+        {
+            f"{TOKENS} tokens, streamed": measure_work(
+                stream=True, tokens=TOKENS
+            ),
+            f"{TOKENS} tokens, whole": measure_work(
+                stream=False, tokens=TOKENS
+            ),
+            "1 token": measure_work(stream=False, tokens=1),
+        }
+    )
+    alone, by_host = measure_latency()
+    console.Console().print(
+        f"first token: {alone:.1f} ms on the engines, {by_host:.1f} ms by a"
+        f" host, {by_host - alone:.1f} ms added (medians of {LATENCY_CALLS})"
+    )
+
+
+if __name__ == "__main__":
+    main()
