Bound of the experiment counts what a fault takes away

Cause: the bound of a run with a fault was that of whole pools, so a cut or a slow link looked like a fault of the policy.

--- a/tools/policy.py
+++ b/tools/policy.py
@@ -66,7 +66,13 @@
         deployment, rate, case.seconds, case.seed
     )
     bound = policy_bound.best_possible(
-        deployment, world.profile, requests, case.seconds, first_s, gap_s
+        deployment,
+        world.profile,
+        requests,
+        case.fault,
+        case.seconds,
+        first_s,
+        gap_s,
     )
     world.run(requests, case.seconds)
     return world.result(requests, bound)
--- a/tools/policy_bound.py
+++ b/tools/policy_bound.py
@@ -10,6 +10,7 @@
 
 CALLERS = ("one", "two", "three")
 SAMPLE = 400
+DECODE_SLACK_S = 3.0
 
 
 class Demand(NamedTuple):
@@ -117,29 +118,76 @@
     return requests
 
 
+class Room(NamedTuple):
+    """Time that each kind of resource has in a run with a fault.
+
+    Attributes:
+      prefill_s: Seconds of all prefill workers together.
+      link_s: Seconds of all links together, at their full rate.
+      decode_s: Seconds of all decode workers together.
+    """
+
+    prefill_s: float
+    link_s: float
+    decode_s: float
+
+
+def room_of(
+    deployment: policy_world.Deployment,
+    fault: str,
+    seconds: float,
+    first_token_s: float,
+) -> Room:
+    """Return the room that a fault leaves; see `policy_world.World`."""
+    third_s = seconds / 3
+    slack_s = seconds + first_token_s
+    prefill_s = link_s = deployment.prefills * slack_s
+    decode_s = deployment.decodes * (slack_s + DECODE_SLACK_S)
+    if fault == "worker_dies":
+        decode_s -= third_s
+    elif fault == "link_slow":
+        link_s -= (
+            deployment.prefills
+            * third_s
+            * (1 - 1 / policy_world.SLOW_LINK_FACTOR)
+        )
+    elif fault == "domain_cut":
+        prefill_s -= third_s
+        link_s -= third_s
+        decode_s -= third_s
+    return Room(prefill_s, link_s, decode_s)
+
+
 def best_possible(
     deployment: policy_world.Deployment,
     engine: config.Engine,
     requests: list[policy_world.Request],
+    fault: str,
     seconds: float,
     first_token_s: float,
     gap_s: float,
 ) -> float:
     """Bound the answers within both targets, for an oracle without lag.
 
-    The oracle knows every length and may leave out what it likes. For each
-    resource alone it takes the cheapest requests until the time is used; the
-    least of these counts bounds every policy.
+    The oracle knows every length and the true state of every resource, and
+    may leave out what it likes. For each resource alone it takes the
+    cheapest requests until the time is used; the least of these counts
+    bounds every policy.
     """
-    demands = [demand_of(deployment, engine, r, gap_s) for r in requests]
-    feasible = [d for d in demands if d.alone_s <= first_token_s]
-    slack_s = seconds + first_token_s
+    feasible = []
+    for request in requests:
+        demand = demand_of(deployment, engine, request, gap_s)
+        alone_s = demand.alone_s
+        is_third = seconds / 3 <= request.arrives < seconds * 2 / 3
+        if fault == "link_slow" and is_third:
+            alone_s += demand.link_s * (policy_world.SLOW_LINK_FACTOR - 1)
+        if alone_s <= first_token_s:
+            feasible.append(demand)
+    room = room_of(deployment, fault, seconds, first_token_s)
     return min(
-        _most([d.prefill_s for d in feasible], deployment.prefills * slack_s),
-        _most([d.link_s for d in feasible], deployment.prefills * slack_s),
-        _most(
-            [d.decode_s for d in feasible], deployment.decodes * (slack_s + 3.0)
-        ),
+        _most([d.prefill_s for d in feasible], room.prefill_s),
+        _most([d.link_s for d in feasible], room.link_s),
+        _most([d.decode_s for d in feasible], room.decode_s),
     )
 
 
--- a/tools/policy_world.py
+++ b/tools/policy_world.py
@@ -25,6 +25,7 @@
 FULL_RETRY_S = 0.02
 LOST_TIMEOUT_S = 0.6
 OWNER_GAP_S = 1.5
+SLOW_LINK_FACTOR = 3
 GAP_PLANNERS = 3
 FAULTS = (
     "none",
@@ -189,7 +190,11 @@
             later(early, self._die, "decode-0")
             later(late, self._revive, "decode-0")
         elif self._fault == "link_slow":
-            later(early, self._set_link, self.profile["link_bytes_s"] / 3)
+            later(
+                early,
+                self._set_link,
+                self.profile["link_bytes_s"] / SLOW_LINK_FACTOR,
+            )
             later(late, self._set_link, self.profile["link_bytes_s"])
         elif self._fault == "host_dies":
             later(seconds / 2, self._owner_dies)
