Planner learns the speed of workers and links, and their backlog

Cause: the planner predicted from the cost profile alone. On a link at a third of its rate, and after the owner of a cell died and several hosts had planned at once, every plan was late by a backlog that no later plan knew of.

Serving hosts now say how long prefill and transfer took; each lane keeps the ratio to the profile (a job's service begins when it arrives or the one before it ended), moves its bookings by what was late, and counts prefills of other planners as a backlog.

Ruled out: the margin alone (it only sees that plans are late, not that the queue behind them is).

Conclusion: the Consortium's links still keep a backlog after a host died: a booking that is overdue is forgotten while its transfer still waits.

--- a/nutmegscale/baselines.py
+++ b/nutmegscale/baselines.py
@@ -88,7 +88,9 @@
     def _pick_decode(self, ask: placement.Ask, names: list[str]) -> str:
         raise NotImplementedError
 
-    def started(self, now: float, exchange: str) -> None:
+    def started(
+        self, now: float, exchange: str, prefill_s: float, transfer_s: float
+    ) -> None:
         """Do nothing: nothing is reserved."""
 
     def release(self, now: float, exchange: str, tokens: int) -> None:
--- a/nutmegscale/exchange_runner.py
+++ b/nutmegscale/exchange_runner.py
@@ -187,7 +187,7 @@
         try:
             if grant.start_in_s > 0:
                 await periodic.sleep(self._board.clock, grant.start_in_s)
-            step = await self._prefill_and_start(x, grant, run_id)
+            step = await self._prefill_and_start(x, place, grant, run_id)
             if step is not None:
                 return step
             has_started = True
@@ -198,7 +198,6 @@
         x.run = exchange.RunRef(run_id, grant.decode, grant.decode_url)
         x.has_started = True
         x.touched = self._board.now()
-        self._planning.started(place, x.id)
         return await self._follow(x, x.run)
 
     def _drop(self, url: str, run_id: str) -> None:
@@ -206,12 +205,17 @@
         self._cancels.cancel(url, run_id)
 
     async def _prefill_and_start(
-        self, x: exchange.Exchange, grant: placement.Grant, run_id: str
+        self,
+        x: exchange.Exchange,
+        place: cell.Cell,
+        grant: placement.Grant,
+        run_id: str,
     ) -> _Step | None:
         """Prefill and import; None when the run has started."""
         tokens = prompts.count_tokens(x.request.prompt)
         was_sent = x.was_sent
         x.was_sent = True
+        sent_at = self._board.now()
         try:
             result = await self._engines(grant.prefill_url).prefill(
                 run_id,
@@ -225,6 +229,7 @@
             return _Step(exc, grant.prefill, False)
         except errors.EngineError as exc:
             return _Step(exc, grant.prefill, True)
+        ready_at = self._board.now()
         self._board.metrics.prefilled(tokens - result.cached_tokens)
         order = engine.RunOrder(
             run_id,
@@ -244,6 +249,9 @@
             self._board.metrics.wasted(tokens - result.cached_tokens)
             is_lost = isinstance(exc, errors.EngineLostError)
             return _Step(exc, grant.decode, is_lost)
+        self._planning.started(
+            place, x.id, ready_at - sent_at, self._board.now() - ready_at
+        )
         return None
 
     async def _follow(
--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -9,9 +9,7 @@
 from nutmegscale import lateness
 from nutmegscale import ledger
 from nutmegscale import placement
-from nutmegscale import prefix
-from nutmegscale import prompts
-from nutmegscale import schedule
+from nutmegscale import prefill_lane
 from nutmegscale import worker
 
 ADMIT_FRACTION = 0.98
@@ -26,7 +24,6 @@
 START_LENGTH_FRACTION = 0.65
 LENGTH_SMOOTHING = 0.05
 GAP_MARGIN = 0.9
-RESULT_LIFE_FRACTION = 0.5
 WORK_WEIGHT = 0.5
 WASTE_WORK_WEIGHT = 0.5
 LOST_PERIOD_S = 1.0
@@ -47,10 +44,13 @@
     """A prefill worker that was chosen, with the times of the plan."""
 
     worker: worker.Worker
-    start: float
-    prefill_s: float
-    transfer_at: float
-    transfer_s: float
+    lane: prefill_lane.PrefillLane
+    times: prefill_lane.Proposal
+
+    @property
+    def ends(self) -> float:
+        """Time at which the transfer ends."""
+        return self.times.transfer_at + self.times.transfer_s
 
 
 class JointPlanner:
@@ -66,15 +66,12 @@
         self._ledger = ledger.Ledger()
         self._workers: dict[str, worker.Worker] = {}
         self._engines: dict[str, config.Engine] = {}
-        self._prefills: dict[str, schedule.Schedule] = {}
-        self._links: dict[str, schedule.Schedule] = {}
-        self._prefixes: dict[str, prefix.PrefixIndex] = {}
+        self._lanes: dict[str, prefill_lane.PrefillLane] = {}
         self._leaving: set[str] = set()
         self._lost_until: dict[str, float] = {}
         self._callers: dict[str, tuple[float, float]] = {}
         self._length_fraction = START_LENGTH_FRACTION
         self._asked: dict[str, int] = {}
-        self._predicted: dict[str, float] = {}
         self._lateness = lateness.Lateness()
 
     @property
@@ -84,8 +81,8 @@
 
     def last_cache_event(self, name: str) -> int:
         """Return the number of the latest cache event of a worker."""
-        index = self._prefixes.get(name)
-        return index.last_event if index else 0
+        lane = self._lanes.get(name)
+        return lane.prefixes.last_event if lane else 0
 
     def set_workers(
         self, workers: list[worker.Worker], engines: dict[str, config.Engine]
@@ -95,13 +92,11 @@
         self._engines = {
             w.name: engines[w.pool] for w in workers if w.pool in engines
         }
-        for name in set(self._prefills) - set(self._workers):
-            del self._prefills[name], self._links[name], self._prefixes[name]
+        for name in set(self._lanes) - set(self._workers):
+            del self._lanes[name]
         for w in workers:
-            if w.role == "prefill" and w.name not in self._prefills:
-                self._prefills[w.name] = schedule.Schedule()
-                self._links[w.name] = schedule.Schedule()
-                self._prefixes[w.name] = prefix.PrefixIndex()
+            if w.role == "prefill" and w.name not in self._lanes:
+                self._lanes[w.name] = prefill_lane.PrefillLane()
 
     def plan(self, now: float, ask: placement.Ask) -> placement.PlanResult:
         """Place a request; see `placement.Planner`."""
@@ -119,45 +114,48 @@
                 placement.Refusal("no_prefill_worker", NO_WORKERS_RETRY_AFTER_S)
             )
         step_s = _step_s(decode.engine, decode.batch + 1)
-        first_at = prefill.transfer_at + prefill.transfer_s + step_s
-        alone_s = prefill.prefill_s + prefill.transfer_s + step_s
+        first_at = prefill.ends + step_s
+        times = prefill.times
+        alone_s = times.prefill_s + times.transfer_s + step_s
         refusal = self._admit(now, ask, first_at, alone_s)
         if refusal is not None:
             return Err(refusal)
-        self._book(now, ask, decode, prefill, first_at)
+        self._book(ask, decode, prefill, first_at)
         return Ok(
             placement.Grant(
                 prefill.worker.name,
                 prefill.worker.address,
                 decode.worker.name,
                 decode.worker.address,
-                max(0.0, prefill.start - now),
-                prefill.prefill_s,
-                prefill.transfer_s,
+                max(0.0, times.start - now),
+                times.prefill_s,
+                times.transfer_s,
                 first_at - now,
             )
         )
 
-    def started(self, now: float, exchange: str) -> None:
+    def started(
+        self, now: float, exchange: str, prefill_s: float, transfer_s: float
+    ) -> None:
         """Note that a run started; see `placement.Planner`."""
         self._ledger.started(now, exchange)
-        predicted = self._predicted.pop(exchange, None)
-        if predicted is not None:
-            self._lateness.observe(now - predicted)
+        for lane in self._lanes.values():
+            late_s = lane.started(now, exchange, prefill_s, transfer_s)
+            if late_s is not None:
+                self._lateness.observe(late_s)
 
     def release(self, now: float, exchange: str, tokens: int) -> None:
         """Free what an exchange holds; see `placement.Planner`."""
         held = self._ledger.release(exchange)
         asked = self._asked.pop(exchange, 0)
-        self._predicted.pop(exchange, None)
         if held is not None and tokens and asked:
             sample = min(1.0, tokens / asked)
             self._length_fraction += LENGTH_SMOOTHING * (
                 sample - self._length_fraction
             )
         if held is None or held.started is None:
-            for booked in (*self._prefills.values(), *self._links.values()):
-                booked.release(exchange)
+            for lane in self._lanes.values():
+                lane.release(exchange)
 
     def observe(self, now: float, name: str, report: worker.Report) -> None:
         """Take in a load report; see `placement.Planner`."""
@@ -166,18 +164,17 @@
             self._leaving.add(name)
         else:
             self._leaving.discard(name)
-        index = self._prefixes.get(name)
-        if index is not None:
-            index.observe(report.cache_last, report.cache_events)
+        lane = self._lanes.get(name)
+        if lane is not None:
+            lane.observe(now, report)
         else:
             self._ledger.observe(now, name, report)
 
     def lost(self, now: float, name: str) -> None:
         """Note that a worker gives no answer; see `placement.Planner`."""
         self._lost_until[name] = now + LOST_PERIOD_S
-        if name in self._prefixes:
-            self._prefixes[name] = prefix.PrefixIndex()
-            self._prefills[name] = schedule.Schedule()
+        if name in self._lanes:
+            self._lanes[name] = prefill_lane.PrefillLane()
         self._ledger.drop_worker(name)
 
     def _usable(self, now: float, ask: placement.Ask, name: str) -> bool:
@@ -213,48 +210,16 @@
     ) -> _Prefill | None:
         best: _Prefill | None = None
         best_score = 0.0
-        for name, index in self._prefixes.items():
+        for name, lane in self._lanes.items():
             if not self._usable(now, ask, name):
                 continue
-            candidate = self._plan_prefill(now, ask, decode, name, index)
-            done = candidate.transfer_at + candidate.transfer_s
-            score = done + self._work_weight * candidate.prefill_s
+            times = lane.propose(now, ask, self._engines[name], decode.slot_at)
+            candidate = _Prefill(self._workers[name], lane, times)
+            score = candidate.ends + self._work_weight * times.prefill_s
             if best is None or score < best_score:
                 best, best_score = candidate, score
         return best
 
-    def _plan_prefill(
-        self,
-        now: float,
-        ask: placement.Ask,
-        decode: _Decode,
-        name: str,
-        index: prefix.PrefixIndex,
-    ) -> _Prefill:
-        engine = self._engines[name]
-        cached = index.hits(ask.blocks) * prompts.BLOCK_TOKENS
-        fresh = max(0, ask.prompt_tokens - cached)
-        prefill_s = engine["prefill_base_s"] + engine["prefill_token_s"] * fresh
-        kv_bytes = ask.prompt_tokens * engine["kv_token_bytes"]
-        transfer_s = kv_bytes / engine["link_bytes_s"]
-        booked, link = self._prefills[name], self._links[name]
-        booked.expire(now)
-        link.expire(now)
-        ready = max(now, decode.slot_at - prefill_s)
-        start = booked.earliest(ready, prefill_s)
-        transfer_at = link.earliest(
-            max(start + prefill_s, decode.slot_at), transfer_s
-        )
-        life_s = engine["kv_ttl_s"] * RESULT_LIFE_FRACTION
-        if transfer_at - (start + prefill_s) > life_s:
-            start = booked.earliest(transfer_at - life_s - prefill_s, prefill_s)
-            transfer_at = link.earliest(
-                max(start + prefill_s, transfer_at), transfer_s
-            )
-        return _Prefill(
-            self._workers[name], start, prefill_s, transfer_at, transfer_s
-        )
-
     def _admit(
         self, now: float, ask: placement.Ask, first_at: float, alone_s: float
     ) -> placement.Refusal | None:
@@ -299,7 +264,6 @@
 
     def _book(
         self,
-        now: float,
         ask: placement.Ask,
         decode: _Decode,
         prefill: _Prefill,
@@ -308,7 +272,6 @@
         gap_s = _step_s(decode.engine, decode.batch + 1)
         tokens = max(1.0, ask.max_tokens * self._length_fraction)
         self._asked[ask.exchange] = ask.max_tokens
-        self._predicted[ask.exchange] = first_at - gap_s
         self._ledger.reserve(
             ledger.Reservation(
                 ask.exchange,
@@ -320,14 +283,7 @@
                 ask.suspect,
             )
         )
-        name = prefill.worker.name
-        self._prefills[name].book(
-            prefill.start, prefill.prefill_s, ask.exchange
-        )
-        self._links[name].book(
-            prefill.transfer_at, prefill.transfer_s, ask.exchange
-        )
-        self._prefixes[name].add(ask.blocks)
+        prefill.lane.book(ask, prefill.times)
 
 
 def _step_s(engine: config.Engine, batch: int) -> float:
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -116,10 +116,12 @@
 
 
 class RunStarted(NamedTuple):
-    """The decode run of an exchange started."""
+    """The decode run of an exchange started; see `placement.Planner`."""
 
     cell: str
     exchange: str
+    prefill_s: float
+    transfer_s: float
 
 
 class RunReleased(NamedTuple):
--- a/nutmegscale/placement.py
+++ b/nutmegscale/placement.py
@@ -90,8 +90,17 @@
         """Place a request and reserve what it needs."""
         ...
 
-    def started(self, now: float, exchange: str) -> None:
-        """Note that the decode run of an exchange started."""
+    def started(
+        self, now: float, exchange: str, prefill_s: float, transfer_s: float
+    ) -> None:
+        """Note that a decode run started, and how long its parts took.
+
+        Args:
+          now: Monotonic time in seconds.
+          exchange: Exchange of the run.
+          prefill_s: Time from the order of the prefill to its result.
+          transfer_s: Time from the result to the start of the run.
+        """
         ...
 
     def release(self, now: float, exchange: str, tokens: int) -> None:
--- a/nutmegscale/planner_controller.py
+++ b/nutmegscale/planner_controller.py
@@ -111,9 +111,18 @@
         reply = self._receive_plan(self._board.host, request)
         return reply or messages.PlanReply(None, "no_cell", LOCAL_RETRY_AFTER_S)
 
-    def started(self, place: cell.Cell, exchange: str) -> None:
-        """Tell the planner that a run started."""
-        self._tell(place, messages.RunStarted(place.name, exchange))
+    def started(
+        self,
+        place: cell.Cell,
+        exchange: str,
+        prefill_s: float,
+        transfer_s: float,
+    ) -> None:
+        """Tell the planner that a run started; see `placement.Planner`."""
+        self._tell(
+            place,
+            messages.RunStarted(place.name, exchange, prefill_s, transfer_s),
+        )
 
     def release(self, place: cell.Cell, exchange: str, tokens: int) -> None:
         """Tell the planner that an exchange holds nothing any more."""
@@ -157,7 +166,12 @@
     ) -> None:
         active = self._active.get(message.cell)
         if active is not None:
-            active.planner.started(self._board.now(), message.exchange)
+            active.planner.started(
+                self._board.now(),
+                message.exchange,
+                message.prefill_s,
+                message.transfer_s,
+            )
 
     def _receive_released(
         self, sender: str, message: messages.RunReleased
--- /dev/null
+++ b/nutmegscale/prefill_lane.py
@@ -0,0 +1,184 @@
+"""One prefill worker with its link, as a planner predicts them."""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from nutmegscale import config
+from nutmegscale import placement
+from nutmegscale import prefix
+from nutmegscale import prompts
+from nutmegscale import schedule
+from nutmegscale import speed
+from nutmegscale import worker
+
+RESULT_LIFE_FRACTION = 0.5
+REMEMBERED_EXCHANGES = 512
+START_PREFILL_S = 0.05
+PREFILL_SMOOTHING = 0.1
+FOREIGN = "~foreign"
+
+
+class Proposal(NamedTuple):
+    """Times of a plan on this lane, in seconds.
+
+    Attributes:
+      start: Time at which the prefill starts.
+      prefill_s: Predicted time of the prefill.
+      transfer_at: Time at which the transfer starts.
+      transfer_s: Predicted time of the transfer.
+      profile_prefill_s: Time of the prefill by the cost profile.
+      profile_transfer_s: Time of the transfer by the cost profile.
+    """
+
+    start: float
+    prefill_s: float
+    transfer_at: float
+    transfer_s: float
+    profile_prefill_s: float
+    profile_transfer_s: float
+
+
+class _Booked(NamedTuple):
+    """A proposal that was taken, and the shifts of the schedules then."""
+
+    proposal: Proposal
+    prefill_shift: float
+    link_shift: float
+
+
+class PrefillLane:
+    """Schedules, prefix cache and observed speed of one prefill worker.
+
+    What is observed of each run corrects the predictions: the speed of the
+    worker and its link, and a backlog that this planner didn't make.
+    """
+
+    def __init__(self) -> None:
+        self._prefill = schedule.Schedule()
+        self._link = schedule.Schedule()
+        self._prefill_speed = speed.Speed()
+        self._link_speed = speed.Speed()
+        self._booked: dict[str, _Booked] = {}
+        self._known: OrderedDict[str, None] = OrderedDict()
+        self._mean_prefill_s = START_PREFILL_S
+        self.prefixes = prefix.PrefixIndex()
+
+    def propose(
+        self,
+        now: float,
+        ask: placement.Ask,
+        engine: config.Engine,
+        slot_at: float,
+    ) -> Proposal:
+        """Find the earliest times for a request.
+
+        The prefill starts late enough that its result, which is kept for a
+        short time only, meets a free link and a free slot.
+
+        Args:
+          now: Monotonic time in seconds.
+          ask: The request.
+          engine: Cost profile of the worker.
+          slot_at: Time at which a decode slot is free.
+        """
+        cached = self.prefixes.hits(ask.blocks) * prompts.BLOCK_TOKENS
+        fresh = max(0, ask.prompt_tokens - cached)
+        profile_prefill_s = (
+            engine["prefill_base_s"] + engine["prefill_token_s"] * fresh
+        )
+        kv_bytes = ask.prompt_tokens * engine["kv_token_bytes"]
+        profile_transfer_s = kv_bytes / engine["link_bytes_s"]
+        prefill_s = profile_prefill_s * self._prefill_speed.factor(now)
+        transfer_s = profile_transfer_s * self._link_speed.factor(now)
+        self._prefill.expire(now)
+        self._link.expire(now)
+        ready = max(now, slot_at - prefill_s)
+        start = self._prefill.earliest(ready, prefill_s)
+        transfer_at = self._link.earliest(
+            max(start + prefill_s, slot_at), transfer_s
+        )
+        life_s = engine["kv_ttl_s"] * RESULT_LIFE_FRACTION
+        if transfer_at - (start + prefill_s) > life_s:
+            start = self._prefill.earliest(
+                transfer_at - life_s - prefill_s, prefill_s
+            )
+            transfer_at = self._link.earliest(
+                max(start + prefill_s, transfer_at), transfer_s
+            )
+        return Proposal(
+            start,
+            prefill_s,
+            transfer_at,
+            transfer_s,
+            profile_prefill_s,
+            profile_transfer_s,
+        )
+
+    def book(self, ask: placement.Ask, proposal: Proposal) -> None:
+        """Reserve the times of a proposal."""
+        self._prefill.book(proposal.start, proposal.prefill_s, ask.exchange)
+        self._link.book(proposal.transfer_at, proposal.transfer_s, ask.exchange)
+        self._booked[ask.exchange] = _Booked(
+            proposal, self._prefill.shifted, self._link.shifted
+        )
+        self._mean_prefill_s += PREFILL_SMOOTHING * (
+            proposal.prefill_s - self._mean_prefill_s
+        )
+        self._known[ask.exchange] = None
+        while len(self._known) > REMEMBERED_EXCHANGES:
+            self._known.popitem(last=False)
+        self.prefixes.add(ask.blocks)
+
+    def release(self, exchange: str) -> None:
+        """Free the times of an exchange that didn't start."""
+        if self._booked.pop(exchange, None) is not None:
+            self._prefill.release(exchange)
+            self._link.release(exchange)
+
+    def started(
+        self, now: float, exchange: str, prefill_s: float, transfer_s: float
+    ) -> float | None:
+        """Learn from a run that started.
+
+        Args:
+          now: Time at which the transfer ended.
+          exchange: Exchange of the run.
+          prefill_s: Time from the order of the prefill to its result.
+          transfer_s: Time from the result to the end of the transfer.
+
+        Returns:
+          How much later than predicted it was, beyond what later plans already
+          take into account; None when it wasn't booked here.
+        """
+        booked = self._booked.pop(exchange, None)
+        if booked is None:
+            return None
+        proposal = booked.proposal
+        ready = now - transfer_s
+        self._prefill_speed.observe(
+            now, ready - prefill_s, ready, proposal.profile_prefill_s
+        )
+        self._link_speed.observe(now, ready, now, proposal.profile_transfer_s)
+        prefill_late_s = ready - (proposal.start + proposal.prefill_s)
+        link_late_s = now - (proposal.transfer_at + proposal.transfer_s)
+        prefill_late_s -= self._prefill.shifted - booked.prefill_shift
+        link_late_s -= self._link.shifted - booked.link_shift
+        self._prefill.shift(prefill_late_s)
+        self._link.shift(link_late_s)
+        return link_late_s
+
+    def observe(self, now: float, report: worker.Report) -> None:
+        """Take in a load report; prefills of other planners are a backlog."""
+        self.prefixes.observe(report.cache_last, report.cache_events)
+        foreign = [
+            run
+            for run in report.running
+            if run.phase == "prefill"
+            and worker.exchange_of(run.run_id) not in self._known
+        ]
+        self._prefill.release(FOREIGN)
+        if foreign:
+            self._prefill.expire(now)
+            seconds = len(foreign) * self._mean_prefill_s
+            self._prefill.shift(seconds)
+            self._prefill.book(now, seconds, FOREIGN)
--- a/nutmegscale/schedule.py
+++ b/nutmegscale/schedule.py
@@ -17,6 +17,20 @@
 
     def __init__(self) -> None:
         self._bookings: list[Booking] = []
+        self._shifted = 0.0
+
+    @property
+    def shifted(self) -> float:
+        """Sum of all shifts, seconds."""
+        return self._shifted
+
+    def shift(self, seconds: float) -> None:
+        """Move every booking, since the resource is late or early."""
+        self._shifted += seconds
+        self._bookings = [
+            Booking(b.start + seconds, b.end + seconds, b.exchange)
+            for b in self._bookings
+        ]
 
     def __iter__(self) -> Iterator[Booking]:
         return iter(self._bookings)
--- a/tools/policy_world.py
+++ b/tools/policy_world.py
@@ -117,6 +117,8 @@
         self.tries = 0
         self.avoid: tuple[str, ...] = ()
         self.first_at: float | None = None
+        self.sent_at = 0.0
+        self.ready_at = 0.0
         self.planner: placement.Planner | None = None
 
 
@@ -295,6 +297,7 @@
             return
         run_id = f"{p.request.number}.{p.tries}"
         engine = self._servers[grant.prefill].engine
+        p.sent_at = self.clock.seconds()
         work = engine.prefill(run_id, "h", p.request.prompt, 3)
         work.addCallback(lambda _: self._import(p, grant, run_id, 0))
         work.addErrback(lambda _: self._again(p, 0.0))
@@ -305,6 +308,8 @@
         if not self._reaches(grant.decode):
             self._again(p, LOST_TIMEOUT_S, grant.decode)
             return
+        if not waits:
+            p.ready_at = self.clock.seconds()
         source = self._servers[grant.prefill].engine
         target = self._servers[grant.decode].engine
         if run_id not in source.kv:
@@ -327,7 +332,13 @@
             return
         engine.start(run_id, p.request.prompt, 0, p.request.max_tokens)
         assert p.planner is not None
-        p.planner.started(self.clock.seconds(), str(p.request.number))
+        now = self.clock.seconds()
+        p.planner.started(
+            now,
+            str(p.request.number),
+            p.ready_at - p.sent_at,
+            now - p.ready_at,
+        )
         self._wait_token(p, grant, run_id)
 
     def _wait_token(
