An overdue transfer keeps its link booked until it is confirmed

Cause: a booking of a link was forgotten at its predicted end, though the transfer still waited behind a backlog, so each new plan was late again.

--- a/nutmegscale/prefill_lane.py
+++ b/nutmegscale/prefill_lane.py
@@ -16,6 +16,8 @@
 START_PREFILL_S = 0.05
 PREFILL_SMOOTHING = 0.1
 FOREIGN = "~foreign"
+CONFIRM_GRACE_S = 0.01
+OVERDUE_S = 3.0
 
 
 class Proposal(NamedTuple):
@@ -91,7 +93,8 @@
         prefill_s = profile_prefill_s * self._prefill_speed.factor(now)
         transfer_s = profile_transfer_s * self._link_speed.factor(now)
         self._prefill.expire(now)
-        self._link.expire(now)
+        self._drop_overdue(now)
+        self._link.hold(now - CONFIRM_GRACE_S)
         ready = max(now, slot_at - prefill_s)
         start = self._prefill.earliest(ready, prefill_s)
         transfer_at = self._link.earliest(
@@ -129,6 +132,14 @@
             self._known.popitem(last=False)
         self.prefixes.add(ask.blocks)
 
+    def _drop_overdue(self, now: float) -> None:
+        """Forget the bookings whose host never said how they ended."""
+        for exchange, booked in list(self._booked.items()):
+            times = booked.proposal
+            end = times.transfer_at + times.transfer_s
+            if now - end > OVERDUE_S:
+                self.release(exchange)
+
     def release(self, exchange: str) -> None:
         """Free the times of an exchange that didn't start."""
         if self._booked.pop(exchange, None) is not None:
@@ -165,6 +176,7 @@
         link_late_s -= self._link.shifted - booked.link_shift
         self._prefill.shift(prefill_late_s)
         self._link.shift(link_late_s)
+        self._link.release(exchange)
         return link_late_s
 
     def observe(self, now: float, report: worker.Report) -> None:
--- a/nutmegscale/schedule.py
+++ b/nutmegscale/schedule.py
@@ -61,6 +61,15 @@
         """Free the intervals of an exchange."""
         self._bookings = [b for b in self._bookings if b.exchange != exchange]
 
+    def hold(self, now: float) -> None:
+        """Move every booking on while the first one is overdue.
+
+        For a resource whose jobs are released when they are done: what
+        should have ended but wasn't released is still being served.
+        """
+        if self._bookings and self._bookings[0].end < now:
+            self.shift(now - self._bookings[0].end)
+
     def expire(self, now: float) -> None:
         """Forget the intervals that have ended."""
         if self._bookings and self._bookings[0].end <= now:
