Hosts tell the planner of a prefill that is late

Cause: the planner forgot a prefill at its predicted end. When several hosts had planned at once, the queue on the engine stayed unknown and every later plan was late.

A host says so when a result isn't there 20 ms after its predicted time, so nothing is sent while predictions hold; the lane keeps that time booked.

--- a/nutmegscale/baselines.py
+++ b/nutmegscale/baselines.py
@@ -88,6 +88,9 @@
     def _pick_decode(self, ask: placement.Ask, names: list[str]) -> str:
         raise NotImplementedError
 
+    def prefill_late(self, now: float, exchange: str) -> None:
+        """Do nothing: nothing is reserved."""
+
     def started(
         self, now: float, exchange: str, prefill_s: float, transfer_s: float
     ) -> None:
--- a/nutmegscale/exchange_runner.py
+++ b/nutmegscale/exchange_runner.py
@@ -22,6 +22,7 @@
 MAX_ATTEMPTS = 6
 PREFILL_SLACK_S = 0.6
 PREFILL_SLACK_FACTOR = 3.0
+PREFILL_LATE_S = 0.02
 TRANSFER_SLACK_S = 0.4
 TRANSFER_SLACK_FACTOR = 3.0
 MIN_PROGRESS_TIMEOUT_S = 0.6
@@ -216,6 +217,12 @@
         was_sent = x.was_sent
         x.was_sent = True
         sent_at = self._board.now()
+        late = self._board.clock.callLater(
+            grant.prefill_s + PREFILL_LATE_S,
+            self._planning.prefill_late,
+            place,
+            x.id,
+        )
         try:
             result = await self._engines(grant.prefill_url).prefill(
                 run_id,
@@ -229,6 +236,9 @@
             return _Step(exc, grant.prefill, False)
         except errors.EngineError as exc:
             return _Step(exc, grant.prefill, True)
+        finally:
+            if late.active():
+                late.cancel()
         ready_at = self._board.now()
         self._board.metrics.prefilled(tokens - result.cached_tokens)
         order = engine.RunOrder(
--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -134,6 +134,11 @@
             )
         )
 
+    def prefill_late(self, now: float, exchange: str) -> None:
+        """Note a late prefill; see `placement.Planner`."""
+        for lane in self._lanes.values():
+            lane.prefill_late(exchange)
+
     def started(
         self, now: float, exchange: str, prefill_s: float, transfer_s: float
     ) -> None:
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -124,6 +124,13 @@
     transfer_s: float
 
 
+class PrefillLate(NamedTuple):
+    """A prefill isn't done at its predicted time."""
+
+    cell: str
+    exchange: str
+
+
 class RunReleased(NamedTuple):
     """An exchange needs its reservation no longer."""
 
@@ -202,6 +209,7 @@
     HandoverReply,
     PlanRequest,
     PlanReply,
+    PrefillLate,
     RunStarted,
     RunReleased,
     ClaimLookup,
--- a/nutmegscale/placement.py
+++ b/nutmegscale/placement.py
@@ -90,6 +90,10 @@
         """Place a request and reserve what it needs."""
         ...
 
+    def prefill_late(self, now: float, exchange: str) -> None:
+        """Note that a prefill isn't done at its predicted time."""
+        ...
+
     def started(
         self, now: float, exchange: str, prefill_s: float, transfer_s: float
     ) -> None:
--- a/nutmegscale/planner_controller.py
+++ b/nutmegscale/planner_controller.py
@@ -68,8 +68,13 @@
             board.clock, board.settings.get("report_poll_s", 0.25), self._poll
         )
         link.on(messages.PlanRequest, self._receive_plan)
-        link.on(messages.RunStarted, self._receive_started)
-        link.on(messages.RunReleased, self._receive_released)
+        self._progress: dict[type, mesh.Handler] = {
+            messages.PrefillLate: self._receive_late,
+            messages.RunStarted: self._receive_started,
+            messages.RunReleased: self._receive_released,
+        }
+        for kind, handler in self._progress.items():
+            link.on(kind, handler)
         link.on(messages.LiveRequest, self._receive_live)
         link.on(messages.WorkerLeaving, self._receive_leaving)
 
@@ -124,6 +129,10 @@
             messages.RunStarted(place.name, exchange, prefill_s, transfer_s),
         )
 
+    def prefill_late(self, place: cell.Cell, exchange: str) -> None:
+        """Tell the planner that a prefill isn't done in time."""
+        self._tell(place, messages.PrefillLate(place.name, exchange))
+
     def release(self, place: cell.Cell, exchange: str, tokens: int) -> None:
         """Tell the planner that an exchange holds nothing any more."""
         self._tell(place, messages.RunReleased(place.name, exchange, tokens))
@@ -137,16 +146,15 @@
     def _tell(
         self,
         place: cell.Cell,
-        message: messages.RunStarted | messages.RunReleased,
+        message: messages.PrefillLate
+        | messages.RunStarted
+        | messages.RunReleased,
     ) -> None:
         owners = self.owners(place)[:1]
         if owners and owners[0] != self._board.host:
             self._mesh.send(owners[0], message)
         # This host may have planned as well while the owner was out of reach.
-        if isinstance(message, messages.RunStarted):
-            self._receive_started(self._board.host, message)
-        else:
-            self._receive_released(self._board.host, message)
+        self._progress[type(message)](self._board.host, message)
 
     def _receive_plan(
         self, sender: str, request: messages.PlanRequest
@@ -161,6 +169,11 @@
         refusal = result.err_value
         return messages.PlanReply(None, refusal.reason, refusal.retry_after_s)
 
+    def _receive_late(self, sender: str, message: messages.PrefillLate) -> None:
+        active = self._active.get(message.cell)
+        if active is not None:
+            active.planner.prefill_late(self._board.now(), message.exchange)
+
     def _receive_started(
         self, sender: str, message: messages.RunStarted
     ) -> None:
--- a/nutmegscale/prefill_lane.py
+++ b/nutmegscale/prefill_lane.py
@@ -61,6 +61,7 @@
         self._prefill_speed = speed.Speed()
         self._link_speed = speed.Speed()
         self._booked: dict[str, _Booked] = {}
+        self._late: set[str] = set()
         self._known: OrderedDict[str, None] = OrderedDict()
         self._mean_prefill_s = START_PREFILL_S
         self.prefixes = prefix.PrefixIndex()
@@ -92,7 +93,7 @@
         profile_transfer_s = kv_bytes / engine["link_bytes_s"]
         prefill_s = profile_prefill_s * self._prefill_speed.factor(now)
         transfer_s = profile_transfer_s * self._link_speed.factor(now)
-        self._prefill.expire(now)
+        self._hold_prefill(now)
         self._drop_overdue(now)
         self._link.hold(now - CONFIRM_GRACE_S)
         ready = max(now, slot_at - prefill_s)
@@ -132,6 +133,21 @@
             self._known.popitem(last=False)
         self.prefixes.add(ask.blocks)
 
+    def prefill_late(self, exchange: str) -> None:
+        """Note that a prefill isn't done at its predicted time."""
+        if exchange in self._booked:
+            self._late.add(exchange)
+
+    def _hold_prefill(self, now: float) -> None:
+        """Keep a late prefill booked; forget those that are done."""
+        first = self._prefill.first
+        while first is not None and first.end <= now:
+            if first.exchange in self._late:
+                self._prefill.hold(now)
+                return
+            self._prefill.release(first.exchange)
+            first = self._prefill.first
+
     def _drop_overdue(self, now: float) -> None:
         """Forget the bookings whose host never said how they ended."""
         for exchange, booked in list(self._booked.items()):
@@ -143,6 +159,7 @@
     def release(self, exchange: str) -> None:
         """Free the times of an exchange that didn't start."""
         if self._booked.pop(exchange, None) is not None:
+            self._late.discard(exchange)
             self._prefill.release(exchange)
             self._link.release(exchange)
 
@@ -164,6 +181,7 @@
         booked = self._booked.pop(exchange, None)
         if booked is None:
             return None
+        self._late.discard(exchange)
         proposal = booked.proposal
         ready = now - transfer_s
         self._prefill_speed.observe(
@@ -176,6 +194,7 @@
         link_late_s -= self._link.shifted - booked.link_shift
         self._prefill.shift(prefill_late_s)
         self._link.shift(link_late_s)
+        self._prefill.release(exchange)
         self._link.release(exchange)
         return link_late_s
 
@@ -190,7 +209,7 @@
         ]
         self._prefill.release(FOREIGN)
         if foreign:
-            self._prefill.expire(now)
+            self._hold_prefill(now)
             seconds = len(foreign) * self._mean_prefill_s
             self._prefill.shift(seconds)
             self._prefill.book(now, seconds, FOREIGN)
--- a/nutmegscale/schedule.py
+++ b/nutmegscale/schedule.py
@@ -24,6 +24,11 @@
         """Sum of all shifts, seconds."""
         return self._shifted
 
+    @property
+    def first(self) -> Booking | None:
+        """The earliest booking, or None."""
+        return self._bookings[0] if self._bookings else None
+
     def shift(self, seconds: float) -> None:
         """Move every booking, since the resource is late or early."""
         self._shifted += seconds
@@ -69,8 +74,3 @@
         """
         if self._bookings and self._bookings[0].end < now:
             self.shift(now - self._bookings[0].end)
-
-    def expire(self, now: float) -> None:
-        """Forget the intervals that have ended."""
-        if self._bookings and self._bookings[0].end <= now:
-            self._bookings = [b for b in self._bookings if b.end > now]
--- a/tools/policy_world.py
+++ b/tools/policy_world.py
@@ -25,6 +25,7 @@
 FULL_RETRY_S = 0.02
 LOST_TIMEOUT_S = 0.6
 OWNER_GAP_S = 1.5
+PREFILL_LATE_S = 0.02
 SLOW_LINK_FACTOR = 3
 GAP_PLANNERS = 3
 FAULTS = (
@@ -298,10 +299,18 @@
         run_id = f"{p.request.number}.{p.tries}"
         engine = self._servers[grant.prefill].engine
         p.sent_at = self.clock.seconds()
+        late = self.clock.callLater(
+            grant.prefill_s + PREFILL_LATE_S, self._prefill_late, p
+        )
         work = engine.prefill(run_id, "h", p.request.prompt, 3)
+        work.addBoth(_cancel, late)
         work.addCallback(lambda _: self._import(p, grant, run_id, 0))
         work.addErrback(lambda _: self._again(p, 0.0))
 
+    def _prefill_late(self, p: _Progress) -> None:
+        assert p.planner is not None
+        p.planner.prefill_late(self.clock.seconds(), str(p.request.number))
+
     def _import(
         self, p: _Progress, grant: placement.Grant, run_id: str, waits: int
     ) -> None:
@@ -388,6 +397,11 @@
         )
 
 
+def _cancel(result: Any, timer: Any) -> Any:
+    timer.cancel()
+    return result
+
+
 def answer_length(request: Request) -> int:
     """Return the true length of a request's answer."""
     return len(answers.answer_tokens(request.prompt, request.max_tokens))
