--- a/nutmegscale/application.py
+++ b/nutmegscale/application.py
@@ -23,7 +23,6 @@
 from nutmegscale import platform_service
 from nutmegscale import settings
 
-DEFAULT_DRAIN_LIMIT_S = 30.0
 DRAIN_POLL_S = 0.05
 DRAIN_ANNOUNCE_S = 0.3
 
@@ -45,12 +44,13 @@
         wall: Callable[[], float] | None = None,
     ) -> None:
         rng = rng or random.Random()
+        host_settings = settings.with_defaults(host_settings)
         host = host_settings["host"]
         view = membership.Membership(
             host,
             host_settings["failure_domain"],
             host_settings["mesh_address"],
-            period_s=host_settings.get("probe_period_s", 0.5),
+            period_s=host_settings["probe_period_s"],
             rng=rng,
         )
         platform = platform_guard.PlatformGuard(platform, clock.seconds)
@@ -72,9 +72,11 @@
         self.configs = config_controller.ConfigController(
             self.board, self.mesh, platform, rng=rng
         )
+        self.members.watch_revisions(self.configs.learn_from)
         self.directory = directory_controller.DirectoryController(
             self.board, platform
         )
+        self.configs.watch_adopted(self.directory.learn_workers)
         self.homes = home_controller.HomeController(self.board, self.mesh)
         self.cancels = cancel_controller.CancelController(self.board, engines)
         self.exchanges = exchange_controller.ExchangeController(
@@ -108,9 +110,7 @@
         self.board.is_draining = True
         self.board.note("host.draining", exchanges=self.exchanges.live)
         self.members.leave()
-        limit_s = self.board.settings.get(
-            "drain_limit_s", DEFAULT_DRAIN_LIMIT_S
-        )
+        limit_s = self.board.settings["drain_limit_s"]
         deadline = self.board.now() + limit_s
         await periodic.sleep(self.board.clock, DRAIN_ANNOUNCE_S)
         while self._is_busy and self.board.now() < deadline:
--- a/nutmegscale/baselines.py
+++ b/nutmegscale/baselines.py
@@ -14,7 +14,7 @@
 
 RETRY_AFTER_S = 1.0
 AFFINITY_BLOCKS = 4
-LOST_PERIOD_S = 1.0
+LOST_PERIOD_S = 3.0
 
 
 class _Baseline:
--- a/nutmegscale/config_controller.py
+++ b/nutmegscale/config_controller.py
@@ -1,5 +1,6 @@
 """Controller that keeps the accepted configuration in force."""
 
+from collections.abc import Callable
 import random
 from typing import Literal
 from typing import NamedTuple
@@ -66,10 +67,11 @@
         self._platform = platform
         self._rng = rng
         self._known_version = 0
+        self._fetching: set[str] = set()
+        self._on_adopted: Callable[[], None] = lambda: None
         self._last_poll: float | None = None
-        self._poll_s = board.settings.get("config_poll_s", 1.5)
+        self._poll_s = board.settings["config_poll_s"]
         self._polls = periodic.Periodic(board.clock, self._poll_s, self._poll)
-        link.on(messages.ConfigHint, self._receive_hint)
         link.on(messages.ConfigRequest, self._receive_request)
 
     @property
@@ -77,6 +79,10 @@
         """Revision in force, 0 for none."""
         return self._board.config.revision if self._board.config else 0
 
+    def watch_adopted(self, on_adopted: Callable[[], None]) -> None:
+        """Call a function after each change of what is in force."""
+        self._on_adopted = on_adopted
+
     def start(self) -> None:
         """Start to look for new revisions."""
         self._polls.start()
@@ -88,13 +94,10 @@
     async def _poll(self) -> None:
         self._notice_sleep()
         confirmed = await self._read_platform()
-        peers = self._some_peers()
-        for peer in peers:
-            self._mesh.send(peer, messages.ConfigHint(self.revision))
         if not confirmed and (
             self._board.config is None or self._board.is_stale
         ):
-            confirmed = await self._ask_peers(peers)
+            confirmed = await self._ask_peers(self._some_peers())
         if confirmed:
             self._board.is_stale = False
 
@@ -149,11 +152,17 @@
             self._adopt(reply.revision, reply.content, peer)
         return True
 
-    def _receive_hint(self, sender: str, hint: messages.ConfigHint) -> None:
-        if hint.revision > self.revision:
-            periodic.spawn(self._fetch(sender))
-        elif hint.revision < self.revision:
-            self._mesh.send(sender, messages.ConfigHint(self.revision))
+    def learn_from(self, peer: str) -> None:
+        """Take the later configuration that a peer says it has."""
+        if peer not in self._fetching:
+            periodic.spawn(self._fetch_once(peer))
+
+    async def _fetch_once(self, peer: str) -> None:
+        self._fetching.add(peer)
+        try:
+            await self._fetch(peer)
+        finally:
+            self._fetching.discard(peer)
 
     def _receive_request(
         self, sender: str, request: messages.ConfigRequest
@@ -175,6 +184,8 @@
         if revision <= self.revision:
             return
         self._board.config = adopted
+        self._board.membership.revision = revision
+        self._on_adopted()
         self._board.note("config.in_force", revision=revision, source=source)
 
     async def apply(
--- a/nutmegscale/daemon.py
+++ b/nutmegscale/daemon.py
@@ -126,7 +126,7 @@
         from nutmegscale import http_server  # noqa: PLC0415
 
         site = server.Site(http_server.Endpoint(handler, front.on_error))
-        ip = self._settings.get("listen_ip", "127.0.0.1")
+        ip = self._settings["listen_ip"]
         self._reactor.listenTCP(port, site, LISTEN_BACKLOG, interface=ip)
 
     def on_signal(self, number: int, frame: Any) -> None:
@@ -167,7 +167,7 @@
     from nutmegscale import settings  # noqa: PLC0415
 
     try:
-        host_settings = settings.load(asked.settings)
+        host_settings = settings.with_defaults(settings.load(asked.settings))
     except errors.SettingsError as exc:
         sys.stderr.write(f"nutmegscaled: {exc}\n")
         sys.exit(EXIT_USAGE)
--- a/nutmegscale/directory_controller.py
+++ b/nutmegscale/directory_controller.py
@@ -24,7 +24,9 @@
         self._board = board
         self._platform = platform
         self._reads = periodic.Periodic(
-            board.clock, board.settings.get("host_list_poll_s", 1.0), self._read
+            board.clock,
+            board.settings["host_list_poll_s"],
+            self._read,
         )
         self._rows: list[dict[str, str]] = []
         self._applied: tuple[object, ...] = ()
@@ -39,9 +41,10 @@
 
     async def _read(self) -> None:
         with contextlib.suppress(errors.PlatformUnavailableError):
-            self._rows = await self._platform.hosts()
+            rows = await self._platform.hosts()
+            self._rows = self._rows if rows is None else rows
         self._learn_hosts()
-        self._learn_workers()
+        self.learn_workers()
 
     def _learn_hosts(self) -> None:
         for row in self._rows:
@@ -54,7 +57,8 @@
                     row["address"],
                 )
 
-    def _learn_workers(self) -> None:
+    def learn_workers(self) -> None:
+        """Apply the last list to the configuration in force."""
         config = self._board.config
         if config is None:
             return
--- a/nutmegscale/exchange_controller.py
+++ b/nutmegscale/exchange_controller.py
@@ -307,7 +307,7 @@
         """
         reply = await self._ask_handover(x, claim)
         # Whoever held the claim had accepted the request.
-        x.was_accepted = True
+        x.was_accepted = x.was_sent = True
         if reply is None:
             return False
         if reply.state == "finished":
--- a/nutmegscale/exchange_runner.py
+++ b/nutmegscale/exchange_runner.py
@@ -159,12 +159,12 @@
     async def _wait_or_refuse(
         self, x: exchange.Exchange, reply: messages.PlanReply
     ) -> bool:
-        """Refuse at once what was never accepted; wait a little for the rest.
+        """Refuse at once what was never sent; wait a little for the rest.
 
         Returns:
           Whether to plan again.
         """
-        if not x.was_accepted:
+        if not x.was_sent:
             x.fail(_refused(reply.reason, reply.retry_after_s, x))
             return False
         pause_s = max(REPLAN_PAUSE_S, min(1.0, reply.retry_after_s))
--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -1,9 +1,11 @@
 """HTTP client for one base address, with timeouts on every wait."""
 
 from collections.abc import Awaitable
+import gzip
 from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
+import zlib
 
 import msgspec
 from twisted.internet import defer
@@ -211,9 +213,12 @@
         async def _exchange() -> Response:
             response = await self._send(method, path, json, body, headers)
             data = await client.readBody(response)
-            received = response.headers.getAllRawHeaders()
-            self._traffic_bytes += len(data) + _head_bytes(received)
-            return Response(response.code, _plain_headers(response), data)
+            raw = response.headers.getAllRawHeaders()
+            self._traffic_bytes += len(data) + _head_bytes(raw)
+            received = _plain_headers(response)
+            if received.get("content-encoding") == "gzip":
+                data = _unpack(data)
+            return Response(response.code, received, data)
 
         return await self._guard(_exchange(), timeout_s)
 
@@ -314,6 +319,13 @@
     )
 
 
+def _unpack(data: bytes) -> bytes:
+    try:
+        return gzip.decompress(data)
+    except (OSError, EOFError, zlib.error) as exc:
+        raise errors.TransportError(f"malformed gzip: {exc}") from exc
+
+
 def _head_bytes(headers: Any) -> int:
     return sum(
         len(name) + len(value) + 4
--- a/nutmegscale/membership.py
+++ b/nutmegscale/membership.py
@@ -37,12 +37,21 @@
     state: int
 
 
+class Greeting(NamedTuple):
+    """What each message says of its sender."""
+
+    incarnation: int
+    state: int
+    revision: int
+
+
 class Probe(NamedTuple):
     """Question whether a host is alive, perhaps for another asker."""
 
     number: int
     target: str
     origin: str
+    greeting: Greeting
     news: tuple[News, ...]
 
 
@@ -51,6 +60,7 @@
 
     number: int
     target: str
+    greeting: Greeting
     news: tuple[News, ...]
 
 
@@ -82,6 +92,10 @@
     """View that one host has of all entry hosts.
 
     Pure: time comes in with each call, messages go out as return values.
+
+    Attributes:
+      version: Grows with each change of the view.
+      revision: Revision of the configuration, carried by each message.
     """
 
     def __init__(
@@ -106,9 +120,11 @@
         self._pending: dict[int, _Pending] = {}
         self._relayed: dict[int, tuple[str, int]] = {}
         self._order: list[str] = []
+        self._urgent: list[str] = []
         self._number = 0
         self._last_tick = 0.0
         self.version = 0
+        self.revision = 0
 
     @property
     def host(self) -> str:
@@ -128,17 +144,26 @@
         member = self._members.get(host)
         return member is not None and member.state == State.DEAD
 
-    def alive(self, failure_domains: Iterable[str] | None = None) -> list[str]:
+    def alive(
+        self,
+        failure_domains: Iterable[str] | None = None,
+        *,
+        with_suspects: bool = True,
+    ) -> list[str]:
         """Return the hosts that may own state, by name.
 
         Args:
           failure_domains: Only hosts of these; None for all.
+          with_suspects: Whether a suspected host still counts.
         """
         wanted = None if failure_domains is None else set(failure_domains)
+        states = {State.ALIVE}
+        if with_suspects:
+            states.add(State.SUSPECT)
         return sorted(
             m.host
             for m in self._members.values()
-            if m.state in (State.ALIVE, State.SUSPECT)
+            if m.state in states
             and (wanted is None or m.failure_domain in wanted)
         )
 
@@ -180,6 +205,8 @@
         """
         outgoing = self._indirect_probes(now)
         self._expire(now)
+        while self._urgent:
+            outgoing.append(self._probe(now, self._urgent.pop()))
         if now - self._last_tick < self._period_s:
             return outgoing
         self._last_tick = now
@@ -188,18 +215,39 @@
             outgoing.append(self._probe(now, target))
         return outgoing
 
-    def receive(self, now: float, message: Probe | Ack) -> list[Outgoing]:
+    def receive(
+        self, now: float, sender: str, message: Probe | Ack
+    ) -> list[Outgoing]:
         """Take in a message and return the answers."""
+        self._hear(now, sender, message.greeting)
         for news in message.news:
             self._apply(now, news)
         if isinstance(message, Ack):
             return self._receive_ack(now, message)
         if message.target == self._host:
             known = self._take_news(message.origin)
-            ack = Ack(message.number, self._host, known)
+            ack = Ack(message.number, self._host, self._greeting(), known)
             return [Outgoing(message.origin, ack)]
         return self._relay(now, message)
 
+    def _greeting(self) -> Greeting:
+        own = self._members[self._host]
+        return Greeting(own.incarnation, int(own.state), self.revision)
+
+    def _hear(self, now: float, sender: str, greeting: Greeting) -> None:
+        """Believe what a known sender says of itself."""
+        known = self._members.get(sender)
+        if known is None or sender == self._host:
+            return
+        if greeting.incarnation > known.incarnation:
+            self._set(
+                known._replace(
+                    incarnation=greeting.incarnation,
+                    state=State(greeting.state),
+                    since=now,
+                )
+            )
+
     def _relay(self, now: float, message: Probe) -> list[Outgoing]:
         probe = self._probe(now, message.target, indirect=True)
         assert isinstance(probe.message, Probe)
@@ -212,7 +260,12 @@
             self._pending.pop(ack.number, None)
             origin, number = relayed
             return [
-                Outgoing(origin, Ack(number, ack.target, self._take_news()))
+                Outgoing(
+                    origin,
+                    Ack(
+                        number, ack.target, self._greeting(), self._take_news()
+                    ),
+                )
             ]
         self._pending.pop(ack.number, None)
         member = self._members.get(ack.target)
@@ -226,7 +279,8 @@
         self._number += 1
         self._pending[self._number] = _Pending(target, now, indirect)
         news = self._take_news(target)
-        return Outgoing(target, Probe(self._number, target, self._host, news))
+        probe = Probe(self._number, target, self._host, self._greeting(), news)
+        return Outgoing(target, probe)
 
     def _indirect_probes(self, now: float) -> list[Outgoing]:
         outgoing = []
@@ -243,7 +297,11 @@
             )
             for helper in chosen:
                 probe = Probe(
-                    number, pending.target, self._host, self._take_news()
+                    number,
+                    pending.target,
+                    self._host,
+                    self._greeting(),
+                    self._take_news(),
                 )
                 outgoing.append(Outgoing(helper, probe))
         return outgoing
@@ -276,9 +334,29 @@
             return
         if member.state == State.ALIVE:
             self._set(member._replace(state=State.SUSPECT, since=now))
+            self._probe_next_to(member)
         elif member.state == State.LEAVING:
             self._set(member._replace(state=State.DEAD, since=now))
 
+    def _probe_next_to(self, member: Member) -> None:
+        """Probe more hosts soon, near a suspect and elsewhere.
+
+        Hosts are often lost together, by a switch or a cut; one probe a
+        period would take long to find them all.
+        """
+        others = [
+            m
+            for m in self._members.values()
+            if m.state == State.ALIVE
+            and m.host not in (self._host, *self._urgent)
+        ]
+        domain = member.failure_domain
+        near = [m.host for m in others if m.failure_domain == domain]
+        far = [m.host for m in others if m.failure_domain != domain]
+        for group in (near, far):
+            if group:
+                self._urgent.append(self._rng.choice(group))
+
     def _next_target(self) -> str | None:
         # Dead hosts stay among the targets, so that a healed cut is noticed.
         if not self._order:
@@ -300,9 +378,11 @@
 
         A host that is held for dead must hear so, or it can't refute it.
         """
-        own = self._news_of(self._members[self._host])
-        taken = [own]
+        taken = []
         receiver = self._members.get(about)
+        if receiver is None or receiver.state != State.ALIVE:
+            # It may have forgotten us, or hold us for dead.
+            taken.append(self._news_of(self._members[self._host]))
         if receiver is not None and receiver.state != State.ALIVE:
             taken.append(self._news_of(receiver))
         names = sorted(self._news, key=lambda h: -self._news[h])
@@ -310,7 +390,7 @@
             self._news[name] -= 1
             if self._news[name] <= 0:
                 del self._news[name]
-            if name != self._host and name in self._members:
+            if name in self._members:
                 taken.append(self._news_of(self._members[name]))
         return tuple(taken)
 
--- a/nutmegscale/membership_controller.py
+++ b/nutmegscale/membership_controller.py
@@ -1,5 +1,7 @@
 """Controller that keeps the view of the hosts up to date."""
 
+from collections.abc import Callable
+
 from nutmegscale import blackboard
 from nutmegscale import membership
 from nutmegscale import mesh
@@ -14,15 +16,20 @@
     def __init__(self, board: blackboard.Blackboard, link: mesh.Mesh) -> None:
         self._board = board
         self._mesh = link
-        period_s = board.settings.get("probe_period_s", 0.5)
+        period_s = board.settings["probe_period_s"]
         self._ticks = periodic.Periodic(
             board.clock, period_s / TICKS_PER_PERIOD, self._tick
         )
         self._states: dict[str, membership.State] = {}
         self._noted = 0
+        self._on_revision: Callable[[str], None] = lambda _: None
         link.on(membership.Probe, self._receive)
         link.on(membership.Ack, self._receive)
 
+    def watch_revisions(self, on_revision: Callable[[str], None]) -> None:
+        """Call a function with each host that has a later configuration."""
+        self._on_revision = on_revision
+
     def start(self) -> None:
         """Start to probe."""
         self._ticks.start()
@@ -45,7 +52,9 @@
         self, sender: str, message: membership.Probe | membership.Ack
     ) -> None:
         now = self._board.now()
-        self._send(self._board.membership.receive(now, message))
+        self._send(self._board.membership.receive(now, sender, message))
+        if message.greeting.revision > self._board.membership.revision:
+            self._on_revision(sender)
 
     def _send(self, outgoing: list[membership.Outgoing]) -> None:
         for item in outgoing:
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -7,12 +7,6 @@
 from nutmegscale import placement
 
 
-class ConfigHint(NamedTuple):
-    """The revision that the sender has in force."""
-
-    revision: int
-
-
 class ConfigRequest(NamedTuple):
     """Question for the configuration in force."""
 
@@ -199,7 +193,6 @@
 _TYPES: tuple[Any, ...] = (
     membership.Probe,
     membership.Ack,
-    ConfigHint,
     ConfigRequest,
     ConfigReply,
     ClaimRequest,
--- a/nutmegscale/planner_controller.py
+++ b/nutmegscale/planner_controller.py
@@ -10,6 +10,7 @@
 from nutmegscale import engine
 from nutmegscale import errors
 from nutmegscale import home_controller
+from nutmegscale import membership
 from nutmegscale import mesh
 from nutmegscale import messages
 from nutmegscale import periodic
@@ -20,10 +21,12 @@
 
 ACTIVE_AFTER_ASK_S = 5.0
 FAILURES_TO_LOSE = 2
+IDLE_REPORT_POLL_S = 2.0
 CHECKS_TO_CANCEL = 2
 ORPHAN_AGE_S = 0.5
 PLAN_TIMEOUT_S = 0.15
 LOCAL_RETRY_AFTER_S = 1.0
+NO_CELL = "no_cell"
 
 
 class _ActiveCell:
@@ -34,7 +37,7 @@
         self.asked = 0.0
         self.failures: dict[str, int] = {}
         self.unclaimed: dict[str, int] = {}
-        self.polling: set[str] = set()
+        self.next_poll: dict[str, float] = {}
         self.workers: tuple[worker.Worker, ...] = ()
         self.config_revision = 0
 
@@ -65,7 +68,9 @@
         self._is_live = is_live
         self._active: dict[str, _ActiveCell] = {}
         self._polls = periodic.Periodic(
-            board.clock, board.settings.get("report_poll_s", 0.25), self._poll
+            board.clock,
+            board.settings["report_poll_s"],
+            self._poll,
         )
         link.on(messages.PlanRequest, self._receive_plan)
         self._progress: dict[type, mesh.Handler] = {
@@ -92,9 +97,10 @@
 
     def owners(self, place: cell.Cell) -> list[str]:
         """Return the hosts that may plan for a cell, the owner first."""
-        alive = self._board.membership.alive(place.failure_domains)
+        view = self._board.membership
+        alive = view.alive(place.failure_domains, with_suspects=False)
         if not alive:
-            alive = self._board.membership.alive()
+            alive = view.alive(with_suspects=False)
         return rendezvous.rank(place.name.encode(), alive)
 
     async def plan(
@@ -106,15 +112,18 @@
             if owner == self._board.host:
                 break
             try:
-                return await self._mesh.call(
+                reply = await self._mesh.call(
                     owner, request, messages.PlanReply, timeout_s=PLAN_TIMEOUT_S
                 )
             except errors.PeerError:
                 self._board.note(
                     "planner.unreachable", ask.exchange, owner=owner
                 )
-        reply = self._receive_plan(self._board.host, request)
-        return reply or messages.PlanReply(None, "no_cell", LOCAL_RETRY_AFTER_S)
+                continue
+            # A host that has just started doesn't know its cells yet.
+            if reply.reason != NO_CELL:
+                return reply
+        return self._receive_plan(self._board.host, request)
 
     def started(
         self,
@@ -142,6 +151,7 @@
         for active in self._active.values():
             if any(w.name == name for w in active.workers):
                 active.planner.lost(self._board.now(), name)
+                active.next_poll[name] = 0.0
 
     def _tell(
         self,
@@ -158,10 +168,10 @@
 
     def _receive_plan(
         self, sender: str, request: messages.PlanRequest
-    ) -> messages.PlanReply | None:
+    ) -> messages.PlanReply:
         active = self._activate(request.cell)
         if active is None:
-            return messages.PlanReply(None, "no_cell", LOCAL_RETRY_AFTER_S)
+            return messages.PlanReply(None, NO_CELL, LOCAL_RETRY_AFTER_S)
         active.asked = self._board.now()
         result = active.planner.plan(self._board.now(), request.ask)
         if isinstance(result, Ok):
@@ -255,8 +265,8 @@
                 del self._active[name]
                 continue
             for w in active.workers:
-                if w.name not in active.polling:
-                    active.polling.add(w.name)
+                if now >= active.next_poll.get(w.name, 0.0):
+                    active.next_poll[w.name] = now + IDLE_REPORT_POLL_S
                     periodic.spawn(self._poll_worker(active, w))
 
     async def _poll_worker(self, active: _ActiveCell, w: worker.Worker) -> None:
@@ -266,14 +276,15 @@
         except errors.EngineError:
             failures = active.failures.get(w.name, 0) + 1
             active.failures[w.name] = failures
+            active.next_poll[w.name] = 0.0
             if failures >= FAILURES_TO_LOSE:
                 active.planner.lost(self._board.now(), w.name)
             if failures == FAILURES_TO_LOSE:
                 self._board.note("worker.lost", worker=w.name)
             return
-        finally:
-            active.polling.discard(w.name)
         active.failures[w.name] = 0
+        if report.running or report.leaving:
+            active.next_poll[w.name] = 0.0
         active.planner.observe(self._board.now(), w.name, report)
         self._spread_leaving(w.name, report.leaving)
         if report.running:
@@ -321,17 +332,18 @@
     async def _live_runs(self, host: str, run_ids: list[str]) -> set[str]:
         """Return the runs that their host, or a later one, still serves.
 
-        A host that gives no answer but isn't dead yet is given time.
+        A host that gives no answer but isn't dead yet is given time; one
+        that is held for dead but answers is believed.
         """
         request = messages.LiveRequest(tuple(run_ids))
         if host == self._board.host:
             return set(self._receive_live(host, request).run_ids)
-        member = self._board.membership.get(host)
-        if member is not None and not self._board.membership.is_dead(host):
-            try:
-                reply = await self._mesh.call(host, request, messages.LiveReply)
-                return set(reply.run_ids)
-            except errors.PeerError:
+        try:
+            reply = await self._mesh.call(host, request, messages.LiveReply)
+            return set(reply.run_ids)
+        except errors.PeerError:
+            member = self._board.membership.get(host)
+            if member is not None and member.state != membership.State.DEAD:
                 return set(run_ids)
         return await self._taken_over(run_ids)
 
--- a/nutmegscale/platform_guard.py
+++ b/nutmegscale/platform_guard.py
@@ -72,6 +72,6 @@
         """Read an object; see `platform_service.Platform`."""
         return await self._through(lambda: self._inner.get_object(name))
 
-    async def hosts(self) -> list[dict[str, Any]]:
+    async def hosts(self) -> list[dict[str, Any]] | None:
         """Read the host list; see `platform_service.Platform`."""
         return await self._through(lambda: self._inner.hosts())
--- a/nutmegscale/platform_http.py
+++ b/nutmegscale/platform_http.py
@@ -19,6 +19,7 @@
     ) -> None:
         self._client = client
         self._timeout_s = timeout_s
+        self._hosts_tag = ""
 
     async def read(
         self, key: str, known_version: int = 0
@@ -49,21 +50,36 @@
         response = await self._send("GET", f"/objects/{parse.quote(name)}")
         return None if response.status == 404 else response.body
 
-    async def hosts(self) -> list[dict[str, Any]]:
+    async def hosts(self) -> list[dict[str, Any]] | None:
         """Read the host list; see `platform_service.Platform`."""
-        rows = (await self._send("GET", "/hosts")).json()
+        headers = {"accept-encoding": "gzip"}
+        if self._hosts_tag:
+            headers["if-none-match"] = self._hosts_tag
+        response = await self._send("GET", "/hosts", headers=headers)
+        if response.status == 304:
+            return None
+        self._hosts_tag = response.headers.get("etag", "")
+        rows = response.json()
         return [row for row in rows if isinstance(row, dict)]
 
     async def _send(
-        self, method: str, path: str, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
     ) -> http_client.Response:
         try:
             response = await self._client.request(
-                method, path, body=body, timeout_s=self._timeout_s
+                method,
+                path,
+                body=body,
+                headers=headers,
+                timeout_s=self._timeout_s,
             )
         except errors.TransportError as exc:
             raise errors.PlatformUnavailableError(str(exc)) from exc
-        if response.status not in (200, 404, 412):
+        if response.status not in (200, 304, 404, 412):
             raise errors.PlatformUnavailableError(f"status {response.status}")
         return response
 
--- a/nutmegscale/platform_service.py
+++ b/nutmegscale/platform_service.py
@@ -54,6 +54,10 @@
         """Read an object, or None when there is none."""
         ...
 
-    async def hosts(self) -> list[dict[str, Any]]:
-        """Read the list of live and leaving hosts, which lags."""
+    async def hosts(self) -> list[dict[str, Any]] | None:
+        """Read the list of live and leaving hosts, which lags.
+
+        Returns:
+          The rows, or None when they are those of the last read.
+        """
         ...
--- a/nutmegscale/settings.py
+++ b/nutmegscale/settings.py
@@ -10,10 +10,10 @@
 
 DEFAULT_LISTEN_IP = "127.0.0.1"
 DEFAULT_DRAIN_LIMIT_S = 30.0
-DEFAULT_PROBE_PERIOD_S = 0.5
+DEFAULT_PROBE_PERIOD_S = 0.8
 DEFAULT_CONFIG_POLL_S = 1.5
-DEFAULT_HOST_LIST_POLL_S = 1.0
-DEFAULT_REPORT_POLL_S = 0.25
+DEFAULT_HOST_LIST_POLL_S = 2.0
+DEFAULT_REPORT_POLL_S = 0.5
 MIN_KEY_HEX_DIGITS = 32
 
 
@@ -34,7 +34,8 @@
       probe_period_s: Time between two membership probes, seconds.
       config_poll_s: Time between two looks at the revision, seconds.
       host_list_poll_s: Time between two reads of the host list, seconds.
-      report_poll_s: Time between two reports of an owned worker, seconds.
+      report_poll_s: Time between two reports of a busy worker, seconds; an
+        idle one reports less often.
     """
 
     host: str
@@ -53,6 +54,21 @@
     report_poll_s: NotRequired[float]
 
 
+_DEFAULTS: Settings = {  # type: ignore[typeddict-item]
+    "listen_ip": DEFAULT_LISTEN_IP,
+    "drain_limit_s": DEFAULT_DRAIN_LIMIT_S,
+    "probe_period_s": DEFAULT_PROBE_PERIOD_S,
+    "config_poll_s": DEFAULT_CONFIG_POLL_S,
+    "host_list_poll_s": DEFAULT_HOST_LIST_POLL_S,
+    "report_poll_s": DEFAULT_REPORT_POLL_S,
+}
+
+
+def with_defaults(given: Settings) -> Settings:
+    """Return settings with every key that isn't required filled in."""
+    return {**_DEFAULTS, **given}
+
+
 def load(path: str) -> Settings:
     """Read a settings file.
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,6 +3,7 @@
 import argparse
 import base64
 from collections import deque
+import gzip
 from typing import Any
 from typing import NamedTuple
 
@@ -51,6 +52,7 @@
         self._objects: dict[str, bytes] = {}
         self._hosts: dict[str, dict[str, Any]] = {}
         self._listed: list[dict[str, Any]] = []
+        self._list_number = 0
         self._list_lag_s = list_lag_s
         self._writes = RateLimit(WRITES_PER_S)
         self._reads = RateLimit(READS_PER_S)
@@ -101,9 +103,20 @@
                 self._objects[name] = call.body
                 return http_server.json_reply(200, {})
             case ("GET", ["hosts"]):
-                return http_server.json_reply(200, self._listed)
+                return self._list_hosts(call)
         return http_server.json_reply(404, {"error": "not_found"})
 
+    def _list_hosts(self, call: http_server.Call) -> http_server.Reply:
+        tag = f'"{self._list_number}"'
+        headers: tuple[tuple[str, str], ...] = (("etag", tag),)
+        if call.header("if-none-match") == tag:
+            return http_server.Reply(304, headers=headers)
+        body = msgspec.json.encode(self._listed)
+        if "gzip" in (call.header("accept-encoding") or ""):
+            body = gzip.compress(body)
+            headers = (*headers, ("content-encoding", "gzip"))
+        return http_server.Reply(200, body, http_server.JSON_TYPE, headers)
+
     def _read_row(self, key: str, known: int) -> http_server.Reply:
         row = self._rows.get(key)
         if row is None:
@@ -139,6 +152,7 @@
         return http_server.json_reply(200, {})
 
     def _publish(self) -> None:
+        self._list_number += 1
         self._listed = sorted(self._hosts.values(), key=lambda r: r["name"])
 
 
--- a/tests/test_envelope.py
+++ b/tests/test_envelope.py
@@ -8,7 +8,7 @@
 from nutmegscale import envelope
 from nutmegscale import messages
 
-HINT = messages.ConfigHint(7)
+HINT = messages.ConfigRequest(7)
 
 
 def _sealers() -> tuple[envelope.Sealer, envelope.Sealer]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -55,7 +55,9 @@
             )
             if lost or item.host not in self.views:
                 continue
-            answers = self.views[item.host].receive(self.now, item.message)
+            answers = self.views[item.host].receive(
+                self.now, sender, item.message
+            )
             waiting.extend((item.host, answer) for answer in answers)
 
     def agreed(self) -> set[tuple[str, ...]]:
