--- a/nutmegscale/directory_controller.py
+++ b/nutmegscale/directory_controller.py
@@ -1,6 +1,7 @@
 """Controller that reads the platform's list of hosts."""
 
 import contextlib
+from typing import Any
 
 from nutmegscale import blackboard
 from nutmegscale import cell
@@ -28,7 +29,7 @@
             board.settings["host_list_poll_s"],
             self._read,
         )
-        self._rows: list[dict[str, str]] = []
+        self._rows: list[dict[str, Any]] = []
         self._applied: tuple[object, ...] = ()
 
     def start(self) -> None:
@@ -62,13 +63,7 @@
         config = self._board.config
         if config is None:
             return
-        pools = config.document["pools"]
-        found = [
-            worker.from_list(row, pools)
-            for row in self._rows
-            if row.get("kind") == "backend"
-        ]
-        workers = {w.name: w for w in found if w is not None}
+        workers = parse_rows(self._rows, config.document["pools"])
         state = (config.revision, tuple(sorted(workers.items())))
         if state == self._applied or (not workers and self._board.workers):
             return
@@ -80,3 +75,15 @@
         }
         self._board.leaving_workers &= workers.keys()
         self._board.note("directory.changed", workers=len(workers))
+
+
+def parse_rows(
+    rows: list[dict[str, Any]], pools: dict[str, Any]
+) -> dict[str, worker.Worker]:
+    """Return the backend servers of a list, by name."""
+    found = [
+        worker.from_list(row, pools)
+        for row in rows
+        if row.get("kind") == "backend"
+    ]
+    return {w.name: w for w in found if w is not None}
--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,369 @@
+"""Slopes for docs/CAPACITY.md: cost of each role at the aimed size.
+
+Figures only: nothing here passes or fails.
+"""
+
+import argparse
+from collections.abc import Callable
+import hashlib
+import os
+import random
+import time
+from typing import Any
+
+import msgspec
+from rich import console
+from rich import table
+
+from nutmegscale import claim
+from nutmegscale import config
+from nutmegscale import directory_controller
+from nutmegscale import envelope
+from nutmegscale import folder
+from nutmegscale import home
+from nutmegscale import joint_planner
+from nutmegscale import membership
+from nutmegscale import messages
+from nutmegscale import placement
+from nutmegscale import timeline
+from nutmegscale import worker
+
+HOSTS = 400
+WORKERS = 1_500
+CALLERS = 2_200
+MODELS = 35
+KEY = b"k" * 32
+PLANS = 2_000
+PERIOD_S = 0.8
+
+
+def resident_mb() -> float:
+    """Return the resident memory of this process."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
+def grown_mb(make: Callable[[], Any]) -> tuple[float, Any]:
+    """Return how much memory a value takes, and the value."""
+    before = resident_mb()
+    made = make()
+    return resident_mb() - before, made
+
+
+def measure_membership(hosts: int, seconds: float) -> tuple[float, float]:
+    """Return bytes a second and CPU fraction of a host among many."""
+    views = {}
+    sealers = {}
+    names = [f"host-{n:03d}" for n in range(hosts)]
+    for number, name in enumerate(names):
+        view = membership.Membership(
+            name,
+            f"domain-{number % 16}",
+            f"tcp://10.0.0.1:{number}",
+            period_s=PERIOD_S,
+            rng=random.Random(number),
+        )
+        for other, peer in enumerate(names):
+            view.learn(
+                0.0, peer, f"domain-{other % 16}", f"tcp://10.0.0.1:{other}"
+            )
+        views[name] = view
+        sealers[name] = envelope.Sealer(name, KEY, number)
+    now = 0.0
+    sent_bytes = 0
+    warm_s = seconds
+
+    def _carry(source: str, outgoing: list[membership.Outgoing]) -> None:
+        nonlocal sent_bytes
+        for item in outgoing:
+            data = sealers[source].seal(item.host, item.message, lamport=1)
+            sent_bytes += len(data)
+            opened = sealers[item.host].open(data)
+            _carry(
+                item.host, views[item.host].receive(now, source, opened.message)
+            )
+
+    while now < warm_s:
+        now += PERIOD_S / 4
+        for name, view in views.items():
+            _carry(name, view.tick(now))
+    sent_bytes = 0
+    began = time.process_time()
+    while now < warm_s + seconds:
+        now += PERIOD_S / 4
+        for name, view in views.items():
+            _carry(name, view.tick(now))
+    used_s = time.process_time() - began
+    # Each byte is sent by one host and received by another.
+    return 2 * sent_bytes / seconds / hosts, used_s / seconds / hosts
+
+
+def _engine() -> config.Engine:
+    document = folder.load("examples/federation")
+    return document.get("engines", {})["standard"]
+
+
+def make_planner(workers: int) -> joint_planner.JointPlanner:
+    """Make a planner with a third of its workers for prefill."""
+    planner = joint_planner.JointPlanner()
+    rows = [
+        worker.Worker(
+            f"w{n}",
+            f"http://10.0.0.2:{n}",
+            "d",
+            "p" if n % 3 == 0 else "q",
+            "m",
+            "prefill" if n % 3 == 0 else "decode",
+            False,
+        )
+        for n in range(workers)
+    ]
+    engine = _engine()
+    planner.set_workers(rows, {"p": engine, "q": engine})
+    return planner
+
+
+def make_ask(number: int, rng: random.Random) -> placement.Ask:
+    """Make a request of 1,500 tokens."""
+    blocks = tuple(rng.randbytes(8) for _ in range(5))
+    return placement.Ask(
+        f"x{number}", f"c{number % 50}", 1.0, 3, 1_500, blocks, 128, 0.54, 0.031
+    )
+
+
+def measure_plan(workers: int) -> tuple[float, float]:
+    """Return the CPU of one decision and of its release, microseconds."""
+    planner = make_planner(workers)
+    rng = random.Random(1)
+    asks = [make_ask(n, rng) for n in range(PLANS)]
+    now = 100.0
+    plan_s = release_s = 0.0
+    live: list[str] = []
+    for ask in asks:
+        now += 0.6 / workers
+        began = time.process_time()
+        planner.plan(now, ask)
+        planned = time.process_time()
+        planner.started(now, ask.exchange, 0.08, 0.04)
+        live.append(ask.exchange)
+        if len(live) > workers * 6:
+            planner.release(now, live.pop(0), 80)
+        plan_s += planned - began
+        release_s += time.process_time() - planned
+    return plan_s / PLANS * 1e6, release_s / PLANS * 1e6
+
+
+def make_document(callers: int) -> config.Document:
+    """Make a configuration of the aimed size."""
+    base: Any = folder.load("examples/federation")
+    services, pools, rules = {}, {}, {}
+    for number in range(MODELS):
+        name = f"model-{number}"
+        services[name] = base["services"]["notes-model"]
+        for role in ("prefill", "decode"):
+            pools[f"{name}-{role}"] = {
+                "service": name,
+                "role": role,
+                "engine": "standard",
+            }
+        rules[f"{number:03d}"] = {"caller": "*", "service": name}
+    keys = {
+        f"caller-{n}": {"key_sha256": hashlib.sha256(b"%d" % n).hexdigest()}
+        for n in range(callers)
+    }
+    return config.check(
+        {
+            **base,
+            "services": services,
+            "pools": pools,
+            "rules": rules,
+            "callers": keys,
+        }
+    )
+
+
+def make_rows() -> list[dict[str, Any]]:
+    """Make the platform's host list of the aimed size."""
+    entries = [
+        {
+            "name": f"host-{n:03d}",
+            "kind": "entry",
+            "state": "live",
+            "address": f"tcp://10.0.0.1:{n}",
+            "failure_domain": f"domain-{n % 16}",
+        }
+        for n in range(HOSTS)
+    ]
+    backends = [
+        {
+            "name": f"worker-{n:04d}",
+            "kind": "backend",
+            "state": "live",
+            "address": f"http://10.0.0.2:{n}",
+            "failure_domain": f"domain-{n % 16}",
+            "pool": f"model-{n % MODELS}-{'prefill' if n % 3 == 0 else 'decode'}",
+        }
+        for n in range(WORKERS)
+    ]
+    return [*entries, *backends]
+
+
+def request_bytes() -> list[tuple[str, int]]:
+    """Return the bytes of each message that one request causes."""
+    sealer = envelope.Sealer("host-001", KEY, 2**62)
+    ask = make_ask(1, random.Random(1))
+    name = "f" * 24
+    ask = ask._replace(exchange=name)
+    grant = placement.Grant(
+        "worker-0001",
+        "http://10.0.0.2:8001",
+        "worker-0002",
+        "http://10.0.0.2:8002",
+        0.01,
+        0.08,
+        0.04,
+        0.2,
+    )
+    cell_name = "model-12@domain-3"
+    made = [
+        messages.PlanRequest(cell_name, ask),
+        messages.PlanReply(grant, "", 0.0),
+        messages.RunStarted(cell_name, name, 0.08, 0.04),
+        messages.RunReleased(cell_name, name, 80),
+        messages.ClaimRequest(name, "host-001", 7, "", 0, True),
+        messages.ClaimReply("host-001", 7, False),
+        messages.ClaimRequest(name, "host-001", 7, "", 0, False),
+        messages.ClaimReply("host-001", 7, False),
+        messages.ClaimEnd(name, "host-001", 7, True),
+        messages.ClaimEnd(name, "host-001", 7, True),
+    ]
+    return [
+        (
+            type(m).__name__,
+            len(sealer.seal("host-002", m, lamport=2**30, call=9)),
+        )
+        for m in made
+    ]
+
+
+def measure_message() -> float:
+    """Return the CPU to seal and open one message, microseconds."""
+    sealer = envelope.Sealer("a", KEY, 1)
+    opener = envelope.Sealer("b", KEY, 2)
+    message = messages.PlanRequest("m@d", make_ask(1, random.Random(1)))
+    began = time.process_time()
+    for _ in range(PLANS):
+        opener.open(sealer.seal("b", message, lamport=1))
+    return (time.process_time() - began) / PLANS * 1e6
+
+
+def measure_claims(count: int) -> float:
+    """Return the memory of one claim at a home, bytes."""
+    known = home.Home(capacity=count)
+
+    def _fill() -> None:
+        for number in range(count):
+            known.claim(0.0, f"{number:024x}", f"host-{number % HOSTS}", number)
+
+    used_mb, _ = grown_mb(_fill)
+    return used_mb * 2**20 / count
+
+
+def measure_events(count: int) -> float:
+    """Return the memory of one event of the time line, bytes."""
+    line = timeline.Timeline("host-001", capacity=count)
+
+    def _fill() -> None:
+        for number in range(count):
+            line.add(
+                1.5 * number,
+                "exchange.planned",
+                f"{number:024x}",
+                prefill="worker-0001",
+                decode="worker-0002",
+                start_in_s=0.125,
+            )
+
+    used_mb, _ = grown_mb(_fill)
+    return used_mb * 2**20 / count
+
+
+def main() -> None:
+    """Measure and print the slopes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=16.0)
+    asked = parser.parse_args()
+    drawn = table.Table("role", "at size", "figure", title_justify="left")
+    for hosts in (25, 100, HOSTS):
+        rate, cpu = measure_membership(hosts, asked.seconds)
+        drawn.add_row(
+            "membership prober",
+            f"{hosts} hosts",
+            f"{rate:.0f} B/s sent and received, {cpu:.3%} of a core",
+        )
+    for workers in (4, 16, 47, 94, 188):
+        plan_us, rest_us = measure_plan(workers)
+        drawn.add_row(
+            "owner of a cell",
+            f"{workers} workers",
+            f"{plan_us:.0f} us to plan, {rest_us:.0f} us for start and release",
+        )
+    drawn.add_row("any message", "", f"{measure_message():.0f} us to seal+open")
+    sizes = request_bytes()
+    drawn.add_row(
+        "serving host, owner, homes",
+        "1 request",
+        f"{sum(size for _, size in sizes)} B in {len(sizes)} messages: "
+        + ", ".join(f"{name} {size}" for name, size in sizes),
+    )
+    claims = measure_claims(100_000)
+    drawn.add_row("home", "1 claim", f"{claims:.0f} B of memory")
+    events = measure_events(50_000)
+    drawn.add_row("time line", "1 event", f"{events:.0f} B of memory")
+    document = make_document(CALLERS)
+    content = config.canonical(document)
+    used_mb, _ = grown_mb(lambda: config.decode(content, 1))
+    began = time.process_time()
+    config.decode(content, 1)
+    drawn.add_row(
+        "configuration reader",
+        f"{CALLERS} callers, {MODELS} models",
+        f"{len(content) / 1024:.0f} KB to fetch, {used_mb:.1f} MB,"
+        f" {(time.process_time() - began) * 1e3:.0f} ms to check",
+    )
+    rows = make_rows()
+    body = msgspec.json.encode(rows)
+    import gzip  # noqa: PLC0415
+
+    pools = document["pools"]
+    used_mb, _ = grown_mb(
+        lambda: directory_controller.parse_rows(
+            msgspec.json.decode(body), pools
+        )
+    )
+    began = time.process_time()
+    directory_controller.parse_rows(msgspec.json.decode(body), pools)
+    drawn.add_row(
+        "directory reader",
+        f"{HOSTS} hosts, {WORKERS} workers",
+        f"{len(body) / 1024:.0f} KB, {len(gzip.compress(body)) / 1024:.0f} KB"
+        f" packed, {used_mb:.1f} MB,"
+        f" {(time.process_time() - began) * 1e3:.0f} ms to read",
+    )
+    row = claim.ClaimRow(
+        "done",
+        "host-001.0123456789abcdef",
+        "host-001",
+        b"0" * 16,
+        claim.Answer(200, "application/json", b"x" * 200),
+    )
+    drawn.add_row(
+        "at-most-once call",
+        "1 call",
+        f"2 writes, {len(claim.encode_row(row))} B for a 200 B answer",
+    )
+    console.Console(width=140).print(drawn)
+
+
+if __name__ == "__main__":
+    main()
