--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -1,5 +1,6 @@
 """Joint planning: slot, link and prefill are reserved together."""
 
+import heapq
 from typing import NamedTuple
 
 from result import Err
@@ -28,6 +29,10 @@
 WASTE_WORK_WEIGHT = 0.5
 LOST_PERIOD_S = 3.0
 MIN_RETRY_AFTER_S = 0.05
+EXPIRY_PERIOD_S = 0.1
+FULL_SEARCH_LANES = 8
+LEAST_BUSY_LANES = 5
+WARMEST_LANES = 2
 NO_WORKERS_RETRY_AFTER_S = 1.0
 
 
@@ -72,6 +77,9 @@
         self._callers: dict[str, tuple[float, float]] = {}
         self._length_fraction = START_LENGTH_FRACTION
         self._asked: dict[str, int] = {}
+        self._lane_of: dict[str, prefill_lane.PrefillLane] = {}
+        self._decodes: list[worker.Worker] = []
+        self._next_expiry = 0.0
         self._lateness = lateness.Lateness()
 
     @property
@@ -97,10 +105,18 @@
         for w in workers:
             if w.role == "prefill" and w.name not in self._lanes:
                 self._lanes[w.name] = prefill_lane.PrefillLane()
+        self._decodes = [
+            w for w in workers if w.role == "decode" and self._is_offered(w)
+        ]
+
+    def _is_offered(self, w: worker.Worker) -> bool:
+        return not w.leaving and w.name in self._engines
 
     def plan(self, now: float, ask: placement.Ask) -> placement.PlanResult:
         """Place a request; see `placement.Planner`."""
-        self._ledger.expire(now)
+        if now >= self._next_expiry:
+            self._next_expiry = now + EXPIRY_PERIOD_S
+            self._ledger.expire(now)
         self._callers[ask.caller] = (now, ask.weight)
         self.release(now, ask.exchange, 0)
         decode = self._choose_decode(now, ask)
@@ -136,7 +152,8 @@
 
     def prefill_late(self, now: float, exchange: str) -> None:
         """Note a late prefill; see `placement.Planner`."""
-        for lane in self._lanes.values():
+        lane = self._lane_of.get(exchange)
+        if lane is not None:
             lane.prefill_late(exchange)
 
     def started(
@@ -144,10 +161,12 @@
     ) -> None:
         """Note that a run started; see `placement.Planner`."""
         self._ledger.started(now, exchange)
-        for lane in self._lanes.values():
-            late_s = lane.started(now, exchange, prefill_s, transfer_s)
-            if late_s is not None:
-                self._lateness.observe(late_s)
+        lane = self._lane_of.pop(exchange, None)
+        if lane is None:
+            return
+        late_s = lane.started(now, exchange, prefill_s, transfer_s)
+        if late_s is not None:
+            self._lateness.observe(late_s)
 
     def release(self, now: float, exchange: str, tokens: int) -> None:
         """Free what an exchange holds; see `placement.Planner`."""
@@ -158,9 +177,9 @@
             self._length_fraction += LENGTH_SMOOTHING * (
                 sample - self._length_fraction
             )
-        if held is None or held.started is None:
-            for lane in self._lanes.values():
-                lane.release(exchange)
+        lane = self._lane_of.pop(exchange, None)
+        if lane is not None:
+            lane.release(exchange)
 
     def observe(self, now: float, name: str, report: worker.Report) -> None:
         """Take in a load report; see `placement.Planner`."""
@@ -182,24 +201,29 @@
             self._lanes[name] = prefill_lane.PrefillLane()
         self._ledger.drop_worker(name)
 
-    def _usable(self, now: float, ask: placement.Ask, name: str) -> bool:
-        if name in self._leaving or self._workers[name].leaving:
-            return False
-        if name in ask.avoid or name not in self._engines:
-            return False
-        return self._lost_until.get(name, 0.0) <= now
+    def _blocked(self, now: float, ask: placement.Ask) -> set[str]:
+        """Return the workers that a request must not use now."""
+        for name, until in list(self._lost_until.items()):
+            if until <= now:
+                del self._lost_until[name]
+        return self._leaving.union(ask.avoid, self._lost_until)
 
     def _choose_decode(self, now: float, ask: placement.Ask) -> _Decode | None:
+        blocked = self._blocked(now, ask)
         best: _Decode | None = None
         best_key = (0.0, 0.0)
-        for name, candidate in self._workers.items():
-            if candidate.role != "decode" or not self._usable(now, ask, name):
+        limits: dict[str, int] = {}
+        for candidate in self._decodes:
+            name = candidate.name
+            if name in blocked:
                 continue
             if ask.suspect and self._ledger.has_suspect(name):
                 continue
-            engine = self._engines[name]
+            capacity = limits.get(candidate.pool)
+            if capacity is None:
+                capacity = batch_limit(self._engines[name], ask.token_gap_s)
+                limits[candidate.pool] = capacity
             held = self._ledger.count(name)
-            capacity = batch_limit(engine, ask.token_gap_s)
             slot_at = now
             if held >= capacity:
                 slot_at = self._ledger.ends(now, name)[held - capacity]
@@ -207,17 +231,22 @@
             if best is None or key < best_key:
                 best_key = key
                 batch = min(held, capacity - 1)
-                best = _Decode(candidate, engine, slot_at, batch)
+                best = _Decode(candidate, self._engines[name], slot_at, batch)
         return best
 
     def _choose_prefill(
         self, now: float, ask: placement.Ask, decode: _Decode
     ) -> _Prefill | None:
+        blocked = self._blocked(now, ask)
+        names = [
+            name
+            for name in self._lanes
+            if name not in blocked and self._is_offered(self._workers[name])
+        ]
         best: _Prefill | None = None
         best_score = 0.0
-        for name, lane in self._lanes.items():
-            if not self._usable(now, ask, name):
-                continue
+        for name in self._shortlist(ask, names):
+            lane = self._lanes[name]
             times = lane.propose(now, ask, self._engines[name], decode.slot_at)
             candidate = _Prefill(self._workers[name], lane, times)
             score = candidate.ends + self._work_weight * times.prefill_s
@@ -225,6 +254,21 @@
                 best, best_score = candidate, score
         return best
 
+    def _shortlist(self, ask: placement.Ask, names: list[str]) -> list[str]:
+        """Choose the lanes to look at closely: idle ones and warm ones."""
+        if len(names) <= FULL_SEARCH_LANES:
+            return names
+        chosen = heapq.nsmallest(
+            LEAST_BUSY_LANES, names, key=lambda n: self._lanes[n].busy_until
+        )
+        if ask.blocks:
+            first = ask.blocks[0]
+            warm = [n for n in names if self._lanes[n].prefixes.has(first)]
+            chosen += heapq.nsmallest(
+                WARMEST_LANES, warm, key=lambda n: self._lanes[n].busy_until
+            )
+        return chosen
+
     def _admit(
         self, now: float, ask: placement.Ask, first_at: float, alone_s: float
     ) -> placement.Refusal | None:
@@ -289,6 +333,7 @@
             )
         )
         prefill.lane.book(ask, prefill.times)
+        self._lane_of[ask.exchange] = prefill.lane
 
 
 def _step_s(engine: config.Engine, batch: int) -> float:
--- a/nutmegscale/membership.py
+++ b/nutmegscale/membership.py
@@ -13,7 +13,9 @@
 PROBE_TIMEOUT_FRACTION = 0.4
 SUSPECT_PERIODS = 3
 INDIRECT_PROBES = 2
+FIRST_INCARNATION = 1
 NEWS_PER_MESSAGE = 6
+CORRECTION_REPEATS = 2
 NEWS_REPEATS = 4
 FORGET_PERIODS = 120
 
@@ -105,7 +107,7 @@
         address: str,
         *,
         period_s: float = 0.5,
-        incarnation: int = 1,
+        incarnation: int = FIRST_INCARNATION,
         rng: random.Random | None = None,
     ) -> None:
         self._host = host
@@ -177,9 +179,16 @@
         """
         known = self._members.get(host)
         if known is None:
-            self._set(
-                Member(host, failure_domain, address, 0, State.ALIVE, now)
+            # No news: every host reads the same list.
+            self._members[host] = Member(
+                host,
+                failure_domain,
+                address,
+                FIRST_INCARNATION,
+                State.ALIVE,
+                now,
             )
+            self.version += 1
         elif known.address != address and known.state == State.DEAD:
             self._set(
                 known._replace(address=address, state=State.ALIVE, since=now)
@@ -409,6 +418,10 @@
             return
         known = self._members.get(news.host)
         if known is not None and not _is_newer(news, known):
+            if news.state != known.state:
+                # The sender is behind: tell it, and others, once more.
+                spoken = self._news.get(news.host, 0)
+                self._news[news.host] = max(spoken, CORRECTION_REPEATS)
             return
         if known is None and news.state == State.DEAD:
             return
--- a/nutmegscale/prefill_lane.py
+++ b/nutmegscale/prefill_lane.py
@@ -66,6 +66,11 @@
         self._mean_prefill_s = START_PREFILL_S
         self.prefixes = prefix.PrefixIndex()
 
+    @property
+    def busy_until(self) -> float:
+        """End of the last booking of worker or link; 0 when idle."""
+        return max(self._prefill.last_end, self._link.last_end)
+
     def propose(
         self,
         now: float,
--- a/nutmegscale/prefix.py
+++ b/nutmegscale/prefix.py
@@ -33,6 +33,10 @@
         while len(self._blocks) > self._max_blocks:
             self._blocks.popitem(last=False)
 
+    def has(self, block: bytes) -> bool:
+        """Whether one block is thought to be cached."""
+        return block in self._blocks
+
     def hits(self, blocks: tuple[bytes, ...]) -> int:
         """Count the leading blocks that are thought to be cached."""
         count = 0
--- a/nutmegscale/schedule.py
+++ b/nutmegscale/schedule.py
@@ -24,6 +24,11 @@
         """Sum of all shifts, seconds."""
         return self._shifted
 
+    @property
+    def last_end(self) -> float:
+        """End of the last booking, or 0 when there is none."""
+        return self._bookings[-1].end if self._bookings else 0.0
+
     @property
     def first(self) -> Booking | None:
         """The earliest booking, or None."""
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -5,10 +5,11 @@
 
 import argparse
 from collections.abc import Callable
+import gc
 import hashlib
-import os
 import random
 import time
+import tracemalloc
 from typing import Any
 
 import msgspec
@@ -32,22 +33,20 @@
 WORKERS = 1_500
 CALLERS = 2_200
 MODELS = 35
+ROLES = ("prefill", "decode", "decode")
 KEY = b"k" * 32
 PLANS = 2_000
 PERIOD_S = 0.8
 
 
-def resident_mb() -> float:
-    """Return the resident memory of this process."""
-    with open("/proc/self/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
-
-
 def grown_mb(make: Callable[[], Any]) -> tuple[float, Any]:
     """Return how much memory a value takes, and the value."""
-    before = resident_mb()
+    gc.collect()
+    tracemalloc.start()
     made = make()
-    return resident_mb() - before, made
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / 2**20, made
 
 
 def measure_membership(hosts: int, seconds: float) -> tuple[float, float]:
@@ -201,7 +200,7 @@
             "state": "live",
             "address": f"http://10.0.0.2:{n}",
             "failure_domain": f"domain-{n % 16}",
-            "pool": f"model-{n % MODELS}-{'prefill' if n % 3 == 0 else 'decode'}",
+            "pool": f"model-{n % MODELS}-{ROLES[n % 3]}",
         }
         for n in range(WORKERS)
     ]
