Planner: slots by today's batch, room for urgent work, shares; embedding

Cause: the planner had no tests of its own.

Changed: the end of a run follows the batch as it is now; 30% of the target is kept for more urgent work, only while such work was seen in the last 5 s.

A flood of 16 to 1 of one caller: the other one is answered more often than the flood by over 10 points.

--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -15,8 +15,8 @@
 
 ADMIT_FRACTION = 0.98
 MAX_MARGIN_FRACTION = 0.5
-LOWEST_PRIORITY = 9
-PRIORITY_STEP = 0.05
+PRIORITY_RESERVE = 0.3
+URGENCY_MEMORY_S = 5.0
 ACCEPTED_PATIENCE_S = 20.0
 ALONE_FACTOR = 1.25
 RESERVATION_SLACK_S = 1.0
@@ -75,6 +75,7 @@
         self._leaving: set[str] = set()
         self._lost_until: dict[str, float] = {}
         self._callers: dict[str, tuple[float, float]] = {}
+        self._urgency: dict[int, float] = {}
         self._length_fraction = START_LENGTH_FRACTION
         self._asked: dict[str, int] = {}
         self._lane_of: dict[str, prefill_lane.PrefillLane] = {}
@@ -226,7 +227,9 @@
             held = self._ledger.count(name)
             slot_at = now
             if held >= capacity:
-                slot_at = self._ledger.ends(now, name)[held - capacity]
+                gap_s = _step_s(self._engines[name], min(held, capacity))
+                ends = self._ledger.ends(now, name, gap_s)
+                slot_at = ends[held - capacity]
             key = (slot_at, held / capacity)
             if best is None or key < best_key:
                 best_key = key
@@ -276,10 +279,7 @@
         if ask.accepted:
             allowed_s = ACCEPTED_PATIENCE_S + ask.waited_s
         else:
-            urgency = min(LOWEST_PRIORITY, max(0, ask.priority))
-            fraction = ADMIT_FRACTION - PRIORITY_STEP * (
-                urgency / LOWEST_PRIORITY
-            )
+            fraction = ADMIT_FRACTION - self._reserve(now, ask)
             margin_s = min(
                 self._lateness.margin_s,
                 ask.first_token_s * MAX_MARGIN_FRACTION,
@@ -296,6 +296,18 @@
             return placement.Refusal("over_share", wait_s)
         return None
 
+    def _reserve(self, now: float, ask: placement.Ask) -> float:
+        """Return the part of the target that is kept for more urgent work.
+
+        Nothing is kept while no more urgent work was seen for some time.
+        """
+        self._urgency[ask.priority] = now
+        more_urgent = any(
+            priority < ask.priority and now - seen < URGENCY_MEMORY_S
+            for priority, seen in self._urgency.items()
+        )
+        return PRIORITY_RESERVE if more_urgent else 0.0
+
     def _over_share(self, now: float, ask: placement.Ask) -> bool:
         for caller, (seen, _) in list(self._callers.items()):
             if now - seen > CALLER_MEMORY_S:
@@ -318,7 +330,6 @@
         prefill: _Prefill,
         first_at: float,
     ) -> None:
-        gap_s = _step_s(decode.engine, decode.batch + 1)
         tokens = max(1.0, ask.max_tokens * self._length_fraction)
         self._asked[ask.exchange] = ask.max_tokens
         self._ledger.reserve(
@@ -326,7 +337,8 @@
                 ask.exchange,
                 ask.caller,
                 decode.worker.name,
-                first_at + tokens * gap_s,
+                first_at,
+                tokens,
                 first_at + RESERVATION_SLACK_S,
                 None,
                 ask.suspect,
--- a/nutmegscale/ledger.py
+++ b/nutmegscale/ledger.py
@@ -15,7 +15,8 @@
       exchange: Exchange that holds it.
       caller: Caller of the exchange.
       worker: Decode worker.
-      ends: Predicted time at which the slot is free again.
+      first_at: Predicted time of the first token.
+      tokens: Predicted number of tokens.
       expires: Time at which it lapses unless the run has started.
       started: Time at which the run started, or None.
       suspect: Whether the exchange ran on a worker that crashed.
@@ -24,7 +25,8 @@
     exchange: str
     caller: str
     worker: str
-    ends: float
+    first_at: float
+    tokens: float
     expires: float
     started: float | None
     suspect: bool
@@ -112,10 +114,16 @@
             self._foreign.get(name, ())
         )
 
-    def ends(self, now: float, name: str) -> list[float]:
-        """Return when each held slot of a worker is predicted free, sorted."""
-        held = self._by_worker.get(name)
-        ends = [max(now, r.ends) for r in held.values()] if held else []
+    def ends(self, now: float, name: str, gap_s: float) -> list[float]:
+        """Return when each held slot of a worker is predicted free, sorted.
+
+        Args:
+          now: Monotonic time in seconds.
+          name: The worker.
+          gap_s: Time between two tokens of a run there, as it is now.
+        """
+        held = self._by_worker.get(name, {})
+        ends = [max(now, r.first_at + r.tokens * gap_s) for r in held.values()]
         foreign = self._foreign.get(name)
         if foreign:
             ends += [max(now, end) for end in foreign.values()]
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,12 @@
+"""Tests that the examples run as their pages say."""
+
+import pytest
+
+from examples import embed
+
+
+def test_embedded_parts_work_alone(capsys: pytest.CaptureFixture[str]) -> None:
+    embed.main()
+    assert capsys.readouterr().out == (
+        "alive: a, b\nfences: 1 None\nslots held: 1\n"
+    )
--- /dev/null
+++ b/tests/test_joint_planner.py
@@ -0,0 +1,210 @@
+"""Tests of joint planning: reservations, admission and fairness."""
+
+import random
+from typing import Any
+
+from result import Ok
+
+from nutmegscale import folder
+from nutmegscale import joint_planner
+from nutmegscale import placement
+from nutmegscale import worker
+from tests import fakes
+
+
+def _planner(prefills: int = 2, decodes: int = 2) -> Any:
+    profile: Any = folder.load("examples/federation")["engines"]["standard"]
+    planner = joint_planner.JointPlanner()
+    workers = [_worker(f"p{n}", "prefill") for n in range(prefills)]
+    workers += [_worker(f"d{n}", "decode") for n in range(decodes)]
+    planner.set_workers(workers, {"prefill": profile, "decode": profile})
+    return planner
+
+
+def _worker(name: str, role: Any) -> worker.Worker:
+    return worker.Worker(
+        name, f"http://{name}", "maadi", role, "m", role, False
+    )
+
+
+def _ask(name: str, **changes: Any) -> placement.Ask:
+    ask = placement.Ask(name, "c", 1.0, 3, 1_000, (), 100, 0.54, 0.031)
+    return ask._replace(**changes)
+
+
+def _report(**changes: Any) -> worker.Report:
+    return worker.Report(False, 20, (), 0, 0, ())._replace(**changes)
+
+
+def test_plans_of_one_worker_never_overlap() -> None:
+    planner = _planner(prefills=1)
+    intervals = []
+    for number in range(5):
+        result = planner.plan(10.0, _ask(str(number)))
+        assert isinstance(result, Ok)
+        grant = result.ok_value
+        intervals.append((grant.start_in_s, grant.start_in_s + grant.prefill_s))
+    intervals.sort()
+    for (_, end), (start, _) in zip(intervals, intervals[1:], strict=False):
+        assert start >= end - 1e-9
+
+
+def test_prefill_waits_for_a_slot_rather_than_expire() -> None:
+    planner = _planner(prefills=1, decodes=1)
+    limit = joint_planner.batch_limit(
+        folder.load("examples/federation")["engines"]["standard"], 0.031
+    )
+    for number in range(limit):
+        ask = _ask(str(number), accepted=True, prompt_tokens=10)
+        assert planner.plan(0.0, ask).is_ok()
+    result = planner.plan(0.0, _ask("late", accepted=True))
+    assert isinstance(result, Ok)
+    grant = result.ok_value
+    gone_s = grant.start_in_s + grant.prefill_s + grant.transfer_s
+    assert gone_s > 1.0
+    assert grant.first_token_in_s - gone_s < 0.1
+
+
+def test_no_slot_is_promised_twice() -> None:
+    planner = _planner(prefills=8, decodes=1)
+    granted = 0
+    for number in range(60):
+        ask = _ask(str(number), prompt_tokens=1)
+        granted += planner.plan(0.0, ask).is_ok()
+    assert granted == 20
+    assert planner.ledger.count("d0") == 20
+
+
+def test_refusal_tells_when_to_come_back() -> None:
+    planner = _planner(prefills=1)
+    now, refused = 0.0, None
+    for number in range(100):
+        result = planner.plan(now, _ask(str(number)))
+        if not isinstance(result, Ok):
+            refused = result.err_value
+            break
+    assert refused is not None
+    assert refused.reason == "first_token_too_late"
+    again = planner.plan(now + refused.retry_after_s, _ask("again"))
+    assert isinstance(again, Ok)
+
+
+def test_urgent_work_is_admitted_where_other_work_is_not() -> None:
+    planner = _planner(prefills=1)
+    planner.plan(0.0, _ask("earlier", priority=0))
+    number = 0
+    while planner.plan(0.0, _ask(f"low{number}", priority=9)).is_ok():
+        number += 1
+    assert number > 0
+    assert planner.plan(0.0, _ask("high", priority=0)).is_ok()
+
+
+def test_nothing_is_kept_for_urgent_work_that_isnt_there() -> None:
+    counts = []
+    for priority in (0, 9):
+        planner = _planner(prefills=1)
+        number = 0
+        while planner.plan(0.0, _ask(str(number), priority=priority)).is_ok():
+            number += 1
+        counts.append(number)
+    assert counts[0] == counts[1]
+
+
+def test_a_released_reservation_can_be_used_again() -> None:
+    planner = _planner(prefills=1, decodes=1)
+    first = planner.plan(0.0, _ask("a", prompt_tokens=8_000))
+    second = planner.plan(0.0, _ask("b"))
+    planner.release(0.0, "a", 0)
+    third = planner.plan(0.0, _ask("b"))
+    assert isinstance(first, Ok) and isinstance(third, Ok)
+    starts = third.ok_value.start_in_s
+    assert not isinstance(second, Ok) or starts < second.ok_value.start_in_s
+    assert starts == 0.0
+
+
+def test_reservations_that_never_start_lapse() -> None:
+    planner = _planner()
+    planner.plan(0.0, _ask("a"))
+    planner.plan(10.0, _ask("b"))
+    assert planner.ledger.get("a") is None
+
+
+def test_runs_of_another_planner_count_as_held() -> None:
+    planner = _planner(decodes=1)
+    running = tuple(
+        worker.Running(f"other{n}.h", "h", "decode", 1.0) for n in range(20)
+    )
+    planner.observe(0.0, "d0", _report(running=running))
+    result = planner.plan(0.0, _ask("a", prompt_tokens=10))
+    assert not isinstance(result, Ok)
+
+
+def test_a_leaving_or_lost_worker_gets_nothing() -> None:
+    planner = _planner(prefills=2, decodes=2)
+    planner.observe(0.0, "d0", _report(leaving=True))
+    planner.lost(0.0, "p1")
+    for number in range(4):
+        result = planner.plan(0.0, _ask(str(number), prompt_tokens=10))
+        assert isinstance(result, Ok)
+        grant = result.ok_value
+        assert (grant.prefill, grant.decode) == ("p0", "d1")
+
+
+def test_a_warm_prefix_draws_work_until_it_is_busy() -> None:
+    planner = _planner(prefills=2, decodes=2)
+    blocks = tuple(bytes([n] * 8) for n in range(16))
+    chosen = []
+    for number in range(6):
+        ask = _ask(str(number), prompt_tokens=4_500, blocks=blocks)
+        result = planner.plan(0.0, ask)
+        if isinstance(result, Ok):
+            chosen.append(result.ok_value.prefill)
+    assert chosen[:2] == ["p0", "p0"]
+    assert "p1" in chosen
+
+
+def test_a_slower_link_is_learnt() -> None:
+    planner = _planner(prefills=1, decodes=1)
+    now = 0.0
+    for number in range(8):
+        result = planner.plan(now, _ask(f"x{number}", accepted=True))
+        grant = result.ok_value
+        transfer_s = grant.transfer_s if number else 0.0
+        slow_s = 3 * 1_000 * 65_536 / 2.5e9
+        now += grant.start_in_s + grant.prefill_s + slow_s
+        planner.started(now, f"x{number}", grant.prefill_s, slow_s)
+        now += 0.2
+    assert transfer_s > 0.8 * slow_s
+
+
+def test_suspects_run_apart() -> None:
+    planner = _planner(decodes=2)
+    grants = [
+        planner.plan(0.0, _ask(str(n), prompt_tokens=10, suspect=True))
+        for n in range(3)
+    ]
+    placed = [g.ok_value.decode for g in grants if isinstance(g, Ok)]
+    assert sorted(placed) == ["d0", "d1"]
+
+
+def test_a_flood_of_one_caller_leaves_the_others_their_share() -> None:
+    farm = fakes.federation()
+    rng = random.Random(5)
+    sent: dict[str, list[fakes.Sink]] = {"cairo-club": [], "alex-club": []}
+    for step in range(400):
+        callers = ["cairo-club"] * 4
+        if step % 4 == 0:
+            callers.append("alex-club")
+        for caller in callers:
+            prompt = f"{rng.random()} " * 120
+            host = rng.choice(list(farm.hosts))
+            sink = farm.send(host, prompt, 120, caller=caller)
+            sent[caller].append(sink)
+        farm.run(0.05)
+    farm.run(5.0)
+    share = {
+        caller: sum(s.ended for s in sinks) / len(sinks)
+        for caller, sinks in sent.items()
+    }
+    assert share["cairo-club"] < 0.8
+    assert share["alex-club"] > share["cairo-club"] + 0.1
