Fakes become a stand-in deployment on a virtual clock

Moved without change of behaviour: network, platform, servers and the deployment are modules of their own under standins. A killed host's callers now see a lost connection instead of a failure.

--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,306 @@
+"""Whole deployment in one process, on a virtual clock."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from nutmegscale import application
+from nutmegscale import config
+from nutmegscale import errors
+from nutmegscale import exchange
+from nutmegscale import folder
+from nutmegscale import periodic
+from standins import fake_network
+from standins import fake_platform
+from standins import fake_servers
+
+DELAY_S = 0.001
+STEP_S = 0.002
+
+
+class Sink:
+    """An `exchange.Sink` that keeps what it gets."""
+
+    def __init__(self, now: Callable[[], float] = lambda: 0.0) -> None:
+        self._now = now
+        self.text = ""
+        self.failure: errors.Failure | None = None
+        self.ended = 0
+        self.is_gone = False
+        self.is_lost = False
+        self.first_at: float | None = None
+        self.last_at = 0.0
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more will come."""
+        return bool(self.ended or self.failure or self.is_lost)
+
+    def write(self, text: str) -> None:
+        """Keep text."""
+        if self.is_lost:
+            return
+        assert not self.ended, "text after the end"
+        if self.first_at is None:
+            self.first_at = self._now()
+        self.last_at = self._now()
+        self.text += text
+
+    def end(self, tokens: int) -> None:
+        """Keep the end."""
+        if not self.is_lost:
+            self.ended += 1
+
+    def fail(self, failure: errors.Failure) -> None:
+        """Keep the failure."""
+        if not self.is_lost:
+            self.failure = failure
+
+
+class Deployment:
+    """Entry hosts, backend servers, network and platform on one clock."""
+
+    def __init__(
+        self,
+        hosts: dict[str, str],
+        servers: dict[str, tuple[str, str, str]],
+        *,
+        folder_path: str = "examples/federation",
+        seed: int = 1,
+        ready: bool = True,
+    ) -> None:
+        self.clock: Any = task.Clock()
+        self.clock.advance(100.0)
+        self.rng = random.Random(seed)
+        self.network = fake_network.Network(self.clock)
+        self.platform = fake_platform.FakePlatform(self.clock)
+        self.document = folder.load(folder_path)
+        self.servers: dict[str, fake_servers.FakeServer] = {}
+        self.domains = dict(hosts)
+        for name, (domain, pool, role) in servers.items():
+            self.add_server(name, domain, pool, role)
+        self.hosts: dict[str, application.Application] = {}
+        self._sinks: list[tuple[str, Sink]] = []
+        for name in hosts:
+            self.start_host(name)
+        if ready:
+            self.run(0.5)
+            self.apply(next(iter(hosts)))
+            self.run_until(
+                lambda: all(a.board.is_ready for a in self.hosts.values()), 8.0
+            )
+
+    def add_server(
+        self, name: str, domain: str, pool: str, role: str
+    ) -> fake_servers.FakeServer:
+        """Start a backend server and list it."""
+        profile: Any = self.document.get("engines", {})["standard"]
+        self.servers[name] = fake_servers.FakeServer(
+            self.clock, name, role, dict(profile)
+        )
+        self.platform.listed.append(
+            {
+                "name": name,
+                "kind": "backend",
+                "address": f"http://{name}",
+                "failure_domain": domain,
+                "pool": pool,
+                "state": "live",
+            }
+        )
+        return self.servers[name]
+
+    def start_host(self, name: str) -> application.Application:
+        """Start an entry host, again if it was killed."""
+        domain = self.domains[name]
+        settings: Any = {
+            "host": name,
+            "failure_domain": domain,
+            "caller_port": 1,
+            "operator_port": 1,
+            "mesh_address": f"tcp://{name}",
+            "mesh_key": "00" * 16,
+            "operator_token": "t",
+            "platform_url": "http://platform",
+        }
+        app = application.Application(
+            settings,
+            self.clock,
+            transport=fake_network.FakeTransport(self.network, name),
+            platform=fake_platform.HostPlatform(
+                self.platform, self.network, name
+            ),
+            engines=lambda url: self._engine(name, url),
+            clients=lambda url: self._client(name, url),
+            rng=random.Random(self.rng.getrandbits(32)),
+        )
+        self.network.receivers[name] = app.mesh.receive
+        self.hosts[name] = app
+        row = {
+            "name": name,
+            "kind": "entry",
+            "address": f"tcp://{name}",
+            "failure_domain": domain,
+            "state": "live",
+        }
+        self.platform.listed = [
+            r for r in self.platform.listed if r["name"] != name
+        ] + [row]
+        app.start()
+        return app
+
+    def _engine(self, host: str, url: str) -> fake_servers.FakeEngine:
+        return fake_servers.FakeEngine(
+            self, host, self.servers[url.removeprefix("http://")]
+        )
+
+    def _client(self, host: str, url: str) -> Any:
+        return fake_servers.FakeClient(
+            self, host, self.servers[url.removeprefix("http://")]
+        )
+
+    def kill(self, host: str) -> None:
+        """Kill an entry host: its timers and connections are gone."""
+        app = self.hosts.pop(host)
+        app.stop()
+        self.network.receivers.pop(host, None)
+        everyone = [*self.domains, *self.servers, "platform"]
+        self.network.cut |= {(host, other) for other in everyone}
+        for served, sink in self._sinks:
+            if served == host and not sink.is_over:
+                sink.is_lost = True
+        app.exchanges.cancel_all()
+
+    def revive(self, host: str) -> None:
+        """Start a killed host anew, with empty memory."""
+        self.network.cut = {p for p in self.network.cut if host not in p}
+        self.start_host(host)
+
+    def apply(self, host: str, attempt: str = "first") -> Any:
+        """Apply the configuration at a host."""
+        return self.wait(
+            self.hosts[host].configs.apply(self.document, None, attempt)
+        )
+
+    def send(
+        self,
+        host: str,
+        prompt: str,
+        max_tokens: int = 32,
+        request_id: str = "",
+        caller: str = "cairo-club",
+        service: str = "notes-model",
+    ) -> Sink:
+        """Send a model request to a host."""
+        sink = Sink(self.clock.seconds)
+        self._sinks.append((host, sink))
+        request = exchange.ModelRequest(
+            caller, request_id, service, prompt, max_tokens
+        )
+        periodic.spawn(self.hosts[host].exchanges.serve(request, sink))
+        return sink
+
+    def leave(self, host: str, sink: Sink) -> None:
+        """Close the caller's connection."""
+        sink.is_gone = True
+        request: Any = None
+        self.hosts[host].exchanges.caller_gone(request, sink)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def run_until(self, check: Callable[[], bool], limit_s: float) -> float:
+        """Let time pass until a check holds; fail at the limit.
+
+        Returns:
+          The time that passed, in seconds.
+        """
+        began: float = self.clock.seconds()
+        while not check():
+            assert self.clock.seconds() - began < limit_s, "not in time"
+            self.clock.advance(STEP_S)
+        return float(self.clock.seconds() - began)
+
+    def wait(self, work: Any, limit_s: float = 30.0) -> Any:
+        """Run a coroutine to its end and return its result."""
+        results: list[Any] = []
+        running = defer.ensureDeferred(work)
+        running.addBoth(results.append)
+        self.run_until(lambda: bool(results), limit_s)
+        if hasattr(results[0], "raiseException"):
+            results[0].raiseException()
+        return results[0]
+
+    def held(self) -> list[str]:
+        """List what holds memory of any engine, by its own account."""
+        return [
+            run["run_id"]
+            for server in self.servers.values()
+            if not server.is_dead
+            for run in server.model.running()
+        ]
+
+    def prefills(self, prompt: str) -> int:
+        """Count how often engines were told to prefill a prompt."""
+        return sum(s.started.count(prompt) for s in self.servers.values())
+
+    def document_with(self, **changes: Any) -> config.Document:
+        """Return the document with top-level changes."""
+        changed: Any = {**self.document, **changes}
+        return config.check(changed)
+
+
+FEDERATION_HOSTS = {
+    f"{domain}-{number}": domain
+    for domain in ("maadi", "nasr", "giza", "shorouk")
+    for number in (1, 2)
+}
+FEDERATION_SERVERS = {
+    "prefill-maadi": ("maadi", "notes-prefill", "prefill"),
+    "prefill-giza": ("giza", "notes-prefill", "prefill"),
+    "decode-maadi": ("maadi", "notes-decode", "decode"),
+    "decode-nasr": ("nasr", "notes-decode", "decode"),
+    "decode-shorouk": ("shorouk", "notes-decode", "decode"),
+    "entries-maadi": ("maadi", "entries", "plain"),
+    "entries-nasr": ("nasr", "entries", "plain"),
+}
+CONSORTIUM_HOSTS = {
+    "north-1": "brisbane-north",
+    "north-2": "brisbane-north",
+    "north-3": "brisbane-north",
+    "ipswich-1": "ipswich",
+    "ipswich-2": "ipswich",
+    "ipswich-3": "ipswich",
+    "coast-1": "gold-coast",
+    "coast-2": "gold-coast",
+}
+CONSORTIUM_SERVERS = {
+    "prefill-north": ("brisbane-north", "appraise-prefill", "prefill"),
+    "prefill-ipswich": ("ipswich", "appraise-prefill", "prefill"),
+    "decode-north": ("brisbane-north", "appraise-decode", "decode"),
+    "decode-ipswich": ("ipswich", "appraise-decode", "decode"),
+    "decode-coast": ("gold-coast", "appraise-decode", "decode"),
+    "storefront-north": ("brisbane-north", "storefront", "plain"),
+    "storefront-ipswich": ("ipswich", "storefront", "plain"),
+    "storefront-coast": ("gold-coast", "storefront", "plain"),
+}
+
+
+def federation(**options: Any) -> Deployment:
+    """Make the Federation's deployment."""
+    return Deployment(FEDERATION_HOSTS, FEDERATION_SERVERS, **options)
+
+
+def consortium(**options: Any) -> Deployment:
+    """Make the Consortium's deployment."""
+    return Deployment(
+        CONSORTIUM_HOSTS,
+        CONSORTIUM_SERVERS,
+        folder_path="examples/consortium",
+        **options,
+    )
--- /dev/null
+++ b/standins/fake_network.py
@@ -0,0 +1,51 @@
+"""Network between hosts on a virtual clock; pairs can be cut."""
+
+from collections.abc import Callable
+
+from twisted.internet import task
+
+DELAY_S = 0.001
+
+
+class Network:
+    """Carries messages between hosts; pairs can be cut, one way or both."""
+
+    def __init__(self, clock: task.Clock) -> None:
+        self.clock = clock
+        self.receivers: dict[str, Callable[[bytes], None]] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.frozen: dict[str, list[Callable[[], None]]] = {}
+
+    def cut_off(self, group: list[str], others: list[str]) -> None:
+        """Cut two groups of names off from each other."""
+        self.cut |= {(a, b) for a in group for b in others}
+        self.cut |= {(b, a) for a in group for b in others}
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Whether nothing gets from one name to another."""
+        return (source, target) in self.cut
+
+    def deliver(self, source: str, target: str, data: bytes) -> None:
+        """Carry a message, or lose it."""
+
+        def _arrive() -> None:
+            if target in self.receivers and not self.is_cut(source, target):
+                self.receivers[target](data)
+
+        if not self.is_cut(source, target):
+            self.clock.callLater(DELAY_S, _arrive)
+
+
+class FakeTransport:
+    """A `mesh.Transport` of one host."""
+
+    def __init__(self, network: Network, host: str) -> None:
+        self._network = network
+        self._host = host
+
+    def send(self, host: str, address: str, data: bytes) -> None:
+        """Send to a host; see `mesh.Transport`."""
+        self._network.deliver(self._host, host, data)
+
+    def reset(self, host: str) -> None:
+        """Do nothing: fake connections don't go silent."""
--- /dev/null
+++ b/standins/fake_servers.py
@@ -0,0 +1,211 @@
+"""Backend servers on a virtual clock, and a host's clients of them."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+from typing import Protocol
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from nutmegscale import engine
+from nutmegscale import engine_http
+from nutmegscale import errors
+from nutmegscale import http_client
+from nutmegscale import periodic
+from nutmegscale import worker
+from standins import engine_model
+from standins import fake_network
+
+DELAY_S = fake_network.DELAY_S
+
+
+class World(Protocol):
+    """Where servers are found, and who reaches whom."""
+
+    clock: Any
+    network: fake_network.Network
+    servers: "dict[str, FakeServer]"
+
+
+class FakeServer:
+    """A backend server in this process: an engine or a plain service."""
+
+    def __init__(
+        self, clock: task.Clock, name: str, role: str, costs: dict[str, Any]
+    ) -> None:
+        self.name = name
+        self.role = role
+        self.address = f"http://{name}"
+        self.model = engine_model.Engine(
+            clock, role, engine_model.Costs(**costs)
+        )
+        self.is_dead = False
+        self.silent_streams = 0
+        self.lose_cancels = 0
+        self.started: list[str] = []
+        self.plain_runs: dict[str, int] = {}
+        self.lose_plain_answers = 0
+
+    def die(self) -> None:
+        """End the process: everything in memory is gone."""
+        self.is_dead = True
+        for run_id in list(self.model.runs):
+            self.model.cancel(run_id)
+
+
+class FakeEngine:
+    """An `engine.Engine` of one host over a fake server."""
+
+    def __init__(self, world: World, host: str, server: FakeServer) -> None:
+        self._world = world
+        self._host = host
+        self._server = server
+
+    async def _reach(self) -> None:
+        await periodic.sleep(self._world.clock, DELAY_S)
+        name = self._server.name
+        if self._world.network.is_cut(self._host, name):
+            await periodic.sleep(self._world.clock, 0.5)
+            raise errors.ConnectError("cut off")
+        if self._server.is_dead:
+            raise errors.ConnectError("refused")
+
+    async def _guard(self, work: defer.Deferred[Any], timeout_s: float) -> Any:
+        clock = self._world.clock
+        work.addTimeout(timeout_s, clock)
+        try:
+            result = await work
+        except engine_model.EngineRefusedError as exc:
+            if self._server.is_dead:
+                raise errors.EngineLostError("died") from exc
+            raise engine_http.error_of(exc.reason) from exc
+        except TimeoutError as exc:
+            raise errors.EngineStalledError("no answer") from exc
+        if self._server.is_dead:
+            raise errors.EngineLostError("died")
+        return result
+
+    def _check_crash(self, prompt: str) -> None:
+        if engine_model.CRASH_MARK in prompt:
+            self._server.die()
+            raise errors.EngineLostError("crashed")
+
+    async def prefill(
+        self,
+        run_id: str,
+        host: str,
+        prompt: str,
+        priority: int,
+        timeout_s: float,
+    ) -> engine.PrefillResult:
+        """Prefill; see `engine.Engine`."""
+        await self._reach()
+        self._server.started.append(prompt)
+        self._check_crash(prompt)
+        try:
+            work = self._server.model.prefill(run_id, host, prompt, priority)
+        except engine_model.EngineRefusedError as exc:
+            raise engine_http.error_of(exc.reason) from exc
+        result = await self._guard(work, timeout_s)
+        return engine.PrefillResult(*result)
+
+    async def start(self, order: engine.RunOrder, timeout_s: float) -> None:
+        """Import and decode; see `engine.Engine`."""
+        await self._reach()
+        model = self._server.model
+        source = self._world.servers[order.source.removeprefix("http://")]
+        try:
+            model.reserve(order.run_id, order.host)
+        except engine_model.EngineRefusedError as exc:
+            raise engine_http.error_of(exc.reason) from exc
+        try:
+            if source.is_dead:
+                raise engine_model.EngineRefusedError("kv_gone")
+            await self._guard(source.model.export(order.handle), timeout_s)
+            model.start(
+                order.run_id, order.prompt, order.first_token, order.max_tokens
+            )
+        except engine_model.EngineRefusedError as exc:
+            model.cancel(order.run_id)
+            raise engine_http.error_of(exc.reason) from exc
+
+    async def tokens(
+        self, run_id: str, first: int, progress_timeout_s: float
+    ) -> AsyncIterator[engine.Token]:
+        """Stream tokens; see `engine.Engine`."""
+        try:
+            await self._reach()
+        except errors.ConnectError as exc:
+            raise errors.EngineLostError(str(exc)) from exc
+        run = self._server.model.find(run_id)
+        if run is None:
+            raise errors.RunGoneError(run_id)
+        sent = first
+        while True:
+            while sent < run.made:
+                if self._server.silent_streams > 0:
+                    self._server.silent_streams -= 1
+                    await periodic.sleep(self._world.clock, progress_timeout_s)
+                    raise errors.EngineStalledError("silent")
+                yield engine.Token(sent, run.tokens[sent])
+                sent += 1
+            if self._server.is_dead:
+                raise errors.EngineLostError("died")
+            if self._world.network.is_cut(self._host, self._server.name):
+                await periodic.sleep(self._world.clock, progress_timeout_s)
+                raise errors.EngineStalledError("cut off")
+            if run.finished:
+                return
+            if self._server.model.find(run_id) is None:
+                raise errors.RunGoneError("cancelled")
+            waiter: defer.Deferred[None] = defer.Deferred()
+            run.waiters.append(waiter)
+            await waiter
+
+    async def cancel(self, run_id: str) -> None:
+        """Cancel; see `engine.Engine`."""
+        try:
+            await self._reach()
+        except errors.ConnectError as exc:
+            raise errors.EngineLostError(str(exc)) from exc
+        if self._server.lose_cancels > 0:
+            self._server.lose_cancels -= 1
+            await periodic.sleep(self._world.clock, 0.5)
+            raise errors.EngineStalledError("cancel lost")
+        self._server.model.cancel(run_id)
+
+    async def report(self, cache_after: int) -> worker.Report:
+        """Report; see `engine.Engine`."""
+        try:
+            await self._reach()
+        except errors.ConnectError as exc:
+            raise errors.EngineLostError(str(exc)) from exc
+        return engine_http.parse_report(self._server.model.report(cache_after))
+
+
+class FakeClient:
+    """The part of `http_client.HttpClient` that plain calls need."""
+
+    def __init__(self, world: World, host: str, server: FakeServer) -> None:
+        self._world = world
+        self._host = host
+        self._server = server
+
+    async def request(
+        self, method: str, path: str, **options: Any
+    ) -> http_client.Response:
+        """Run a call once, and perhaps lose its answer."""
+        await periodic.sleep(self._world.clock, DELAY_S)
+        if self._server.is_dead or self._world.network.is_cut(
+            self._host, self._server.name
+        ):
+            raise errors.ConnectError("refused")
+        key = options["headers"].get("x-run-key", "")
+        runs = self._server.plain_runs
+        runs[key] = runs.get(key, 0) + 1
+        await periodic.sleep(self._world.clock, 0.005)
+        if self._server.lose_plain_answers > 0:
+            self._server.lose_plain_answers -= 1
+            raise errors.TransportError("answer lost")
+        headers = {"content-type": "text/plain"}
+        return http_client.Response(200, headers, options["body"])
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -3,99 +3,101 @@
 from twisted.internet import defer
 
 from standins import answers
-from tests import fakes
+from standins import deployment
 
 
-def _over(*sinks: fakes.Sink) -> bool:
+def _over(*sinks: deployment.Sink) -> bool:
     return all(sink.ended or sink.failure for sink in sinks)
 
 
 def test_a_planned_stop_cuts_off_no_request() -> None:
-    farm = fakes.federation()
-    app = farm.hosts["maadi-1"]
-    sinks = [farm.send("maadi-1", f"{n} " * 200, 100) for n in range(8)]
-    farm.run(0.05)
+    system = deployment.federation()
+    app = system.hosts["maadi-1"]
+    sinks = [system.send("maadi-1", f"{n} " * 200, 100) for n in range(8)]
+    system.run(0.05)
     drained = defer.ensureDeferred(app.drain())
-    farm.run_until(lambda: drained.called, 20.0)
+    system.run_until(lambda: drained.called, 20.0)
     assert [s.ended for s in sinks] == [1] * 8
-    late = farm.send("maadi-1", "late", 8)
+    late = system.send("maadi-1", "late", 8)
     assert late.failure and late.failure.outcome == "not_run"
     assert late.failure.retry_after_s
 
 
 def test_a_rolling_restart_breaks_nothing() -> None:
-    farm = fakes.federation()
-    sent: list[tuple[str, fakes.Sink]] = []
+    system = deployment.federation()
+    sent: list[tuple[str, deployment.Sink]] = []
 
     def _send_some(seconds: float) -> None:
         for _ in range(round(seconds / 0.05)):
-            ready = [n for n, a in farm.hosts.items() if a.board.is_ready]
+            ready = [n for n, a in system.hosts.items() if a.board.is_ready]
             host = ready[len(sent) % len(ready)]
             prompt = f"{len(sent)} " * 150
-            sent.append((prompt, farm.send(host, prompt, 24, f"r{len(sent)}")))
-            farm.run(0.05)
+            sent.append(
+                (prompt, system.send(host, prompt, 24, f"r{len(sent)}"))
+            )
+            system.run(0.05)
 
-    for name in list(farm.hosts):
-        drained = defer.ensureDeferred(farm.hosts[name].drain())
+    for name in list(system.hosts):
+        drained = defer.ensureDeferred(system.hosts[name].drain())
         while not drained.called:
             _send_some(0.1)
-        farm.kill(name)
+        system.kill(name)
         _send_some(0.5)
-        farm.revive(name)
+        system.revive(name)
         _send_some(2.0)
-    farm.run_until(lambda: _over(*(s for _, s in sent)), 20.0)
+    system.run_until(lambda: _over(*(s for _, s in sent)), 20.0)
     for prompt, sink in sent:
         if sink.ended:
             assert sink.text == answers.answer_text(prompt, 24)
         else:
             assert sink.failure and sink.failure.outcome == "not_run"
-            assert farm.prefills(prompt) == 0
+            assert system.prefills(prompt) == 0
     assert sum(s.ended for _, s in sent) > 0.95 * len(sent)
-    farm.run_until(lambda: not farm.held(), 10.0)
+    system.run_until(lambda: not system.held(), 10.0)
 
 
 def test_a_domain_cut_off_goes_on_serving_what_it_can() -> None:
-    farm = fakes.federation()
+    system = deployment.federation()
     inside = ["maadi-1", "maadi-2", "prefill-maadi", "decode-maadi"]
-    outside = [n for n in [*farm.domains, *farm.servers] if n not in inside]
-    farm.network.cut_off(inside, [*outside, "platform"])
-    farm.run(3.0)
-    sinks = [farm.send(h, f"{h} " * 60, 16) for h in ("maadi-1", "giza-1")]
-    farm.run_until(lambda: _over(*sinks), 4.0)
+    outside = [n for n in [*system.domains, *system.servers] if n not in inside]
+    system.network.cut_off(inside, [*outside, "platform"])
+    system.run(3.0)
+    sinks = [system.send(h, f"{h} " * 60, 16) for h in ("maadi-1", "giza-1")]
+    system.run_until(lambda: _over(*sinks), 4.0)
     assert [s.ended for s in sinks] == [1, 1]
-    farm.network.cut.clear()
-    farm.run_until(
+    system.network.cut.clear()
+    system.run_until(
         lambda: all(
-            len(a.board.membership.alive()) == 8 for a in farm.hosts.values()
+            len(a.board.membership.alive()) == 8 for a in system.hosts.values()
         ),
         10.0,
     )
-    farm.run_until(lambda: not farm.held(), 10.0)
+    system.run_until(lambda: not system.held(), 10.0)
 
 
 def test_a_leaving_worker_gets_no_new_work_whatever_the_list_says() -> None:
-    farm = fakes.federation()
+    system = deployment.federation()
     inside = ["maadi-1", "maadi-2", "prefill-maadi", "decode-maadi"]
-    outside = [n for n in [*farm.domains, *farm.servers] if n not in inside]
-    farm.network.cut_off(["maadi-1", "maadi-2"], [*outside, "platform"])
-    farm.run(3.0)
-    farm.servers["decode-maadi"].model.leaving = True
-    farm.run(3.0)
-    before = farm.servers["prefill-maadi"].model.counts.copy()
-    sink = farm.send("maadi-1", "p " * 60, 8)
-    farm.run_until(lambda: _over(sink), 4.0)
+    outside = [n for n in [*system.domains, *system.servers] if n not in inside]
+    system.network.cut_off(["maadi-1", "maadi-2"], [*outside, "platform"])
+    system.run(3.0)
+    system.servers["decode-maadi"].model.leaving = True
+    system.run(3.0)
+    before = system.servers["prefill-maadi"].model.counts.copy()
+    sink = system.send("maadi-1", "p " * 60, 8)
+    system.run_until(lambda: _over(sink), 4.0)
     assert sink.failure and sink.failure.outcome == "not_run"
-    assert farm.servers["prefill-maadi"].model.counts == before
-    healed = farm.send("giza-1", "q " * 60, 8)
-    farm.run_until(lambda: _over(healed), 4.0)
+    assert system.servers["prefill-maadi"].model.counts == before
+    healed = system.send("giza-1", "q " * 60, 8)
+    system.run_until(lambda: _over(healed), 4.0)
     assert healed.ended == 1
 
 
 def test_a_draining_worker_finishes_what_runs() -> None:
-    farm = fakes.federation()
-    sinks = [farm.send("giza-1", f"{n} " * 200, 100) for n in range(12)]
-    farm.run(0.6)
-    farm.servers["decode-maadi"].model.leaving = True
-    farm.run_until(lambda: _over(*sinks), 20.0)
+    system = deployment.federation()
+    sinks = [system.send("giza-1", f"{n} " * 200, 100) for n in range(12)]
+    system.run(0.6)
+    system.servers["decode-maadi"].model.leaving = True
+    system.run_until(lambda: _over(*sinks), 20.0)
     ended = [s for s in sinks if s.ended]
     assert len(ended) == 12
--- a/tests/test_call_controller.py
+++ b/tests/test_call_controller.py
@@ -3,77 +3,77 @@
 from nutmegscale import call_controller
 from nutmegscale import claim
 from nutmegscale import errors
-from tests import fakes
+from standins import deployment
 
 
 def _call(
-    farm: fakes.Farm, host: str, method: str = "GET", key: str = ""
+    system: deployment.Deployment, host: str, method: str = "GET", key: str = ""
 ) -> object:
     call = call_controller.PlainCall(
         "entry-pages", key, "entries-app", method, "/bib", "text/plain", b"x"
     )
-    return farm.wait(farm.hosts[host].calls.serve(call))
+    return system.wait(system.hosts[host].calls.serve(call))
 
 
-def _runs(farm: fakes.Farm) -> dict[str, int]:
+def _runs(system: deployment.Deployment) -> dict[str, int]:
     return {
         s.name: sum(s.plain_runs.values())
-        for s in farm.servers.values()
+        for s in system.servers.values()
         if s.role == "plain"
     }
 
 
 def test_work_stays_in_its_failure_domain() -> None:
-    farm = fakes.federation()
+    system = deployment.federation()
     for _ in range(4):
-        assert isinstance(_call(farm, "nasr-1"), claim.Answer)
-    assert _runs(farm) == {"entries-maadi": 0, "entries-nasr": 4}
+        assert isinstance(_call(system, "nasr-1"), claim.Answer)
+    assert _runs(system) == {"entries-maadi": 0, "entries-nasr": 4}
 
 
 def test_a_dead_worker_is_passed_over() -> None:
-    farm = fakes.federation()
-    farm.servers["entries-nasr"].die()
+    system = deployment.federation()
+    system.servers["entries-nasr"].die()
     for _ in range(4):
-        assert isinstance(_call(farm, "nasr-1"), claim.Answer)
+        assert isinstance(_call(system, "nasr-1"), claim.Answer)
 
 
 def test_a_leaving_plain_worker_gets_no_new_call() -> None:
-    farm = fakes.federation()
-    farm.servers["entries-nasr"].model.leaving = True
-    farm.run(3.0)
-    for host in farm.hosts:
-        assert isinstance(_call(farm, host), claim.Answer)
-    assert _runs(farm)["entries-nasr"] == 0
+    system = deployment.federation()
+    system.servers["entries-nasr"].model.leaving = True
+    system.run(3.0)
+    for host in system.hosts:
+        assert isinstance(_call(system, host), claim.Answer)
+    assert _runs(system)["entries-nasr"] == 0
 
 
 def test_a_worker_that_lost_a_call_is_used_when_no_other_is_left() -> None:
-    farm = fakes.federation()
-    for server in farm.servers.values():
+    system = deployment.federation()
+    for server in system.servers.values():
         server.lose_plain_answers = 1
-    lost = [_call(farm, "nasr-1", "POST", f"k{n}") for n in range(2)]
+    lost = [_call(system, "nasr-1", "POST", f"k{n}") for n in range(2)]
     assert all(isinstance(told, errors.Failure) for told in lost)
-    assert isinstance(_call(farm, "nasr-1", "POST", "k3"), claim.Answer)
+    assert isinstance(_call(system, "nasr-1", "POST", "k3"), claim.Answer)
 
 
 def test_retries_grow_the_work_by_a_tenth_at_most() -> None:
-    farm = fakes.federation()
-    for server in farm.servers.values():
+    system = deployment.federation()
+    for server in system.servers.values():
         server.lose_plain_answers = 10_000
-    app = farm.hosts["nasr-1"]
+    app = system.hosts["nasr-1"]
     calls = 400
     for _ in range(calls):
-        told = _call(farm, "nasr-1")
+        told = _call(system, "nasr-1")
         assert isinstance(told, errors.Failure)
         assert told.outcome == "maybe_run"
     # The budget starts half full, which is spent once.
     start = 5
-    assert sum(_runs(farm).values()) <= calls * 1.1 + start
+    assert sum(_runs(system).values()) <= calls * 1.1 + start
     assert app.calls.live == 0
 
 
 def test_a_call_without_a_key_that_may_not_repeat_is_refused() -> None:
-    farm = fakes.federation()
-    told = _call(farm, "nasr-1", "POST")
+    system = deployment.federation()
+    told = _call(system, "nasr-1", "POST")
     assert isinstance(told, errors.Failure)
     assert told.type == "idempotency_key_required"
-    assert sum(_runs(farm).values()) == 0
+    assert sum(_runs(system).values()) == 0
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -2,8 +2,8 @@
 
 from nutmegscale import claim
 from nutmegscale import errors
+from standins import deployment
 from tests import claim_explorer
-from tests import fakes
 
 
 def test_every_interleaving_of_two_attempts_with_two_faults() -> None:
@@ -40,63 +40,65 @@
         claim.ClaimedCall = original  # type: ignore[misc]
 
 
-def _pay(farm: fakes.Farm, host: str, key: str, body: bytes = b"pay") -> object:
+def _pay(
+    system: deployment.Deployment, host: str, key: str, body: bytes = b"pay"
+) -> object:
     from nutmegscale import call_controller
 
     call = call_controller.PlainCall(
         "entry-pages", key, "entries-app", "POST", "/pay", "text/plain", body
     )
-    return farm.wait(farm.hosts[host].calls.serve(call))
+    return system.wait(system.hosts[host].calls.serve(call))
 
 
-def _runs(farm: fakes.Farm, key: str) -> int:
-    return sum(s.plain_runs.get(key, 0) for s in farm.servers.values())
+def _runs(system: deployment.Deployment, key: str) -> int:
+    return sum(s.plain_runs.get(key, 0) for s in system.servers.values())
 
 
 def test_repeat_at_another_host_gets_the_recorded_answer() -> None:
-    farm = fakes.federation()
-    first = _pay(farm, "maadi-1", "k")
-    second = _pay(farm, "giza-2", "k")
+    system = deployment.federation()
+    first = _pay(system, "maadi-1", "k")
+    second = _pay(system, "giza-2", "k")
     assert first == second == claim.Answer(200, "text/plain", b"pay")
-    assert _runs(farm, "k") == 1
+    assert _runs(system, "k") == 1
 
 
 def test_lost_answer_is_unknown_to_every_later_retry() -> None:
-    farm = fakes.federation()
-    for server in farm.servers.values():
+    system = deployment.federation()
+    for server in system.servers.values():
         server.lose_plain_answers = 1
-    told = [_pay(farm, host, "k") for host in ("maadi-1", "nasr-2", "giza-1")]
+    told = [_pay(system, host, "k") for host in ("maadi-1", "nasr-2", "giza-1")]
     assert {getattr(t, "outcome", None) for t in told} == {"maybe_run"}
-    assert _runs(farm, "k") == 1
+    assert _runs(system, "k") == 1
 
 
 def test_platform_down_refuses_at_once_with_retry_after() -> None:
-    farm = fakes.federation()
-    farm.platform.is_down = True
-    told = _pay(farm, "maadi-1", "k")
+    system = deployment.federation()
+    system.platform.is_down = True
+    told = _pay(system, "maadi-1", "k")
     assert isinstance(told, errors.Failure)
     assert (told.outcome, told.type) == ("not_run", "platform_unavailable")
-    began = farm.clock.seconds()
-    again = _pay(farm, "maadi-1", "k")
+    began = system.clock.seconds()
+    again = _pay(system, "maadi-1", "k")
     assert isinstance(again, errors.Failure) and again.outcome == "not_run"
-    assert farm.clock.seconds() - began < 0.05
-    farm.platform.is_down = False
+    assert system.clock.seconds() - began < 0.05
+    system.platform.is_down = False
     assert told.retry_after_s
-    farm.run(told.retry_after_s)
-    assert isinstance(_pay(farm, "maadi-1", "k"), claim.Answer)
-    assert _runs(farm, "k") == 1
+    system.run(told.retry_after_s)
+    assert isinstance(_pay(system, "maadi-1", "k"), claim.Answer)
+    assert _runs(system, "k") == 1
 
 
 def test_lost_table_answers_run_the_call_once() -> None:
-    farm = fakes.federation()
-    farm.platform.lose_answers = 1
-    assert isinstance(_pay(farm, "maadi-1", "k"), claim.Answer)
-    assert _runs(farm, "k") == 1
+    system = deployment.federation()
+    system.platform.lose_answers = 1
+    assert isinstance(_pay(system, "maadi-1", "k"), claim.Answer)
+    assert _runs(system, "k") == 1
 
 
 def test_key_of_one_caller_does_not_reach_another_call() -> None:
-    farm = fakes.federation()
-    _pay(farm, "maadi-1", "k", b"pay 10")
-    told = _pay(farm, "maadi-2", "k", b"pay 20")
+    system = deployment.federation()
+    _pay(system, "maadi-1", "k", b"pay 10")
+    told = _pay(system, "maadi-2", "k", b"pay 20")
     assert isinstance(told, errors.Failure)
     assert told.type == "key_reused"
--- a/tests/test_joint_planner.py
+++ b/tests/test_joint_planner.py
@@ -9,7 +9,7 @@
 from nutmegscale import joint_planner
 from nutmegscale import placement
 from nutmegscale import worker
-from tests import fakes
+from standins import deployment
 
 
 def _planner(prefills: int = 2, decodes: int = 2) -> Any:
@@ -188,20 +188,20 @@
 
 
 def test_a_flood_of_one_caller_leaves_the_others_their_share() -> None:
-    farm = fakes.federation()
+    system = deployment.federation()
     rng = random.Random(5)
-    sent: dict[str, list[fakes.Sink]] = {"cairo-club": [], "alex-club": []}
+    sent: dict[str, list[deployment.Sink]] = {"cairo-club": [], "alex-club": []}
     for step in range(400):
         callers = ["cairo-club"] * 4
         if step % 4 == 0:
             callers.append("alex-club")
         for caller in callers:
             prompt = f"{rng.random()} " * 120
-            host = rng.choice(list(farm.hosts))
-            sink = farm.send(host, prompt, 120, caller=caller)
+            host = rng.choice(list(system.hosts))
+            sink = system.send(host, prompt, 120, caller=caller)
             sent[caller].append(sink)
-        farm.run(0.05)
-    farm.run(5.0)
+        system.run(0.05)
+    system.run(5.0)
     share = {
         caller: sum(s.ended for s in sinks) / len(sinks)
         for caller, sinks in sent.items()
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -7,7 +7,8 @@
 
 from nutmegscale import lease
 from nutmegscale import platform_service
-from tests import fakes
+from standins import deployment
+from standins import fake_platform
 
 
 class _Orders:
@@ -26,74 +27,76 @@
         self.taken.append(fence)
 
 
-def _make(farm: fakes.Farm, host: str, offset: list[float]) -> lease.Lease:
-    table = fakes.HostPlatform(farm.platform, farm.network, host)
+def _make(
+    system: deployment.Deployment, host: str, offset: list[float]
+) -> lease.Lease:
+    table = fake_platform.HostPlatform(system.platform, system.network, host)
     return lease.Lease(
         table,
         "lease/maadi",
         host,
-        now=lambda: farm.clock.seconds() + offset[0],
+        now=lambda: system.clock.seconds() + offset[0],
     )
 
 
 def test_a_successor_waits_out_the_holder() -> None:
-    farm = fakes.Farm({}, {}, ready=False)
-    one = _make(farm, "maadi-1", [0.0])
-    two = _make(farm, "maadi-2", [0.0])
-    assert farm.wait(one.maintain()) == 1
-    assert farm.wait(two.maintain()) is None
-    farm.run(lease.LIFE_S - lease.HOLDER_MARGIN_S)
+    system = deployment.Deployment({}, {}, ready=False)
+    one = _make(system, "maadi-1", [0.0])
+    two = _make(system, "maadi-2", [0.0])
+    assert system.wait(one.maintain()) == 1
+    assert system.wait(two.maintain()) is None
+    system.run(lease.LIFE_S - lease.HOLDER_MARGIN_S)
     assert one.fence is None
-    assert farm.wait(two.maintain()) is None
-    farm.run(lease.HOLDER_MARGIN_S + lease.TAKEOVER_MARGIN_S)
-    assert farm.wait(two.maintain()) == 2
-    assert farm.wait(one.maintain()) is None
+    assert system.wait(two.maintain()) is None
+    system.run(lease.HOLDER_MARGIN_S + lease.TAKEOVER_MARGIN_S)
+    assert system.wait(two.maintain()) == 2
+    assert system.wait(one.maintain()) is None
 
 
 def test_a_lease_given_back_is_taken_at_once() -> None:
-    farm = fakes.Farm({}, {}, ready=False)
-    one = _make(farm, "maadi-1", [0.0])
-    two = _make(farm, "maadi-2", [0.0])
-    farm.wait(one.maintain())
-    farm.wait(one.give_back())
-    assert farm.wait(two.maintain()) == 2
+    system = deployment.Deployment({}, {}, ready=False)
+    one = _make(system, "maadi-1", [0.0])
+    two = _make(system, "maadi-2", [0.0])
+    system.wait(one.maintain())
+    system.wait(one.give_back())
+    assert system.wait(two.maintain()) == 2
 
 
 @pytest.mark.parametrize("honours", [True, False])
 @pytest.mark.parametrize("seed", range(8))
 def test_orders_never_go_back(seed: int, honours: bool) -> None:
     """Three hosts, lost answers, outages and pauses: fences only grow."""
-    farm = fakes.Farm({}, {}, ready=False, seed=seed)
+    system = deployment.Deployment({}, {}, ready=False, seed=seed)
     rng = random.Random(seed)
     engine = _Orders(honours=honours)
-    leases = [_make(farm, f"maadi-{n}", [0.0]) for n in (1, 2)]
-    leases.append(_make(farm, "nasr-1", [0.0]))
+    leases = [_make(system, f"maadi-{n}", [0.0]) for n in (1, 2)]
+    leases.append(_make(system, "nasr-1", [0.0]))
     paused = dict.fromkeys(range(3), 0.0)
     for _ in range(120):
-        farm.platform.is_down = rng.random() < 0.1
-        farm.platform.lose_answers = int(rng.random() < 0.2)
+        system.platform.is_down = rng.random() < 0.1
+        system.platform.lose_answers = int(rng.random() < 0.2)
         for number, held in enumerate(leases):
-            if paused[number] > farm.clock.seconds():
+            if paused[number] > system.clock.seconds():
                 continue
             if rng.random() < 0.03:
-                paused[number] = farm.clock.seconds() + rng.uniform(9, 20)
+                paused[number] = system.clock.seconds() + rng.uniform(9, 20)
                 continue
-            farm.wait(held.maintain())
+            system.wait(held.maintain())
             fence = held.fence
             if fence is not None:
                 engine.order(fence)
-        farm.run(0.5)
+        system.run(0.5)
     assert engine.taken == sorted(engine.taken)
     assert len(set(engine.taken)) > 1
 
 
 def test_a_row_of_another_version_isnt_overwritten() -> None:
-    farm = fakes.Farm({}, {}, ready=False)
-    one = _make(farm, "maadi-1", [0.0])
-    farm.wait(one.maintain())
-    row = farm.platform.rows["lease/maadi"]
-    farm.platform.rows["lease/maadi"] = platform_service.Row(
+    system = deployment.Deployment({}, {}, ready=False)
+    one = _make(system, "maadi-1", [0.0])
+    system.wait(one.maintain())
+    row = system.platform.rows["lease/maadi"]
+    system.platform.rows["lease/maadi"] = platform_service.Row(
         row.version + 1,
         msgspec.msgpack.encode(lease.LeaseRow("other", 9, 0)),
     )
-    assert farm.wait(one.maintain()) is None
+    assert system.wait(one.maintain()) is None
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,36 +2,36 @@
 
 from nutmegscale import quarantine
 from standins import answers
+from standins import deployment
 from standins import engine_model
-from tests import fakes
 
 POISON = "map " * 40 + engine_model.CRASH_MARK
 
 
-def _over(*sinks: fakes.Sink) -> bool:
+def _over(*sinks: deployment.Sink) -> bool:
     return all(sink.ended or sink.failure for sink in sinks)
 
 
-def _more_prefills(farm: fakes.Farm) -> None:
+def _more_prefills(system: deployment.Deployment) -> None:
     for number in range(3):
-        farm.add_server(f"extra-{number}", "nasr", "notes-prefill", "prefill")
-    farm.run(2.5)
+        system.add_server(f"extra-{number}", "nasr", "notes-prefill", "prefill")
+    system.run(2.5)
 
 
 def test_poison_takes_down_two_servers_at_most_and_refuses_no_other() -> None:
-    farm = fakes.federation()
-    _more_prefills(farm)
+    system = deployment.federation()
+    _more_prefills(system)
     innocent = [
-        (f"{n} " * 300, farm.send("maadi-2", f"{n} " * 300, 40))
+        (f"{n} " * 300, system.send("maadi-2", f"{n} " * 300, 40))
         for n in range(6)
     ]
-    poison = [farm.send("maadi-1", POISON, 8, "p1")]
-    farm.run_until(lambda: _over(*poison), 15.0)
+    poison = [system.send("maadi-1", POISON, 8, "p1")]
+    system.run_until(lambda: _over(*poison), 15.0)
     for number, host in enumerate(("giza-1", "shorouk-2", "nasr-1")):
-        poison.append(farm.send(host, POISON, 8, f"again{number}"))
-        farm.run_until(lambda: _over(*poison), 15.0)
-    farm.run_until(lambda: _over(*(s for _, s in innocent)), 20.0)
-    dead = [s.name for s in farm.servers.values() if s.is_dead]
+        poison.append(system.send(host, POISON, 8, f"again{number}"))
+        system.run_until(lambda: _over(*poison), 15.0)
+    system.run_until(lambda: _over(*(s for _, s in innocent)), 20.0)
+    dead = [s.name for s in system.servers.values() if s.is_dead]
     assert len(dead) == 2
     assert {s.failure.type for s in poison if s.failure} == {"quarantined"}
     for prompt, sink in innocent:
