--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -79,6 +79,7 @@
         self.platform = fake_platform.FakePlatform(self.clock)
         self.document = folder.load(folder_path)
         self.servers: dict[str, fake_servers.FakeServer] = {}
+        self.all_servers: list[fake_servers.FakeServer] = []
         self.domains = dict(hosts)
         for name, (domain, pool, role) in servers.items():
             self.add_server(name, domain, pool, role)
@@ -101,6 +102,7 @@
         self.servers[name] = fake_servers.FakeServer(
             self.clock, name, role, dict(profile)
         )
+        self.all_servers.append(self.servers[name])
         self.platform.listed.append(
             {
                 "name": name,
@@ -167,8 +169,7 @@
         app = self.hosts.pop(host)
         app.stop()
         self.network.receivers.pop(host, None)
-        everyone = [*self.domains, *self.servers, "platform"]
-        self.network.cut |= {(host, other) for other in everyone}
+        self.network.cut |= {(host, other) for other in self.names()}
         for served, sink in self._sinks:
             if served == host and not sink.is_over:
                 sink.is_lost = True
@@ -176,7 +177,7 @@
 
     def revive(self, host: str) -> None:
         """Start a killed host anew, with empty memory."""
-        self.network.cut = {p for p in self.network.cut if host not in p}
+        self.network.heal(host)
         self.start_host(host)
 
     def apply(self, host: str, attempt: str = "first") -> Any:
@@ -236,6 +237,29 @@
             results[0].raiseException()
         return results[0]
 
+    def names(self) -> list[str]:
+        """Return the names of all hosts, servers and the platform."""
+        return [*self.domains, *self.servers, "platform"]
+
+    def names_in(self, failure_domain: str) -> list[str]:
+        """Return the names of the hosts and servers of a failure domain."""
+        hosts = [h for h, d in self.domains.items() if d == failure_domain]
+        rows = self.platform.listed
+        servers = [
+            r["name"]
+            for r in rows
+            if r["kind"] == "backend" and r["failure_domain"] == failure_domain
+        ]
+        return [*hosts, *servers]
+
+    def restart_server(self, name: str) -> None:
+        """Start a backend server anew under its name and address."""
+        old = self.servers[name]
+        self.servers[name] = fake_servers.FakeServer(
+            self.clock, name, old.role, old.model.costs._asdict()
+        )
+        self.all_servers.append(self.servers[name])
+
     def held(self) -> list[str]:
         """List what holds memory of any engine, by its own account."""
         return [
--- a/standins/fake_network.py
+++ b/standins/fake_network.py
@@ -21,6 +21,10 @@
         self.cut |= {(a, b) for a in group for b in others}
         self.cut |= {(b, a) for a in group for b in others}
 
+    def heal(self, name: str) -> None:
+        """Join a name to all others again."""
+        self.cut = {pair for pair in self.cut if name not in pair}
+
     def is_cut(self, source: str, target: str) -> bool:
         """Whether nothing gets from one name to another."""
         return (source, target) in self.cut
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -22,20 +22,6 @@
 VICTIM = "nasr-1"
 
 
-def read_records(deployment: cluster.Cluster) -> promises.Records:
-    """Read what every backend server counted."""
-    engines, plain, running = [], [], []
-    for worker in deployment.workers.values():
-        if worker.process.poll() is not None:
-            continue
-        if worker.plan.role == "plain":
-            plain.append(cluster.call("GET", f"{worker.url}/_counts"))
-        else:
-            engines.append(cluster.call("GET", f"{worker.url}/v1/counts"))
-            running.append(cluster.call("GET", f"{worker.url}/v1/running"))
-    return promises.collect(engines, plain, running)
-
-
 async def _run(deployment: cluster.Cluster, seconds: float, seed: int) -> int:
     rng = random.Random(seed)
     urls = {name: h.caller_url for name, h in deployment.hosts.items()}
@@ -49,7 +35,7 @@
     reactor.callLater(seconds * KILL_FRACTION, _kill)
     outcomes = await load.send_all(reactor, callers, works)
     for _ in range(SETTLE_TRIES):
-        records = read_records(deployment)
+        records = promises.read_records(deployment)
         if not records.held:
             break
         await periodic.sleep(reactor, SETTLE_POLL_S)
--- a/tools/load.py
+++ b/tools/load.py
@@ -3,6 +3,7 @@
 import random
 from typing import Any
 from typing import NamedTuple
+from typing import Protocol
 
 import msgspec
 from twisted.internet import defer
@@ -28,6 +29,8 @@
       prompt: Prompt, or body of a plain call.
       max_tokens: Bound of the answer; 0 for a plain call.
       cancel_after_s: Time after which the caller closes, or None.
+      repeat_after_s: Time after which it is sent again, once, beside the
+        first copy; or None.
     """
 
     at_s: float
@@ -37,6 +40,7 @@
     prompt: str
     max_tokens: int
     cancel_after_s: float | None = None
+    repeat_after_s: float | None = None
 
 
 class Outcome(NamedTuple):
@@ -223,6 +227,11 @@
     )
 
 
+def tokens_of(work: Work) -> list[bytes]:
+    """Return the tokens that answer a model request."""
+    return answers.answer_tokens(work.prompt, work.max_tokens)
+
+
 def expected_text(work: Work) -> str:
     """Return the text that answers a request."""
     if work.max_tokens:
@@ -230,24 +239,51 @@
     return work.prompt
 
 
+class Sender(Protocol):
+    """Callers of any kind of deployment."""
+
+    async def send(self, work: Work) -> Outcome:
+        """Send a request until it has a final answer."""
+        ...
+
+
 async def send_all(
-    reactor: Any, callers: Callers, works: list[Work]
+    clock: Any, callers: Sender, works: list[Work]
 ) -> list[Outcome]:
-    """Send each request at its time and wait for every outcome."""
+    """Send each request at its time and wait for every outcome.
+
+    Of two copies of one request the better outcome counts, and both must
+    not be answered while the first one still runs.
+    """
 
-    async def _one(work: Work) -> Outcome | None:
-        await periodic.sleep(reactor, work.at_s)
+    async def _one(work: Work, after_s: float) -> Outcome | None:
+        await periodic.sleep(clock, after_s)
         sending = defer.ensureDeferred(callers.send(work))
         if work.cancel_after_s is not None:
-            sending.addTimeout(work.cancel_after_s, reactor)
+            sending.addTimeout(work.cancel_after_s, clock)
         try:
             return await sending
         except (defer.TimeoutError, TimeoutError, defer.CancelledError):
             return Outcome(work, "cancelled", "maybe_run", 0.0, 0.0, 1, ())
 
-    running = [periodic.spawn(_one(work)) for work in works]
+    running = []
+    for work in works:
+        running.append(periodic.spawn(_one(work, work.at_s)))
+        if work.repeat_after_s is not None:
+            at_s = work.at_s + work.repeat_after_s
+            running.append(periodic.spawn(_one(work, at_s)))
     results = await defer.gatherResults(running)
-    return [outcome for outcome in results if outcome is not None]
+    return _merge_copies([o for o in results if o is not None])
+
+
+def _merge_copies(outcomes: list[Outcome]) -> list[Outcome]:
+    best: dict[tuple[str, str], Outcome] = {}
+    for outcome in outcomes:
+        key = (outcome.work.caller, outcome.work.name)
+        known = best.get(key)
+        if known is None or outcome.result in ("answered", "wrong"):
+            best[key] = outcome
+    return list(best.values())
 
 
 def federation_work(rng: random.Random, seconds: float) -> list[Work]:
--- /dev/null
+++ b/tools/make_traces.py
@@ -0,0 +1,280 @@
+"""Makes the traces under tests/traces from seeds."""
+
+import os
+import random
+
+from tools import trace
+
+FOLDER = "tests/traces"
+SECONDS = 12.0
+DOMAINS = ("maadi", "nasr", "giza", "shorouk")
+CLUBS = ("cairo-club", "alex-club")
+DESKS = ("brick-north", "brick-west")
+
+
+def federation_requests(
+    rng: random.Random,
+    seconds: float,
+    *,
+    rate: float = 8.0,
+    calls: float = 0.4,
+    cancelled: float = 0.0,
+    repeated: float = 0.0,
+) -> list[trace.Request]:
+    """Make briefs and confirmations of the Federation's clubs."""
+    requests: list[trace.Request] = []
+    at = 0.0
+    while True:
+        at += rng.expovariate(rate)
+        if at >= seconds:
+            return requests
+        name = f"r{len(requests)}"
+        repeat = rng.uniform(0.02, 1.5) if rng.random() < repeated else None
+        if rng.random() < calls:
+            caller = rng.choice(["entry-pages", *CLUBS])
+            requests.append(
+                trace.Request(
+                    round(at, 3),
+                    caller,
+                    "entries-app",
+                    name,
+                    20,
+                    0,
+                    repeat_after=repeat,
+                )
+            )
+            continue
+        cancel = rng.uniform(0.01, 1.0) if rng.random() < cancelled else None
+        tokens = min(5_000, int(rng.lognormvariate(6.7, 0.7)))
+        requests.append(
+            trace.Request(
+                round(at, 3),
+                rng.choice(CLUBS),
+                "notes-model",
+                name,
+                tokens,
+                rng.randrange(16, 160),
+                cancel_after=cancel,
+                repeat_after=repeat,
+            )
+        )
+
+
+def consortium_requests(
+    rng: random.Random, seconds: float, *, rate: float = 7.0
+) -> list[trace.Request]:
+    """Make manifests with a common preamble, and price checks."""
+    requests: list[trace.Request] = []
+    at = 0.0
+    while True:
+        at += rng.expovariate(rate)
+        if at >= seconds:
+            return requests
+        name = f"r{len(requests)}"
+        if rng.random() < 0.4:
+            caller = rng.choice(["buyer-app", *DESKS])
+            requests.append(
+                trace.Request(round(at, 3), caller, "storefront", name, 12, 0)
+            )
+            continue
+        tokens = 2_048 + min(2_000, int(rng.lognormvariate(6.2, 0.5)))
+        requests.append(
+            trace.Request(
+                round(at, 3),
+                rng.choice(DESKS),
+                "appraiser-llm",
+                name,
+                tokens,
+                rng.randrange(32, 160),
+                "catalogue",
+                2_048,
+            )
+        )
+
+
+def _fault(
+    at: float, kind: trace.FaultKind, target: str = "", times: int = 1
+) -> trace.Fault:
+    return trace.Fault(at, kind, target, times)
+
+
+def _federation(
+    name: str,
+    about: str,
+    expected: trace.Expected,
+    requests: list[trace.Request],
+    faults: list[trace.Fault],
+) -> trace.Trace:
+    header = trace.Header(name, "federation", about, expected)
+    return trace.Trace(header, requests, faults)
+
+
+def _rolling_restart() -> list[trace.Fault]:
+    faults = []
+    names = [f"{d}-{n}" for d in DOMAINS for n in (1, 2)]
+    for number, name in enumerate(names):
+        at = 1.0 + number * 5.0
+        faults.append(_fault(at, "drain_host", name))
+        faults.append(_fault(at + 4.0, "start_host", name))
+    return faults
+
+
+def make_all() -> list[trace.Trace]:
+    """Make every trace; each has its own seed."""
+    rng = random.Random
+    near = trace.Expected(0.99, 0.95)
+    few = trace.Expected(0.97, 0.85)
+    poison = [
+        trace.Request(
+            1.0 + n * 2.0,
+            "cairo-club",
+            "notes-model",
+            f"p{n}",
+            200,
+            16,
+            poison=True,
+        )
+        for n in range(4)
+    ]
+    return [
+        _federation(
+            "federation-evening",
+            "an evening of entries before an event",
+            near,
+            federation_requests(rng(1), 20.0, rate=14.0, cancelled=0.03),
+            [],
+        ),
+        trace.Trace(
+            trace.Header(
+                "consortium-drop",
+                "consortium",
+                "a live drop of listings",
+                trace.Expected(0.99, 0.95, 0.01),
+            ),
+            consortium_requests(rng(2), 20.0, rate=10.0),
+            [],
+        ),
+        _federation(
+            "callers-gone",
+            "a third of the callers close; cancels are lost",
+            trace.Expected(0.99, 0.95, 0.4),
+            federation_requests(rng(3), SECONDS, cancelled=0.35),
+            [_fault(n, "lose_cancels", "", 2) for n in (2.0, 5.0, 8.0)],
+        ),
+        _federation(
+            "repeats",
+            "half of all requests are sent twice, to two hosts",
+            near,
+            federation_requests(rng(4), SECONDS, repeated=0.5),
+            [],
+        ),
+        _federation(
+            "host-killed",
+            "two entry hosts die, one comes back",
+            few,
+            federation_requests(rng(5), SECONDS, repeated=0.1),
+            [
+                _fault(3.0, "kill_host", "nasr-1"),
+                _fault(5.0, "kill_host", "maadi-2"),
+                _fault(8.0, "start_host", "nasr-1"),
+            ],
+        ),
+        _federation(
+            "host-frozen",
+            "an entry host stands still for five seconds",
+            few,
+            federation_requests(rng(6), SECONDS, repeated=0.1),
+            [
+                _fault(3.0, "freeze_host", "giza-1"),
+                _fault(8.0, "thaw_host", "giza-1"),
+            ],
+        ),
+        _federation(
+            "worker-dies",
+            "a decode worker dies and comes back",
+            few,
+            federation_requests(rng(7), SECONDS, rate=6.0),
+            [
+                _fault(4.0, "kill_worker", "decode-nasr"),
+                _fault(8.0, "start_worker", "decode-nasr"),
+            ],
+        ),
+        _federation(
+            "silent-connections",
+            "open streams of the engines go silent",
+            trace.Expected(0.99, 0.8),
+            federation_requests(rng(8), SECONDS, calls=0.2),
+            [
+                _fault(n, "silence_worker", w, 3)
+                for n, w in (
+                    (2.0, "decode-maadi"),
+                    (4.0, "decode-nasr"),
+                    (6.0, "decode-shorouk"),
+                    (8.0, "decode-maadi"),
+                )
+            ],
+        ),
+        _federation(
+            "platform-outage",
+            "the platform is down for six seconds",
+            trace.Expected(0.99, 0.55),
+            federation_requests(rng(9), SECONDS),
+            [_fault(3.0, "platform_down"), _fault(9.0, "platform_up")],
+        ),
+        _federation(
+            "lost-answers",
+            "answers of the table and the services are lost",
+            trace.Expected(0.9, 0.75),
+            federation_requests(rng(10), SECONDS, calls=0.6, repeated=0.2),
+            [_fault(n * 1.0, "lose_table_answers", "", 1) for n in range(2, 10)]
+            + [
+                _fault(n * 1.5, "lose_call_answers", "entries-nasr")
+                for n in range(2, 6)
+            ],
+        ),
+        _federation(
+            "rolling-restart",
+            "all eight hosts are stopped and started in turn",
+            near,
+            federation_requests(rng(11), 42.0, rate=5.0),
+            _rolling_restart(),
+        ),
+        _federation(
+            "worker-leaves",
+            "a prefill and a decode worker leave",
+            few,
+            federation_requests(rng(12), SECONDS, rate=6.0),
+            [
+                _fault(3.0, "leave_worker", "prefill-maadi"),
+                _fault(5.0, "leave_worker", "decode-nasr"),
+            ],
+        ),
+        _federation(
+            "domain-cut",
+            "a failure domain is cut off and joined again",
+            trace.Expected(0.9, 0.6),
+            federation_requests(rng(13), 16.0, rate=5.0, calls=0.3),
+            [_fault(4.0, "cut_domain", "maadi"), _fault(10.0, "heal")],
+        ),
+        _federation(
+            "poison",
+            "one content crashes each server that runs it",
+            trace.Expected(0.85, 0.5, 0.2, 2),
+            [*federation_requests(rng(14), SECONDS, rate=3.0), *poison],
+            [
+                _fault(4.5, "start_worker", "prefill-maadi"),
+                _fault(4.5, "start_worker", "prefill-giza"),
+            ],
+        ),
+    ]
+
+
+def main() -> None:
+    """Write every trace."""
+    os.makedirs(FOLDER, exist_ok=True)
+    for made in make_all():
+        trace.write(os.path.join(FOLDER, f"{made.header.trace}.jsonl"), made)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -1,12 +1,17 @@
 """Checks of what must always hold, from callers' and engines' records."""
 
 import statistics
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
 from standins import engine_model
+from tools import cluster
 from tools import load
 
+if TYPE_CHECKING:
+    from tools import trace
+
 FIRST_TOKEN_S = 0.54
 TOKEN_GAP_S = 0.031
 
@@ -59,6 +64,20 @@
     )
 
 
+def read_records(deployment: cluster.Cluster) -> Records:
+    """Read what every backend server counted."""
+    engines, plain, running = [], [], []
+    for worker in deployment.workers.values():
+        if worker.process.poll() is not None:
+            continue
+        if worker.plan.role == "plain":
+            plain.append(cluster.call("GET", f"{worker.url}/_counts"))
+        else:
+            engines.append(cluster.call("GET", f"{worker.url}/v1/counts"))
+            running.append(cluster.call("GET", f"{worker.url}/v1/running"))
+    return collect(engines, plain, running)
+
+
 def broken_promises(
     outcomes: list[load.Outcome], records: Records
 ) -> list[str]:
@@ -89,6 +108,12 @@
     return cuts[round(fraction * 100) - 1]
 
 
+def is_good(outcome: load.Outcome) -> bool:
+    """Whether an answer met both latency targets."""
+    in_time = outcome.first_token_s <= FIRST_TOKEN_S
+    return in_time and outcome.gap_s <= TOKEN_GAP_S
+
+
 def summarize(outcomes: list[load.Outcome], records: Records) -> Summary:
     """Make the table of a run."""
     models = [o for o in outcomes if o.work.max_tokens]
@@ -101,11 +126,7 @@
             refused[name] = refused.get(name, 0) + 1
         if outcome.result not in ("answered", "cancelled"):
             refused[outcome.result] = refused.get(outcome.result, 0) + 1
-    good = [
-        o
-        for o in answered
-        if o.first_token_s <= FIRST_TOKEN_S and o.gap_s <= TOKEN_GAP_S
-    ]
+    good = [o for o in answered if is_good(o)]
     first = [o.first_token_s * 1e3 for o in answered]
     gaps = [o.gap_s * 1e3 for o in answered]
     sent = [o for o in models if o.result != "cancelled"]
@@ -141,3 +162,30 @@
         ),
     ]
     return Summary(rows, broken_promises(outcomes, records))
+
+
+def judge(
+    outcomes: list[load.Outcome],
+    records: Records,
+    expected: "trace.Expected",
+    servers_lost: int,
+) -> Summary:
+    """Summarize a run and compare it with its stated outcome."""
+    summary = summarize(outcomes, records)
+    sent = [o for o in outcomes if o.result != "cancelled"]
+    answered = [o for o in sent if o.result == "answered"]
+    good = [o for o in answered if is_good(o)]
+    count = max(1, len(sent))
+    wasted = records.wasted_tokens / max(1, records.prefill_tokens)
+    checks = (
+        ("answered", len(answered) / count, expected.answered_at_least, True),
+        ("good", len(good) / count, expected.good_at_least, True),
+        ("wasted", wasted, expected.wasted_at_most, False),
+        ("lost", servers_lost, expected.servers_lost_at_most, False),
+    )
+    broken = list(summary.broken)
+    for name, figure, bound, is_least in checks:
+        if (figure < bound) if is_least else (figure > bound):
+            word = "at least" if is_least else "at most"
+            broken.append(f"{name} {figure:.3f}, expected {word} {bound:.3f}")
+    return Summary(summary.rows, broken)
--- /dev/null
+++ b/tools/replay_virtual.py
@@ -0,0 +1,266 @@
+"""Replay of a trace on the stand-in deployment, on virtual time."""
+
+import functools
+import random
+from typing import Any
+
+from twisted.internet import defer
+
+from nutmegscale import call_controller
+from nutmegscale import claim
+from nutmegscale import errors
+from nutmegscale import periodic
+from standins import deployment
+from tools import load
+from tools import promises
+from tools import trace
+
+POLL_S = 0.01
+SILENCE_S = 4.0
+CONNECTION_RETRY_S = 0.1
+LIMIT_S = 120.0
+SETTLE_S = 10.0
+DETECT_S = 2.0
+
+
+class VirtualCallers:
+    """Callers of a stand-in deployment; see `load.Callers`."""
+
+    def __init__(self, system: deployment.Deployment, seed: int) -> None:
+        self._system = system
+        self._rng = random.Random(seed)
+
+    def _pick(self, last: str) -> str:
+        hosts = self._system.hosts
+        ready = [n for n, a in hosts.items() if a.board.is_ready]
+        others = [n for n in ready if n != last]
+        return self._rng.choice(others or ready or list(hosts))
+
+    async def send(self, work: load.Work) -> load.Outcome:
+        """Send a request until it has a final answer."""
+        began = self._system.clock.seconds()
+        refusals: list[str] = []
+        last = ""
+        failure = errors.Failure(0, "not_sent", "")
+        for number in range(1, load.MAX_SENDS + 1):
+            last = self._pick(last)
+            if work.max_tokens:
+                result = await self._complete(last, work, began)
+            else:
+                result = await self._call(last, work, began)
+            if not isinstance(result, errors.Failure):
+                first_s, gap_s, text = result
+                answered = (
+                    "answered" if text == load.expected_text(work) else "wrong"
+                )
+                return load.Outcome(
+                    work,
+                    answered,
+                    "ran",
+                    first_s,
+                    gap_s,
+                    number,
+                    tuple(refusals),
+                )
+            failure = result
+            refusals.append(failure.type)
+            is_lost = failure.type == "connection_lost"
+            if not is_lost and failure.retry_after_s is None:
+                break
+            await self._sleep(failure.retry_after_s or CONNECTION_RETRY_S)
+        return load.Outcome(
+            work,
+            failure.type,
+            failure.outcome,
+            0.0,
+            0.0,
+            len(refusals),
+            tuple(refusals[:-1]),
+        )
+
+    async def _sleep(self, seconds: float) -> None:
+        await periodic.sleep(self._system.clock, seconds)
+
+    async def _complete(
+        self, host: str, work: load.Work, began: float
+    ) -> tuple[float, float, str] | errors.Failure:
+        system = self._system
+        sink = system.send(
+            host,
+            work.prompt,
+            work.max_tokens,
+            work.name,
+            work.caller,
+            work.service,
+        )
+        heard = system.clock.seconds()
+        try:
+            while not sink.is_over:
+                await self._sleep(POLL_S)
+                heard = max(heard, sink.last_at)
+                if system.clock.seconds() - heard > SILENCE_S:
+                    break
+        finally:
+            if not sink.is_over and host in system.hosts:
+                system.leave(host, sink)
+        if sink.ended and sink.first_at is not None:
+            gaps = max(1, len(load.tokens_of(work)) - 1)
+            gap_s = (sink.last_at - sink.first_at) / gaps
+            return sink.first_at - began, gap_s, sink.text
+        if sink.failure is not None:
+            return sink.failure
+        return errors.Failure(0, "connection_lost", "", "maybe_run")
+
+    async def _call(
+        self, host: str, work: load.Work, began: float
+    ) -> tuple[float, float, str] | errors.Failure:
+        system = self._system
+        call = call_controller.PlainCall(
+            work.caller,
+            work.name,
+            work.service,
+            "POST",
+            "/x",
+            "text/plain",
+            work.prompt.encode(),
+        )
+        app = system.hosts[host]
+        results: list[Any] = []
+        running = periodic.spawn(app.calls.serve(call))
+        running.addCallback(results.append)
+        while not results:
+            await self._sleep(POLL_S)
+            if system.hosts.get(host) is not app:
+                return errors.Failure(0, "connection_lost", "", "maybe_run")
+        (result,) = results
+        if isinstance(result, claim.Answer):
+            return system.clock.seconds() - began, 0.0, result.body.decode()
+        if isinstance(result, errors.Failure):
+            return result
+        return errors.Failure(0, "connection_lost", "", "maybe_run")
+
+
+class _Faults:
+    """Faults of a trace on the stand-in deployment."""
+
+    def __init__(self, system: deployment.Deployment) -> None:
+        self._system = system
+        self.killed: set[str] = set()
+
+    def inject(self, fault: trace.Fault) -> None:
+        """Make a fault happen now."""
+        if fault.fault.endswith("_host"):
+            self._on_host(fault)
+        elif fault.fault.endswith("_worker"):
+            self._on_worker(fault)
+        else:
+            self._on_rest(fault)
+
+    def _on_host(self, fault: trace.Fault) -> None:
+        system, target = self._system, fault.target
+        match fault.fault:
+            case "kill_host":
+                system.kill(target)
+            case "start_host":
+                system.revive(target)
+            case "freeze_host":
+                system.network.cut_off([target], system.names())
+            case "thaw_host":
+                system.network.heal(target)
+            case "drain_host":
+                periodic.spawn(self._drain(target))
+
+    def _on_worker(self, fault: trace.Fault) -> None:
+        server = self._system.servers[fault.target]
+        match fault.fault:
+            case "kill_worker":
+                self.killed.add(fault.target)
+                server.die()
+            case "start_worker":
+                self._system.restart_server(fault.target)
+            case "leave_worker":
+                server.model.leaving = True
+            case "silence_worker":
+                server.silent_streams = fault.times
+
+    def _on_rest(self, fault: trace.Fault) -> None:
+        system, target = self._system, fault.target
+        match fault.fault:
+            case "lose_cancels":
+                for server in system.servers.values():
+                    server.lose_cancels = fault.times
+            case "lose_call_answers":
+                system.servers[target].lose_plain_answers = fault.times
+            case "platform_down" | "platform_up":
+                system.platform.is_down = fault.fault == "platform_down"
+            case "lose_table_answers":
+                system.platform.lose_answers = fault.times
+            case "cut_domain":
+                inside = system.names_in(target)
+                outside = [n for n in system.names() if n not in inside]
+                system.network.cut_off(inside, outside)
+            case "heal":
+                system.network.cut.clear()
+
+    async def _drain(self, host: str) -> None:
+        await self._system.hosts[host].drain()
+        self._system.kill(host)
+
+
+def replay(recorded: trace.Trace, seed: int = 1) -> promises.Summary:
+    """Replay a trace and judge it.
+
+    Args:
+      recorded: The trace.
+      seed: Seed of the callers' choice of hosts.
+
+    Returns:
+      The figures, with a line for each promise or expectation broken.
+    """
+    make = {
+        "federation": deployment.federation,
+        "consortium": deployment.consortium,
+    }[recorded.header.deployment]
+    system = make(seed=seed)
+    callers = VirtualCallers(system, seed)
+    faults = _Faults(system)
+    works = [trace.work_of(request) for request in recorded.requests]
+    sending = load.send_all(system.clock, callers, works)
+    running = defer.ensureDeferred(sending)
+    outcomes: list[load.Outcome] = []
+    running.addCallback(outcomes.extend)
+    began = system.clock.seconds()
+    for fault in recorded.faults:
+        system.clock.callLater(fault.at, faults.inject, fault)
+    system.run_until(lambda: running.called, LIMIT_S)
+    last = max([f.at for f in recorded.faults], default=0.0)
+    system.run(max(0.0, began + last - system.clock.seconds()))
+    system.run_until(
+        functools.partial(_is_settled, system), SETTLE_S + DETECT_S
+    )
+    records = _records(system)
+    lost = [
+        s.name
+        for s in system.servers.values()
+        if s.is_dead and s.name not in faults.killed
+    ]
+    return promises.judge(
+        outcomes, records, recorded.header.expected, len(lost)
+    )
+
+
+def _is_settled(system: deployment.Deployment) -> bool:
+    return not system.held()
+
+
+def _records(system: deployment.Deployment) -> promises.Records:
+    engines: list[dict[str, Any]] = []
+    plain = []
+    for server in system.all_servers:
+        if server.role == "plain":
+            plain.append(server.plain_runs)
+        else:
+            engines.append(
+                {"counts": server.model.counts, "runs": list(server.model.log)}
+            )
+    return promises.collect(engines, plain, [system.held()])
--- /dev/null
+++ b/tools/trace.py
@@ -0,0 +1,205 @@
+"""Recorded traces: what callers sent, what failed, and the outcome.
+
+A trace is a file of JSON lines. The first line is the header; each other
+line is a request or a fault, by time. docs/TRACES.md has the format.
+"""
+
+import hashlib
+from typing import Any
+from typing import Literal
+from typing import NamedTuple
+
+import msgspec
+
+from nutmegscale import errors
+from nutmegscale import prompts
+from standins import engine_model
+from tools import load
+
+FaultKind = Literal[
+    "kill_host",
+    "start_host",
+    "freeze_host",
+    "thaw_host",
+    "drain_host",
+    "kill_worker",
+    "start_worker",
+    "leave_worker",
+    "silence_worker",
+    "lose_cancels",
+    "lose_call_answers",
+    "platform_down",
+    "platform_up",
+    "lose_table_answers",
+    "cut_domain",
+    "heal",
+]
+
+
+class TraceError(errors.NutmegscaleError):
+    """A trace is malformed; names the line."""
+
+
+class Expected(NamedTuple):
+    """Stated outcome of a trace; broken promises are never allowed.
+
+    Attributes:
+      answered_at_least: Fraction of the requests that weren't cancelled.
+      good_at_least: Fraction within both targets.
+      wasted_at_most: Fraction of the prefill work.
+      servers_lost_at_most: Backend servers that may die by requests.
+    """
+
+    answered_at_least: float
+    good_at_least: float
+    wasted_at_most: float = 0.05
+    servers_lost_at_most: int = 0
+
+
+class Header(NamedTuple):
+    """First line of a trace."""
+
+    trace: str
+    deployment: Literal["federation", "consortium"]
+    about: str
+    expected: Expected
+
+
+class Request(NamedTuple):
+    """A request line.
+
+    Attributes:
+      at: Time of the first send, seconds.
+      caller: Caller's name.
+      service: Service.
+      id: Request id or idempotency key.
+      prompt_tokens: Length of the prompt; of the body for a plain call.
+      max_tokens: Bound of the answer; 0 for a plain call.
+      prefix: Name of the shared preamble, or "".
+      prefix_tokens: Length of the preamble.
+      cancel_after: Seconds until the caller closes, or None.
+      repeat_after: Seconds until the caller sends it again, or None.
+      poison: Whether it crashes the engine that runs it.
+    """
+
+    at: float
+    caller: str
+    service: str
+    id: str
+    prompt_tokens: int
+    max_tokens: int
+    prefix: str = ""
+    prefix_tokens: int = 0
+    cancel_after: float | None = None
+    repeat_after: float | None = None
+    poison: bool = False
+
+
+class Fault(NamedTuple):
+    """A fault line."""
+
+    at: float
+    fault: FaultKind
+    target: str = ""
+    times: int = 1
+
+
+class Trace(NamedTuple):
+    """A whole trace."""
+
+    header: Header
+    requests: list[Request]
+    faults: list[Fault]
+
+
+def read(path: str) -> Trace:
+    """Read a trace.
+
+    Raises:
+      TraceError: A line is malformed.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            lines = [line for line in file.read().splitlines() if line]
+    except (OSError, UnicodeDecodeError) as exc:
+        raise TraceError(f"{path}: can't be read: {exc}") from exc
+    values = [_decode(path, n, line) for n, line in enumerate(lines, 1)]
+    if not values:
+        raise TraceError(f"{path}: empty")
+    header = _make(path, 1, Header, values[0])
+    requests: list[Request] = []
+    faults: list[Fault] = []
+    for number, value in enumerate(values[1:], 2):
+        if "fault" in value:
+            faults.append(_make(path, number, Fault, value))
+        else:
+            requests.append(_make(path, number, Request, value))
+    return Trace(header, requests, faults)
+
+
+def _decode(path: str, number: int, line: str) -> dict[str, Any]:
+    try:
+        value = msgspec.json.decode(line)
+    except msgspec.DecodeError as exc:
+        raise TraceError(f"{path}:{number}: {exc}") from exc
+    if not isinstance(value, dict):
+        raise TraceError(f"{path}:{number}: isn't an object")
+    return value
+
+
+def _make(path: str, number: int, kind: Any, value: dict[str, Any]) -> Any:
+    try:
+        given = dict(value)
+        if kind is Header:
+            given["expected"] = list(Expected(**given["expected"]))
+        ordered = kind(**given)
+        return msgspec.convert(list(ordered), kind, strict=False)
+    except (TypeError, KeyError, msgspec.ValidationError) as exc:
+        raise TraceError(f"{path}:{number}: {exc}") from exc
+
+
+def write(path: str, trace: Trace) -> None:
+    """Write a trace."""
+    header = trace.header._asdict()
+    header["expected"] = trace.header.expected._asdict()
+    lines = [header]
+    rows: list[Request | Fault] = [*trace.requests, *trace.faults]
+    for row in sorted(rows, key=lambda r: r.at):
+        defaults = row._field_defaults
+        lines.append(
+            {
+                k: v
+                for k, v in row._asdict().items()
+                if k not in defaults or v != defaults[k]
+            }
+        )
+    with open(path, "w", encoding="utf-8") as file:
+        for line in lines:
+            file.write(msgspec.json.encode(line).decode() + "\n")
+
+
+def prompt_of(request: Request) -> str:
+    """Make the prompt, or the body, of a request."""
+    size = request.prompt_tokens * prompts.BYTES_PER_TOKEN
+    prefix_size = request.prefix_tokens * prompts.BYTES_PER_TOKEN
+    prefix = (f"{request.prefix} " * (prefix_size // 4 + 1))[:prefix_size]
+    name = hashlib.sha256(request.id.encode()).hexdigest()[:12]
+    mark = engine_model.CRASH_MARK if request.poison else ""
+    if request.poison:
+        name = "poison"
+    rest = f"{name} {mark}" + "map é 🧭 " * (size // 9 + 1)
+    return prefix + rest[: max(16, size - prefix_size)]
+
+
+def work_of(request: Request) -> load.Work:
+    """Return what a caller sends for a request."""
+    return load.Work(
+        request.at,
+        request.caller,
+        request.service,
+        request.id,
+        prompt_of(request),
+        request.max_tokens,
+        request.cancel_after,
+        request.repeat_after,
+    )
