Rolling restarts and cut domains cost less: silent hosts, farewells, reports

Changed: a leaving host tells 32 peers at once; a call to a host that was just silent fails at once for half a second; suspects aren't homes; the second home is asked with a shorter timeout. A host whose request a worker failed tells the planner; hosts ask down the whole order of owners, so that those of a cut domain meet at one; a planner places work on workers that have reported, once one of the role has. In the fakes a caller that left gets no failure.

--- a/nutmegscale/exchange_runner.py
+++ b/nutmegscale/exchange_runner.py
@@ -94,7 +94,7 @@
                 step = await self._follow(x, x.run)
                 if step.failure is None:
                     return
-                self._note_failure(x, step, avoid)
+                self._note_failure(x, place, step, avoid)
             self._budget.first_try()
             await self._attempts(x, place, avoid)
         except errors.SupersededError:
@@ -122,7 +122,7 @@
             step = await self._try(x, place, reply.grant)
             if step.failure is None:
                 return
-            self._note_failure(x, step, avoid)
+            self._note_failure(x, place, step, avoid)
             if isinstance(step.failure, errors.EngineBusyError):
                 await periodic.sleep(self._board.clock, REPLAN_PAUSE_S)
         x.fail(_gave_up(x))
@@ -350,7 +350,11 @@
         return service.get("token_gap_s", config.DEFAULT_TOKEN_GAP_S)
 
     def _note_failure(
-        self, x: exchange.Exchange, step: _Step, avoid: list[str]
+        self,
+        x: exchange.Exchange,
+        place: cell.Cell,
+        step: _Step,
+        avoid: list[str],
     ) -> None:
         failure = step.failure
         kind = type(failure).__name__
@@ -372,7 +376,7 @@
         if is_gone and step.started_something and not is_stalled:
             self._on_crash(x, step.worker)
         if is_gone:
-            self._planning.report_lost(step.worker)
+            self._planning.report_lost(place, step.worker)
         if is_gone or isinstance(failure, errors.EngineLeavingError):
             avoid.append(step.worker)
 
--- a/nutmegscale/home_controller.py
+++ b/nutmegscale/home_controller.py
@@ -10,6 +10,7 @@
 
 HOMES = 2
 EXPIRE_PERIOD_S = 5.0
+COPY_TIMEOUT_S = 0.1
 
 
 class HomeController:
@@ -39,7 +40,7 @@
 
     def homes(self, exchange: str) -> list[str]:
         """Return the homes of an exchange, the deciding one first."""
-        alive = self._board.membership.alive()
+        alive = self._board.membership.alive(with_suspects=False)
         return rendezvous.rank(exchange.encode(), alive)[:HOMES]
 
     async def claim(
@@ -150,7 +151,10 @@
                 continue
             try:
                 reply = await self._mesh.call(
-                    place, request._replace(forward=False), messages.ClaimReply
+                    place,
+                    request._replace(forward=False),
+                    messages.ClaimReply,
+                    timeout_s=COPY_TIMEOUT_S,
                 )
             except errors.PeerError:
                 continue
--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -73,6 +73,7 @@
         self._engines: dict[str, config.Engine] = {}
         self._lanes: dict[str, prefill_lane.PrefillLane] = {}
         self._leaving: set[str] = set()
+        self._silent: set[str] = set()
         self._lost_until: dict[str, float] = {}
         self._callers: dict[str, tuple[float, float]] = {}
         self._urgency: dict[int, float] = {}
@@ -97,7 +98,10 @@
         self, workers: list[worker.Worker], engines: dict[str, config.Engine]
     ) -> None:
         """Replace the workers; see `placement.Planner`."""
+        known = self._workers
         self._workers = {w.name: w for w in workers}
+        self._silent &= self._workers.keys()
+        self._silent |= self._workers.keys() - known.keys()
         self._engines = {
             w.name: engines[w.pool] for w in workers if w.pool in engines
         }
@@ -185,6 +189,7 @@
     def observe(self, now: float, name: str, report: worker.Report) -> None:
         """Take in a load report; see `placement.Planner`."""
         self._lost_until.pop(name, None)
+        self._silent.discard(name)
         if report.leaving:
             self._leaving.add(name)
         else:
@@ -207,7 +212,22 @@
         for name, until in list(self._lost_until.items()):
             if until <= now:
                 del self._lost_until[name]
-        return self._leaving.union(ask.avoid, self._lost_until)
+        blocked = self._leaving.union(ask.avoid, self._lost_until)
+        for role in ("prefill", "decode"):
+            blocked |= self._unheard(role)
+        return blocked
+
+    def _unheard(self, role: worker.Role) -> set[str]:
+        """Return the workers of a role that never reported.
+
+        None while no worker of the role has: a planner that has just begun
+        knows nothing, and may have to place work before it does.
+        """
+        if not self._silent:
+            return set()
+        names = {n for n, w in self._workers.items() if w.role == role}
+        silent = names & self._silent
+        return silent if len(silent) < len(names) else set()
 
     def _choose_decode(self, now: float, ask: placement.Ask) -> _Decode | None:
         blocked = self._blocked(now, ask)
--- a/nutmegscale/membership.py
+++ b/nutmegscale/membership.py
@@ -14,6 +14,7 @@
 SUSPECT_PERIODS = 3
 INDIRECT_PROBES = 2
 FIRST_INCARNATION = 1
+FAREWELLS = 32
 NEWS_PER_MESSAGE = 6
 CORRECTION_REPEATS = 2
 NEWS_REPEATS = 4
@@ -194,8 +195,12 @@
                 known._replace(address=address, state=State.ALIVE, since=now)
             )
 
-    def leave(self, now: float) -> None:
-        """Say that this host is leaving and takes no more state."""
+    def leave(self, now: float) -> list[Outgoing]:
+        """Say that this host is leaving and takes no more state.
+
+        Returns:
+          Messages that tell so at once; the news spreads on from there.
+        """
         own = self._members[self._host]
         self._set(
             own._replace(
@@ -203,6 +208,12 @@
             )
         )
 
+        told = [h for h in self.alive() if h != self._host]
+        self._rng.shuffle(told)
+        news = (self._news_of(self._members[self._host]),)
+        message = Ack(0, self._host, self._greeting(), news)
+        return [Outgoing(h, message) for h in told[:FAREWELLS]]
+
     def tick(self, now: float) -> list[Outgoing]:
         """Do what is due; call at least twice a period.
 
--- a/nutmegscale/membership_controller.py
+++ b/nutmegscale/membership_controller.py
@@ -40,9 +40,7 @@
 
     def leave(self) -> None:
         """Tell every known host that this one is leaving."""
-        self._board.membership.leave(self._board.now())
-        own = self._board.membership.tick(self._board.now())
-        self._send(own)
+        self._send(self._board.membership.leave(self._board.now()))
 
     async def _tick(self) -> None:
         self._send(self._board.membership.tick(self._board.now()))
--- a/nutmegscale/mesh.py
+++ b/nutmegscale/mesh.py
@@ -15,6 +15,7 @@
 from nutmegscale import timeline
 
 CALL_TIMEOUT_S = 0.3
+SILENT_PERIOD_S = 0.5
 
 _T = TypeVar("_T")
 Handler = Callable[[str, Any], Any]
@@ -67,6 +68,7 @@
         self._handlers: dict[type, Handler] = {}
         self._waiting: dict[int, _Waiting] = {}
         self._heard: dict[str, float] = {}
+        self._silent_until: dict[str, float] = {}
         self._call = 0
         self._counts = Counts()
 
@@ -97,6 +99,9 @@
     ) -> _T:
         """Send a message and wait for its reply.
 
+        A host that has just been silent for a whole call isn't asked again
+        for a short while, unless something is heard of it.
+
         Args:
           host: Receiver.
           message: The question.
@@ -110,10 +115,12 @@
           errors.PeerError: No reply came in time; the question may have taken
             effect.
         """
+        now = self._clock.seconds()
+        if now < self._silent_until.get(host, 0.0):
+            raise errors.PeerError(f"{host} has just given no answer")
         self._call += 1
         call = self._call
         reply: defer.Deferred[Any] = defer.Deferred()
-        now = self._clock.seconds()
         self._waiting[call] = _Waiting(host, reply, now)
         self._send(host, message, call, is_reply=False)
         reply.addTimeout(timeout_s, self._clock)
@@ -122,6 +129,7 @@
         except (defer.TimeoutError, TimeoutError) as exc:
             if self._heard.get(host, 0.0) < now:
                 self._transport.reset(host)
+                self._silent_until[host] = now + timeout_s + SILENT_PERIOD_S
             raise errors.PeerError(f"{host} gave no answer") from exc
         finally:
             self._waiting.pop(call, None)
@@ -144,6 +152,7 @@
         )
         self._timeline.receive_stamp(header.lamport)
         self._heard[header.sender] = self._clock.seconds()
+        self._silent_until.pop(header.sender, None)
         if header.is_reply:
             waiting = self._waiting.get(header.call)
             if waiting is not None and waiting.host == header.sender:
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -125,6 +125,13 @@
     exchange: str
 
 
+class WorkerLost(NamedTuple):
+    """A worker gave no answer to a request of the sender."""
+
+    cell: str
+    worker: str
+
+
 class RunReleased(NamedTuple):
     """An exchange needs its reservation no longer."""
 
@@ -205,6 +212,7 @@
     PrefillLate,
     RunStarted,
     RunReleased,
+    WorkerLost,
     ClaimLookup,
     LiveRequest,
     LiveReply,
--- a/nutmegscale/planner_controller.py
+++ b/nutmegscale/planner_controller.py
@@ -25,6 +25,7 @@
 CHECKS_TO_CANCEL = 2
 ORPHAN_AGE_S = 0.5
 PLAN_TIMEOUT_S = 0.15
+PLAN_PATIENCE_S = 0.25
 LOCAL_RETRY_AFTER_S = 1.0
 NO_CELL = "no_cell"
 
@@ -77,6 +78,7 @@
             messages.PrefillLate: self._receive_late,
             messages.RunStarted: self._receive_started,
             messages.RunReleased: self._receive_released,
+            messages.WorkerLost: self._receive_lost,
         }
         for kind, handler in self._progress.items():
             link.on(kind, handler)
@@ -108,8 +110,9 @@
     ) -> messages.PlanReply:
         """Ask the owner of a cell for a placement; plan here if it is gone."""
         request = messages.PlanRequest(place.name, ask)
-        for owner in self.owners(place)[:2]:
-            if owner == self._board.host:
+        deadline = self._board.now() + PLAN_PATIENCE_S
+        for owner in self.owners(place):
+            if owner == self._board.host or self._board.now() >= deadline:
                 break
             try:
                 reply = await self._mesh.call(
@@ -146,19 +149,17 @@
         """Tell the planner that an exchange holds nothing any more."""
         self._tell(place, messages.RunReleased(place.name, exchange, tokens))
 
-    def report_lost(self, name: str) -> None:
-        """Note that a worker failed a request of this host."""
-        for active in self._active.values():
-            if any(w.name == name for w in active.workers):
-                active.planner.lost(self._board.now(), name)
-                active.next_poll[name] = 0.0
+    def report_lost(self, place: cell.Cell, name: str) -> None:
+        """Tell the planner that a worker failed a request of this host."""
+        self._tell(place, messages.WorkerLost(place.name, name))
 
     def _tell(
         self,
         place: cell.Cell,
         message: messages.PrefillLate
         | messages.RunStarted
-        | messages.RunReleased,
+        | messages.RunReleased
+        | messages.WorkerLost,
     ) -> None:
         owners = self.owners(place)[:1]
         if owners and owners[0] != self._board.host:
@@ -205,6 +206,12 @@
                 self._board.now(), message.exchange, message.tokens
             )
 
+    def _receive_lost(self, sender: str, message: messages.WorkerLost) -> None:
+        active = self._active.get(message.cell)
+        if active is not None:
+            active.planner.lost(self._board.now(), message.worker)
+            active.next_poll[message.worker] = 0.0
+
     def _receive_live(
         self, sender: str, request: messages.LiveRequest
     ) -> messages.LiveReply:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -56,7 +56,7 @@
 
     def fail(self, failure: errors.Failure) -> None:
         """Keep the failure."""
-        if not self.is_lost:
+        if not (self.is_lost or self.is_gone):
             self.failure = failure
 
 
