--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -214,20 +214,20 @@
                 del self._lost_until[name]
         blocked = self._leaving.union(ask.avoid, self._lost_until)
         for role in ("prefill", "decode"):
-            blocked |= self._unheard(role)
+            blocked |= self._unheard(role, blocked)
         return blocked
 
-    def _unheard(self, role: worker.Role) -> set[str]:
+    def _unheard(self, role: worker.Role, blocked: set[str]) -> set[str]:
         """Return the workers of a role that never reported.
 
-        None while no worker of the role has: a planner that has just begun
-        knows nothing, and may have to place work before it does.
+        None while no usable worker of the role has: a planner that has just
+        begun knows nothing, and may have to place work before it does.
         """
         if not self._silent:
             return set()
         names = {n for n, w in self._workers.items() if w.role == role}
-        silent = names & self._silent
-        return silent if len(silent) < len(names) else set()
+        heard = names - self._silent - blocked
+        return names & self._silent if heard else set()
 
     def _choose_decode(self, now: float, ask: placement.Ask) -> _Decode | None:
         blocked = self._blocked(now, ask)
