--- /dev/null
+++ b/tests/test_proofs.py
@@ -0,0 +1,27 @@
+"""Checks that every row of the page of proofs names a test that exists."""
+
+import pathlib
+import re
+
+PAGE = pathlib.Path("docs/PROOFS.md")
+ROW = re.compile(r"`(test_\w+\.py)::(test_\w+)`")
+
+
+def test_each_row_names_a_test_that_exists() -> None:
+    rows = [
+        line
+        for line in PAGE.read_text(encoding="utf-8").splitlines()
+        if line.startswith("| ") and not line.startswith(("| promise", "| ---"))
+    ]
+    assert len(rows) > 30
+    for row in rows:
+        found = ROW.search(row)
+        assert found, row
+        text = pathlib.Path("tests", found[1]).read_text(encoding="utf-8")
+        assert f"def {found[2]}(" in text, row
+
+
+def test_every_promise_has_a_row() -> None:
+    text = PAGE.read_text(encoding="utf-8")
+    for number in range(1, 9):
+        assert re.search(rf"^\| {number} \w", text, re.MULTILINE), number
