Poison in decode leaves its neighbours whole; orders under the control lease

Cause: a crash in decode makes every run of the worker a suspect. Suspects run apart, one to a worker; the others found no place, and each refusal counted as a try, so innocent runs ended as retries_spent after six.

Waiting for a place is no try any more, up to 30 s; a run that went four tokens past its crash tells the planner, which then lets the next suspect in; a suspect waits 0.1 s for another, not 1 s. After: two servers lost, all 36 whole.

Also: the daemon gives fenced orders. The holder of a failure domain's lease brings its engines to the state that the configuration wants, and reads the report back.

Ruled out: more tries (they would be spent as well), running suspects together (a second crash would then not tell them apart).

--- a/nutmegscale/application.py
+++ b/nutmegscale/application.py
@@ -18,6 +18,7 @@
 from nutmegscale import membership_controller
 from nutmegscale import mesh
 from nutmegscale import metrics
+from nutmegscale import order_controller
 from nutmegscale import periodic
 from nutmegscale import platform_guard
 from nutmegscale import platform_service
@@ -82,6 +83,9 @@
         self.exchanges = exchange_controller.ExchangeController(
             self.board, self.mesh, engines, self.homes, self.cancels
         )
+        self.orders = order_controller.OrderController(
+            self.board, platform, engines
+        )
         self.calls = call_controller.CallController(
             self.board, self.mesh, platform, clients
         )
@@ -97,6 +101,7 @@
         self.directory.start()
         self.homes.start()
         self.exchanges.planning.start()
+        self.orders.start()
         self.board.note("host.started")
 
     async def drain(self) -> None:
@@ -112,6 +117,7 @@
         self.members.leave()
         limit_s = self.board.settings["drain_limit_s"]
         deadline = self.board.now() + limit_s
+        await self.orders.leave()
         await periodic.sleep(self.board.clock, DRAIN_ANNOUNCE_S)
         while self._is_busy and self.board.now() < deadline:
             await periodic.sleep(self.board.clock, DRAIN_POLL_S)
@@ -127,6 +133,7 @@
 
     def stop(self) -> None:
         """Stop every controller at once."""
+        self.orders.stop()
         self.exchanges.planning.stop()
         self.homes.stop()
         self.directory.stop()
--- a/nutmegscale/baselines.py
+++ b/nutmegscale/baselines.py
@@ -99,6 +99,9 @@
     def release(self, now: float, exchange: str, tokens: int) -> None:
         """Do nothing: nothing is reserved."""
 
+    def cleared(self, now: float, exchange: str) -> None:
+        """Do nothing: suspects aren't kept apart."""
+
     def observe(self, now: float, name: str, report: worker.Report) -> None:
         """Take in a load report; see `placement.Planner`."""
         self._lost_until.pop(name, None)
--- a/nutmegscale/config.py
+++ b/nutmegscale/config.py
@@ -86,6 +86,12 @@
     weight: NotRequired[float]
 
 
+class WorkerState(TypedDict):
+    """Wanted state of one model engine; the operators' word."""
+
+    leaving: bool
+
+
 class Rule(TypedDict):
     """Which caller's work goes where; rules are read in order of name."""
 
@@ -104,6 +110,7 @@
     pools: dict[str, Pool]
     callers: dict[str, Caller]
     rules: dict[str, Rule]
+    workers: NotRequired[dict[str, WorkerState]]
 
 
 class Route(NamedTuple):
@@ -238,6 +245,7 @@
     "pools": Pool,
     "callers": Caller,
     "rules": Rule,
+    "workers": WorkerState,
 }
 
 
--- a/nutmegscale/engine.py
+++ b/nutmegscale/engine.py
@@ -95,6 +95,20 @@
         """
         ...
 
+    async def order(self, fence: int, leaving: bool) -> None:
+        """Order the engine to leave, or to take work again; idempotent.
+
+        Args:
+          fence: Fencing number; an engine may refuse one lower than the
+            highest that it has seen, or ignore it.
+          leaving: The wanted state.
+
+        Raises:
+          errors.StaleFenceError: Refused; a later holder gave orders.
+          errors.EngineLostError: Not confirmed.
+        """
+        ...
+
     async def report(self, cache_after: int) -> worker.Report:
         """Read the load report, with cache events after a number.
 
--- a/nutmegscale/engine_http.py
+++ b/nutmegscale/engine_http.py
@@ -14,6 +14,7 @@
 
 CANCEL_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 0.5
 OPEN_TIMEOUT_S = 0.5
 
 
@@ -77,6 +78,14 @@
         except errors.ConnectError as exc:
             raise errors.EngineLostError(str(exc)) from exc
 
+    async def order(self, fence: int, leaving: bool) -> None:
+        """Order the engine to leave, or not; see `engine.Engine`."""
+        body = {"fence": fence, "leaving": leaving}
+        try:
+            await self._send("POST", "/v1/orders", body, ORDER_TIMEOUT_S)
+        except errors.ConnectError as exc:
+            raise errors.EngineLostError(str(exc)) from exc
+
     async def report(self, cache_after: int) -> worker.Report:
         """Read the load report; see `engine.Engine`."""
         path = f"/v1/report?cache_after={cache_after}"
@@ -159,7 +168,9 @@
     return error_of(reason)
 
 
-REASONS = frozenset({"full", "leaving", "kv_gone", "cancelled", "unknown_run"})
+REASONS = frozenset(
+    {"full", "leaving", "kv_gone", "cancelled", "unknown_run", "stale_fence"}
+)
 
 
 def error_of(reason: str) -> errors.EngineError:
@@ -171,6 +182,8 @@
             return errors.EngineLeavingError("the engine is leaving")
         case "kv_gone":
             return errors.KvCacheGoneError("the prefill result expired")
+        case "stale_fence":
+            return errors.StaleFenceError("a later holder gave orders")
         case "cancelled" | "unknown_run":
             return errors.RunGoneError(reason)
     return errors.EngineLostError(reason)
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -74,6 +74,10 @@
     """The engine doesn't know the run, or lost it midway."""
 
 
+class StaleFenceError(EngineError):
+    """The engine has seen orders with a higher fencing number."""
+
+
 class EngineLostError(EngineError):
     """The engine gave no answer; the operation may have taken effect."""
 
--- a/nutmegscale/exchange_controller.py
+++ b/nutmegscale/exchange_controller.py
@@ -102,7 +102,7 @@
             self.planning,
             cancels,
             on_crash=self._note_crash,
-            on_progress=self._note_progress,
+            on_cleared=self._note_cleared,
             confirm=self._confirm,
         )
         link.on(messages.HandoverRequest, self._receive_handover)
@@ -396,11 +396,7 @@
         ):
             self._board.note("content.suspected", worker=message.worker)
 
-    def _note_progress(self, x: exchange.Exchange) -> None:
-        if not self._board.quarantine.is_suspect(
-            self._board.now(), x.fingerprint
-        ):
-            return
+    def _note_cleared(self, x: exchange.Exchange) -> None:
         cleared = messages.Cleared(x.fingerprint)
         self._receive_cleared(self._board.host, cleared)
         for host in self._board.membership.alive():
--- a/nutmegscale/exchange_runner.py
+++ b/nutmegscale/exchange_runner.py
@@ -19,7 +19,9 @@
 from nutmegscale import prompts
 from nutmegscale import retry_budget
 
-MAX_ATTEMPTS = 6
+MAX_TRIES = 6
+FREE_TRIES = 2
+PATIENCE_S = 30.0
 PREFILL_SLACK_S = 0.6
 PREFILL_SLACK_FACTOR = 3.0
 PREFILL_LATE_S = 0.02
@@ -53,7 +55,7 @@
         cancels: cancel_controller.CancelController,
         *,
         on_crash: Callable[[exchange.Exchange, str], None],
-        on_progress: Callable[[exchange.Exchange], None],
+        on_cleared: Callable[[exchange.Exchange], None],
         confirm: Callable[[exchange.Exchange], Awaitable[bool]],
     ) -> None:
         self._board = board
@@ -61,7 +63,7 @@
         self._planning = planning
         self._cancels = cancels
         self._on_crash = on_crash
-        self._on_progress = on_progress
+        self._on_cleared = on_cleared
         self._budget = retry_budget.RetryBudget()
         self._confirm = confirm
         self._live: set[str] = set()
@@ -105,12 +107,11 @@
     async def _attempts(
         self, x: exchange.Exchange, place: cell.Cell, avoid: list[str]
     ) -> None:
-        for number in range(MAX_ATTEMPTS):
-            if number > 1 and not self._budget.take() and not x.tokens:
-                break
-            if self._board.quarantine.is_quarantined(
-                self._board.now(), x.fingerprint
-            ):
+        """Try until the answer is whole; waiting for a place is no try."""
+        deadline = self._board.now() + PATIENCE_S
+        tries = 0
+        while tries < MAX_TRIES and self._board.now() < deadline:
+            if self._is_quarantined(x):
                 x.fail(quarantined(x))
                 return
             reply = await self._plan(x, place, avoid)
@@ -118,6 +119,9 @@
                 if not await self._wait_or_refuse(x, reply):
                     return
                 continue
+            tries += 1
+            if tries > FREE_TRIES and not x.tokens and not self._budget.take():
+                break
             x.was_accepted = True
             step = await self._try(x, place, reply.grant)
             if step.failure is None:
@@ -127,6 +131,11 @@
                 await periodic.sleep(self._board.clock, REPLAN_PAUSE_S)
         x.fail(_gave_up(x))
 
+    def _is_quarantined(self, x: exchange.Exchange) -> bool:
+        return self._board.quarantine.is_quarantined(
+            self._board.now(), x.fingerprint
+        )
+
     def _choose_cell(self, x: exchange.Exchange) -> cell.Cell | None:
         cells = self._board.cells.get(x.request.service, [])
         return cell.choose(cells, self._board.settings["failure_domain"])
@@ -305,10 +314,21 @@
             await self._confirm_after_pause(x)
             x.add(self._board.now(), token.data)
             if len(x.tokens) - first == CLEARED_AFTER_TOKENS:
-                self._on_progress(x)
+                self._clear(x)
         await self._confirm_after_pause(x)
         self._finish(x)
 
+    def _clear(self, x: exchange.Exchange) -> None:
+        """Clear content that ran past the point of its crash."""
+        if not self._board.quarantine.is_suspect(
+            self._board.now(), x.fingerprint
+        ):
+            return
+        self._on_cleared(x)
+        place = self._choose_cell(x)
+        if place is not None:
+            self._planning.cleared(place, x.id)
+
     async def _confirm_after_pause(self, x: exchange.Exchange) -> None:
         """Make sure that no other host took over while this one stood still.
 
--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -34,6 +34,7 @@
 LEAST_BUSY_LANES = 5
 WARMEST_LANES = 2
 NO_WORKERS_RETRY_AFTER_S = 1.0
+SUSPECT_RETRY_AFTER_S = 0.1
 
 
 class _Decode(NamedTuple):
@@ -126,9 +127,11 @@
         self.release(now, ask.exchange, 0)
         decode = self._choose_decode(now, ask)
         if decode is None:
-            return Err(
-                placement.Refusal("no_decode_worker", NO_WORKERS_RETRY_AFTER_S)
-            )
+            # Suspects wait for one another, which takes a moment only.
+            wait_s = NO_WORKERS_RETRY_AFTER_S
+            if ask.suspect:
+                wait_s = SUSPECT_RETRY_AFTER_S
+            return Err(placement.Refusal("no_decode_worker", wait_s))
         prefill = self._choose_prefill(now, ask, decode)
         if prefill is None:
             return Err(
@@ -186,6 +189,10 @@
         if lane is not None:
             lane.release(exchange)
 
+    def cleared(self, now: float, exchange: str) -> None:
+        """Note that a run is no suspect; see `placement.Planner`."""
+        self._ledger.clear_suspect(exchange)
+
     def observe(self, now: float, name: str, report: worker.Report) -> None:
         """Take in a load report; see `placement.Planner`."""
         self._lost_until.pop(name, None)
--- a/nutmegscale/ledger.py
+++ b/nutmegscale/ledger.py
@@ -65,6 +65,12 @@
         if held is not None and held.started is None:
             self._put(held._replace(started=now))
 
+    def clear_suspect(self, exchange: str) -> None:
+        """Note that an exchange needn't run apart any more."""
+        held = self._by_exchange.get(exchange)
+        if held is not None:
+            self._put(held._replace(suspect=False))
+
     def release(self, exchange: str) -> Reservation | None:
         """Free the slot of an exchange and return what it held."""
         held = self._by_exchange.pop(exchange, None)
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -125,6 +125,13 @@
     exchange: str
 
 
+class RunCleared(NamedTuple):
+    """A run of suspected content went past the point of its crash."""
+
+    cell: str
+    exchange: str
+
+
 class WorkerLost(NamedTuple):
     """A worker gave no answer to a request of the sender."""
 
@@ -212,6 +219,7 @@
     PrefillLate,
     RunStarted,
     RunReleased,
+    RunCleared,
     WorkerLost,
     ClaimLookup,
     LiveRequest,
--- /dev/null
+++ b/nutmegscale/order_controller.py
@@ -0,0 +1,89 @@
+"""Controller of orders to engines, under the control lease of a domain."""
+
+from collections.abc import Callable
+
+from nutmegscale import blackboard
+from nutmegscale import engine
+from nutmegscale import errors
+from nutmegscale import lease
+from nutmegscale import logs
+from nutmegscale import periodic
+from nutmegscale import platform_service
+from nutmegscale import worker
+
+PERIOD_S = 1.0
+
+
+class OrderController:
+    """Brings the engines of a failure domain to their wanted state.
+
+    Only while the configuration wants something of an engine here does a
+    host ask for the lease. Orders state the wanted state, carry the fencing
+    number, and are given again until the engine's report shows them.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        platform: platform_service.Platform,
+        engines: Callable[[str], engine.Engine],
+    ) -> None:
+        self._board = board
+        self._engines = engines
+        domain = board.settings["failure_domain"]
+        self._lease = lease.Lease(
+            platform, f"lease/{domain}", board.host, now=board.now
+        )
+        self._period = periodic.Periodic(board.clock, PERIOD_S, self._work)
+
+    def start(self) -> None:
+        """Start to look for wanted states."""
+        self._period.start()
+
+    def stop(self) -> None:
+        """Stop to give orders."""
+        self._period.stop()
+
+    async def leave(self) -> None:
+        """Give the lease back, for a graceful shutdown."""
+        self._period.stop()
+        if self._lease.fence is not None:
+            await self._lease.give_back()
+
+    async def _work(self) -> None:
+        wanted = self._wanted()
+        if not wanted or await self._lease.maintain() is None:
+            return
+        for target, leaving in wanted:
+            await self._order(target, leaving)
+
+    def _wanted(self) -> list[tuple[worker.Worker, bool]]:
+        """Return the engines of this domain with a wanted state."""
+        current = self._board.config
+        states = current.document.get("workers", {}) if current else {}
+        domain = self._board.settings["failure_domain"]
+        return [
+            (target, states[target.name]["leaving"])
+            for target in self._board.workers.values()
+            if target.name in states
+            and target.failure_domain == domain
+            and target.role != "plain"
+        ]
+
+    async def _order(self, target: worker.Worker, leaving: bool) -> None:
+        client = self._engines(target.address)
+        try:
+            report = await client.report(0)
+            # Read again after each wait: this host may have stood still.
+            fence = self._lease.fence
+            if report.leaving == leaving or fence is None:
+                return
+            await client.order(fence, leaving)
+        except errors.EngineError as exc:
+            logs.get().warning(
+                "order_failed", worker=target.name, error=type(exc).__name__
+            )
+            return
+        self._board.note(
+            "order.given", worker=target.name, fence=fence, leaving=leaving
+        )
--- a/nutmegscale/placement.py
+++ b/nutmegscale/placement.py
@@ -111,6 +111,10 @@
         """Free what an exchange holds; `tokens` is what it generated."""
         ...
 
+    def cleared(self, now: float, exchange: str) -> None:
+        """Note that a run is a suspect no longer."""
+        ...
+
     def observe(self, now: float, name: str, report: worker.Report) -> None:
         """Take in a load report."""
         ...
--- a/nutmegscale/planner_controller.py
+++ b/nutmegscale/planner_controller.py
@@ -79,6 +79,7 @@
             messages.PrefillLate: self._receive_late,
             messages.RunStarted: self._receive_started,
             messages.RunReleased: self._receive_released,
+            messages.RunCleared: self._receive_cleared,
             messages.WorkerLost: self._receive_lost,
         }
         for kind, handler in self._progress.items():
@@ -150,6 +151,10 @@
         """Tell the planner that an exchange holds nothing any more."""
         self._tell(place, messages.RunReleased(place.name, exchange, tokens))
 
+    def cleared(self, place: cell.Cell, exchange: str) -> None:
+        """Tell the planner that a run is a suspect no longer."""
+        self._tell(place, messages.RunCleared(place.name, exchange))
+
     def report_lost(self, place: cell.Cell, name: str) -> None:
         """Tell the planner that a worker failed a request of this host."""
         self._tell(place, messages.WorkerLost(place.name, name))
@@ -160,6 +165,7 @@
         message: messages.PrefillLate
         | messages.RunStarted
         | messages.RunReleased
+        | messages.RunCleared
         | messages.WorkerLost,
     ) -> None:
         owners = self.owners(place)[:1]
@@ -207,6 +213,13 @@
                 self._board.now(), message.exchange, message.tokens
             )
 
+    def _receive_cleared(
+        self, sender: str, message: messages.RunCleared
+    ) -> None:
+        active = self._active.get(message.cell)
+        if active is not None:
+            active.planner.cleared(self._board.now(), message.exchange)
+
     def _receive_lost(self, sender: str, message: messages.WorkerLost) -> None:
         active = self._active.get(message.cell)
         if active is not None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -85,12 +85,12 @@
                 return self._fault(msgspec.json.decode(call.body))
         return http_server.json_reply(404, {"error": "not_found"})
 
-    def _crash_if_marked(self, prompt: str) -> None:
-        if engine_model.CRASH_MARK in prompt:
+    def _crash_if_marked(self, prompt: str, mark: str) -> None:
+        if mark in prompt:
             os._exit(13)
 
     async def _prefill(self, asked: dict[str, Any]) -> http_server.Reply:
-        self._crash_if_marked(asked["prompt"])
+        self._crash_if_marked(asked["prompt"], engine_model.CRASH_MARK)
         result = await self._engine.prefill(
             asked["run_id"], asked["host"], asked["prompt"], asked["priority"]
         )
@@ -110,6 +110,7 @@
         if response.status != 200:
             self._engine.cancel(run_id)
             raise engine_model.EngineRefusedError("kv_gone")
+        self._crash_if_marked(asked["prompt"], engine_model.DECODE_CRASH_MARK)
         self._engine.start(
             run_id, asked["prompt"], asked["first_token"], asked["max_tokens"]
         )
@@ -175,14 +176,7 @@
         return http_server.json_reply(200, lagged)
 
     def _order(self, asked: dict[str, Any]) -> http_server.Reply:
-        fence = asked.get("fence", 0)
-        if self._engine.honours_fence and fence < self._engine.fence:
-            raise engine_model.EngineRefusedError("stale_fence")
-        self._engine.fence = max(fence, self._engine.fence)
-        if "leaving" in asked:
-            self._engine.leaving = asked["leaving"]
-        if "role" in asked:
-            self._engine.role = asked["role"]
+        self._engine.order(asked.get("fence", 0), asked["leaving"])
         return http_server.json_reply(200, {"fence": self._engine.fence})
 
     def _fault(self, asked: dict[str, Any]) -> http_server.Reply:
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -13,6 +13,7 @@
 from standins import answers
 
 CRASH_MARK = "\u2620crash\u2620"
+DECODE_CRASH_MARK = "\u2620decode\u2620"
 
 
 class Costs(NamedTuple):
@@ -97,6 +98,7 @@
         self.leaving = False
         self.fence = 0
         self.honours_fence = True
+        self.orders: list[tuple[int, bool]] = []
         self.runs: dict[str, Run] = {}
         self.ended: OrderedDict[str, Run] = OrderedDict()
         self.kv: dict[str, tuple[int, int, str]] = {}
@@ -278,6 +280,14 @@
             run.wake()
         return held
 
+    def order(self, fence: int, leaving: bool) -> None:
+        """Take an order, or refuse an old one."""
+        if self.honours_fence and fence < self.fence:
+            raise EngineRefusedError("stale_fence")
+        self.fence = max(fence, self.fence)
+        self.leaving = leaving
+        self.orders.append((fence, leaving))
+
     def running(self) -> list[dict[str, Any]]:
         """List what holds memory or prefill time."""
         now = self._clock.seconds()
--- a/standins/fake_servers.py
+++ b/standins/fake_servers.py
@@ -85,8 +85,8 @@
             raise errors.EngineLostError("died")
         return result
 
-    def _check_crash(self, prompt: str) -> None:
-        if engine_model.CRASH_MARK in prompt:
+    def _check_crash(self, prompt: str, mark: str) -> None:
+        if mark in prompt:
             self._server.die()
             raise errors.EngineLostError("crashed")
 
@@ -101,7 +101,7 @@
         """Prefill; see `engine.Engine`."""
         await self._reach()
         self._server.started.append(prompt)
-        self._check_crash(prompt)
+        self._check_crash(prompt, engine_model.CRASH_MARK)
         try:
             work = self._server.model.prefill(run_id, host, prompt, priority)
         except engine_model.EngineRefusedError as exc:
@@ -122,6 +122,7 @@
             if source.is_dead:
                 raise engine_model.EngineRefusedError("kv_gone")
             await self._guard(source.model.export(order.handle), timeout_s)
+            self._check_crash(order.prompt, engine_model.DECODE_CRASH_MARK)
             model.start(
                 order.run_id, order.prompt, order.first_token, order.max_tokens
             )
@@ -174,6 +175,17 @@
             raise errors.EngineStalledError("cancel lost")
         self._server.model.cancel(run_id)
 
+    async def order(self, fence: int, leaving: bool) -> None:
+        """Order; see `engine.Engine`."""
+        try:
+            await self._reach()
+        except errors.ConnectError as exc:
+            raise errors.EngineLostError(str(exc)) from exc
+        try:
+            self._server.model.order(fence, leaving)
+        except engine_model.EngineRefusedError as exc:
+            raise engine_http.error_of(exc.reason) from exc
+
     async def report(self, cache_after: int) -> worker.Report:
         """Report; see `engine.Engine`."""
         try:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -38,6 +38,35 @@
         assert sink.text == answers.answer_text(prompt, 40)
 
 
+def test_poison_in_decode_among_many_innocent_runs() -> None:
+    system = deployment.federation()
+    system.add_server("decode-extra", "giza", "notes-decode", "decode")
+    system.run(4.5)
+    innocent = []
+    for number in range(36):
+        prompt = f"{number} " * 40
+        host = f"maadi-{1 + number % 2}"
+        innocent.append((prompt, system.send(host, prompt, 400)))
+        system.run(0.02)
+    system.run(0.3)
+    held = [len(s.model.runs) for s in system.servers.values()]
+    assert max(held) >= 8
+    poison = "map " * 40 + engine_model.DECODE_CRASH_MARK
+    first = system.send("giza-1", poison, 8, "p1")
+    system.run_until(lambda: _over(first), 30.0)
+    second = system.send("nasr-1", poison, 8, "p2")
+    system.run_until(lambda: _over(second), 30.0)
+    system.run_until(lambda: _over(*(s for _, s in innocent)), 60.0)
+    dead = [s.name for s in system.servers.values() if s.is_dead]
+    assert len(dead) == 2
+    assert {s.failure.type for s in (first, second) if s.failure} == {
+        "quarantined"
+    }
+    for prompt, sink in innocent:
+        assert sink.failure is None
+        assert sink.text == answers.answer_text(prompt, 400)
+
+
 def test_a_suspect_that_runs_on_is_cleared() -> None:
     known = quarantine.Quarantine()
     known.suspect(0.0, b"x", "crash 1")
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -18,7 +18,7 @@
 
 MESH_KEY = "5d1f6f7a1c3e4b2a9d8c7b6a5f4e3d2c"
 OPERATOR_TOKEN = "operators-demo-token"
-READY_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 120.0
 POLL_S = 0.05
 PORT_RANGE = (12_000, 32_000)
 
