Changes of the configuration travel as patches

Changed: the table row carries the latest merge patches, up to 4 KB; a host (or a peer that it asks) applies those that it misses, checks the digest of what comes out, and fetches the whole content only when they don't reach back or give another content. The folder's merge uses the same rules and code.

Ruled out: packing the content (most of it is digests of keys).

--- a/nutmegscale/config_controller.py
+++ b/nutmegscale/config_controller.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+from typing import Any
 from typing import Literal
 from typing import NamedTuple
 
@@ -10,6 +11,7 @@
 from nutmegscale import blackboard
 from nutmegscale import config
 from nutmegscale import errors
+from nutmegscale import merge_patch
 from nutmegscale import mesh
 from nutmegscale import messages
 from nutmegscale import periodic
@@ -20,6 +22,7 @@
 WRITE_TRIES = 4
 SLEPT_S = 3.0
 CONFIRM_PEERS = 2
+PATCHES_MAX_BYTES = 4_096
 
 
 class CurrentRow(NamedTuple):
@@ -29,11 +32,14 @@
       revision: Number of the configuration, growing by one.
       digest: Name of its content in the object store.
       attempts: Latest accepted attempts with their revisions, oldest first.
+      patches: Latest patches with the revisions that they lead to, oldest
+        first, up to PATCHES_MAX_BYTES.
     """
 
     revision: int
     digest: str
     attempts: tuple[tuple[str, int], ...]
+    patches: tuple[tuple[int, bytes], ...] = ()
 
 
 class Applied(NamedTuple):
@@ -68,6 +74,7 @@
         self._rng = rng
         self._known_version = 0
         self._fetching: set[str] = set()
+        self._patches: tuple[tuple[int, bytes], ...] = ()
         self._on_adopted: Callable[[], None] = lambda: None
         self._last_poll: float | None = None
         self._poll_s = board.settings["config_poll_s"]
@@ -116,16 +123,56 @@
                 return True
             if row.value:
                 current = msgspec.msgpack.decode(row.value, type=CurrentRow)
-                if current.revision > self.revision:
-                    content = await self._platform.get_object(current.digest)
-                    if content is None:
-                        return False
-                    self._adopt(current.revision, content, "platform")
-                self._known_version = row.version
+                if not await self._take(current):
+                    return False
+            self._known_version = row.version
         except errors.PlatformUnavailableError:
             return False
         return True
 
+    async def _take(self, current: CurrentRow) -> bool:
+        """Take the accepted configuration, by patches if they reach back.
+
+        Returns:
+          False when its content can't be had now.
+        """
+        if current.revision <= self.revision:
+            return True
+        if self._patch(current.revision, current.digest, current.patches):
+            return True
+        content = await self._platform.get_object(current.digest)
+        if content is None:
+            return False
+        self._adopt(current.revision, content, "platform")
+        self._patches = current.patches
+        return True
+
+    def _patch(
+        self,
+        revision: int,
+        digest: str,
+        patches: tuple[tuple[int, bytes], ...],
+    ) -> bool:
+        """Bring the configuration in force to a revision by patches.
+
+        Returns:
+          False when they don't reach back or give another content.
+        """
+        if self._board.config is None:
+            return False
+        needed = [p for number, p in patches if number > self.revision]
+        if len(needed) != revision - self.revision:
+            return False
+        document: Any = self._board.config.document
+        for patch in needed:
+            document = merge_patch.apply(document, msgspec.json.decode(patch))
+        content = config.canonical(document)
+        if config.digest_of(content) != digest:
+            return False
+        self._adopt(revision, content, "patch")
+        self._patches = patches
+        return True
+
     def _some_peers(self) -> list[str]:
         peers = [
             h for h in self._board.membership.alive() if h != self._board.host
@@ -148,8 +195,11 @@
             )
         except errors.PeerError:
             return False
-        if reply.content and reply.revision > self.revision:
+        if reply.revision <= self.revision:
+            return True
+        if not self._patch(reply.revision, reply.digest, reply.patches):
             self._adopt(reply.revision, reply.content, peer)
+            self._patches = reply.patches
         return True
 
     def learn_from(self, peer: str) -> None:
@@ -169,9 +219,17 @@
     ) -> messages.ConfigReply:
         current = self._board.config
         if current is None or current.revision <= request.known_revision:
-            return messages.ConfigReply(self.revision, b"")
-        content = config.canonical(current.document)
-        return messages.ConfigReply(current.revision, content)
+            return messages.ConfigReply(self.revision, "", (), b"")
+        patches = tuple(
+            p for p in self._patches if p[0] > request.known_revision
+        )
+        content = b""
+        if len(patches) != current.revision - request.known_revision:
+            patches = ()
+            content = config.canonical(current.document)
+        return messages.ConfigReply(
+            current.revision, current.digest, patches, content
+        )
 
     def _adopt(self, revision: int, content: bytes, source: str) -> None:
         try:
@@ -217,6 +275,19 @@
                 return result
         return Applied("unavailable", self.revision)
 
+    async def _next_patches(
+        self, current: CurrentRow, content: bytes
+    ) -> tuple[tuple[int, bytes], ...]:
+        """Return the patches of the row after a change to `content`."""
+        old = await self._platform.get_object(current.digest)
+        if old is None:
+            return ()
+        patch = merge_patch.make(
+            msgspec.json.decode(old), msgspec.json.decode(content)
+        )
+        encoded = msgspec.json.encode(patch)
+        return _bounded((*current.patches, (current.revision + 1, encoded)))
+
     async def _try_apply(
         self,
         content: bytes,
@@ -235,15 +306,33 @@
         await self._platform.put_object(digest, content)
         revision = current.revision + 1
         attempts = (*current.attempts, (attempt, revision))[-KEPT_ATTEMPTS:]
-        value = msgspec.msgpack.encode(CurrentRow(revision, digest, attempts))
+        patches = await self._next_patches(current, content)
+        value = msgspec.msgpack.encode(
+            CurrentRow(revision, digest, attempts, patches)
+        )
         expect = row.version if row else 0
         written = await self._platform.write(ROW_KEY, expect, value)
         if isinstance(written, platform_service.Conflict):
             return None
         self._adopt(revision, content, "operator")
+        self._patches = patches
         return Applied("accepted", revision)
 
 
+def _bounded(
+    patches: tuple[tuple[int, bytes], ...],
+) -> tuple[tuple[int, bytes], ...]:
+    """Keep the latest patches that fit into the row."""
+    kept: list[tuple[int, bytes]] = []
+    size = 0
+    for patch in reversed(patches):
+        size += len(patch[1])
+        if size > PATCHES_MAX_BYTES:
+            break
+        kept.insert(0, patch)
+    return tuple(kept)
+
+
 def _decode_row(row: platform_service.Row | None) -> CurrentRow:
     if row is None:
         return CurrentRow(0, "", ())
--- a/nutmegscale/folder.py
+++ b/nutmegscale/folder.py
@@ -7,6 +7,7 @@
 from nutmegscale import config
 from nutmegscale import errors
 from nutmegscale import jsonc
+from nutmegscale import merge_patch
 
 SUFFIXES = (".json", ".jsonc", ".json5")
 MAX_FILE_BYTES = 4 << 20
@@ -69,7 +70,7 @@
             raise errors.ConfigError("isn't an object", file=name, line=1)
         for key_path, line in parsed.lines.items():
             places[key_path] = (name, line)
-        _merge(merged, parsed.value)
+        merged = merge_patch.apply(merged, parsed.value)
     try:
         return config.check(merged)
     except errors.ConfigError as exc:
@@ -91,19 +92,6 @@
         raise errors.ConfigError("isn't UTF-8", file=name, line=line) from exc
 
 
-def _merge(base: dict[str, Any], over: dict[str, Any]) -> None:
-    for key, value in over.items():
-        if value is None:
-            base.pop(key, None)
-        elif isinstance(value, dict) and isinstance(base.get(key), dict):
-            _merge(base[key], value)
-        elif isinstance(value, dict):
-            base[key] = {}
-            _merge(base[key], value)
-        else:
-            base[key] = value
-
-
 def _located(error: errors.ConfigError, places: _Places) -> errors.ConfigError:
     path = config.problem_path(error)
     file, line = "", 0
--- /dev/null
+++ b/nutmegscale/merge_patch.py
@@ -0,0 +1,40 @@
+"""Differences between two documents, as merge patches (RFC 7386).
+
+Documents hold no null, so a patch made here gives exactly the new document.
+"""
+
+from typing import Any
+
+
+def make(old: dict[str, Any], new: dict[str, Any]) -> dict[str, Any]:
+    """Return the patch that turns one document into another."""
+    patch: dict[str, Any] = {key: None for key in old if key not in new}
+    for key, value in new.items():
+        before = old.get(key)
+        if isinstance(value, dict) and isinstance(before, dict):
+            inner = make(before, value)
+            if inner:
+                patch[key] = inner
+        elif key not in old or before != value:
+            patch[key] = value
+    return patch
+
+
+def apply(base: dict[str, Any], patch: dict[str, Any]) -> dict[str, Any]:
+    """Return a document with a patch applied; the base stays as it is.
+
+    Null removes a key, objects are merged key by key, any other value
+    replaces what was there.
+    """
+    result = dict(base)
+    for key, value in patch.items():
+        if value is None:
+            result.pop(key, None)
+        elif isinstance(value, dict):
+            before = result.get(key)
+            result[key] = apply(
+                before if isinstance(before, dict) else {}, value
+            )
+        else:
+            result[key] = value
+    return result
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -14,9 +14,19 @@
 
 
 class ConfigReply(NamedTuple):
-    """Configuration in force; content is empty when it isn't newer."""
+    """Configuration in force.
+
+    Attributes:
+      revision: Its revision.
+      digest: Digest of its content.
+      patches: Patches from the known revision on, oldest first.
+      content: Whole content when patches don't reach back; empty when they
+        do, or when the revision isn't newer.
+    """
 
     revision: int
+    digest: str
+    patches: tuple[tuple[int, bytes], ...]
     content: bytes
 
 
--- a/tests/test_config_controller.py
+++ b/tests/test_config_controller.py
@@ -1,5 +1,7 @@
 """Tests that an accepted configuration is in force and never reverts."""
 
+import functools
+
 from nutmegscale import config
 from nutmegscale import config_controller
 from standins import deployment
@@ -11,6 +13,10 @@
     return {app.configs.revision for app in system.hosts.values()}
 
 
+def _all_have(system: deployment.Deployment, wanted: set[int]) -> bool:
+    return _revisions(system) == wanted
+
+
 def _contents(system: deployment.Deployment) -> set[bytes]:
     return {
         config.canonical(app.board.config.document)
@@ -128,6 +134,34 @@
     system.run_until(lambda: _revisions(system) == {2}, IN_FORCE_S)
 
 
+def test_small_changes_are_taken_as_patches() -> None:
+    system = deployment.federation()
+    configs = system.hosts["giza-2"].configs
+    for number in range(3):
+        changed = _changed(system, 0.5 + number)
+        system.wait(configs.apply(changed, None, str(number)))
+        wanted = {number + 2}
+        system.run_until(
+            functools.partial(_all_have, system, wanted), IN_FORCE_S
+        )
+    assert len(_contents(system)) == 1
+    sources = {
+        event.detail.split()[-1]
+        for name, app in system.hosts.items()
+        if name != "giza-2"
+        for event in app.board.timeline.events()
+        if event.kind == "config.in_force" and "revision=1 " not in event.detail
+    }
+    assert sources == {"source=patch"}
+
+
+def test_a_patch_that_gives_another_content_is_not_taken() -> None:
+    system = deployment.federation()
+    app = system.hosts["maadi-1"]
+    assert not app.configs._patch(2, "wrong", ((2, b'{"rules": null}'),))
+    assert app.configs.revision == 1
+
+
 def test_an_old_revision_from_a_peer_is_never_taken() -> None:
     system = deployment.federation()
     app = system.hosts["maadi-1"]
