What could be in time goes before what is late on idle pools too

Cause: with links at a third of their rate most of the Consortium's prompts are late on idle pools as well. They were let in late and took the link from the shorter ones that could be in time.

Changed: such a request is refused, with a time to come back, while one that could be in time was refused in the last 2 s.

--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -19,6 +19,7 @@
 URGENCY_MEMORY_S = 5.0
 ACCEPTED_PATIENCE_S = 20.0
 ALONE_FACTOR = 1.25
+SQUEEZE_MEMORY_S = 2.0
 RESERVATION_SLACK_S = 1.0
 CONTENTION_FRACTION = 0.5
 CALLER_MEMORY_S = 5.0
@@ -83,6 +84,7 @@
         self._lane_of: dict[str, prefill_lane.PrefillLane] = {}
         self._decodes: list[worker.Worker] = []
         self._next_expiry = 0.0
+        self._squeezed_at = -SQUEEZE_MEMORY_S
         self._lateness = lateness.Lateness()
 
     @property
@@ -303,19 +305,10 @@
         self, now: float, ask: placement.Ask, first_at: float, alone_s: float
     ) -> placement.Refusal | None:
         wait_s = first_at - now + ask.waited_s
-        if ask.accepted:
-            allowed_s = ACCEPTED_PATIENCE_S + ask.waited_s
-        else:
-            fraction = ADMIT_FRACTION - self._reserve(now, ask)
-            margin_s = min(
-                self._lateness.margin_s,
-                ask.first_token_s * MAX_MARGIN_FRACTION,
-            )
-            allowed_s = max(
-                ask.first_token_s * fraction - margin_s,
-                alone_s * ALONE_FACTOR,
-            )
+        allowed_s = self._allowed_s(now, ask, alone_s)
         if wait_s > allowed_s:
+            if alone_s <= ask.first_token_s and not ask.accepted:
+                self._squeezed_at = now
             late_s = max(MIN_RETRY_AFTER_S, wait_s - allowed_s)
             return placement.Refusal("first_token_too_late", late_s)
         is_contended = wait_s > ask.first_token_s * CONTENTION_FRACTION
@@ -323,6 +316,26 @@
             return placement.Refusal("over_share", wait_s)
         return None
 
+    def _allowed_s(
+        self, now: float, ask: placement.Ask, alone_s: float
+    ) -> float:
+        """Return how long after its arrival a first token may come.
+
+        A request that would be late on idle pools as well is let in late,
+        unless that takes the place of one that could be in time.
+        """
+        if ask.accepted:
+            return ACCEPTED_PATIENCE_S + ask.waited_s
+        margin_s = min(
+            self._lateness.margin_s, ask.first_token_s * MAX_MARGIN_FRACTION
+        )
+        fraction = ADMIT_FRACTION - self._reserve(now, ask)
+        in_time_s = ask.first_token_s * fraction - margin_s
+        is_squeezed = now - self._squeezed_at < SQUEEZE_MEMORY_S
+        if is_squeezed and alone_s > ask.first_token_s:
+            return in_time_s
+        return max(in_time_s, alone_s * ALONE_FACTOR)
+
     def _reserve(self, now: float, ask: placement.Ask) -> float:
         """Return the part of the target that is kept for more urgent work.
 
