--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -64,11 +64,14 @@
     url: str
 
 
+_given_ports: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
     """Find free TCP ports of the loopback address.
 
     They lie below the range that outgoing connections take, which could
-    otherwise hold a port before its server listens.
+    otherwise hold a port before its server listens. No port is found twice.
     """
     chooser = random.SystemRandom()
     found: list[int] = []
@@ -79,7 +82,8 @@
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in found:
+        if port not in _given_ports:
+            _given_ports.add(port)
             found.append(port)
     return found
 
--- a/tools/policy.py
+++ b/tools/policy.py
@@ -12,6 +12,7 @@
 from rich import console
 from rich import table
 
+from nutmegscale import config
 from nutmegscale import folder
 from tools import policy_bound
 from tools import policy_world
@@ -23,6 +24,11 @@
     "consortium": policy_world.CONSORTIUM,
 }
 SECONDS = 40.0
+OBJECTIVES: dict[str, config.Objective | None] = {
+    "own": None,
+    "goodput": {"goodput_weight": 1.0, "waste_weight": 0.0},
+    "waste": {"goodput_weight": 0.0, "waste_weight": 1.0},
+}
 
 
 class Case(NamedTuple):
@@ -34,6 +40,7 @@
     load: float
     seed: int
     seconds: float
+    objective: str
 
 
 class Row(NamedTuple):
@@ -55,7 +62,13 @@
 def run_case(case: Case) -> policy_world.Result:
     """Make one run."""
     deployment = DEPLOYMENTS[case.deployment]
-    world = policy_world.World(deployment, case.policy, case.fault, case.seed)
+    world = policy_world.World(
+        deployment,
+        case.policy,
+        case.fault,
+        case.seed,
+        OBJECTIVES[case.objective],
+    )
     service = folder.load(f"examples/{deployment.name}")["services"][
         deployment.service
     ]
@@ -187,10 +200,19 @@
     parser.add_argument("--faults", nargs="*", default=policy_world.FAULTS)
     parser.add_argument("--policies", nargs="*", default=POLICIES)
     parser.add_argument("--deployments", nargs="*", default=list(DEPLOYMENTS))
+    parser.add_argument("--objective", choices=list(OBJECTIVES), default="own")
     parser.add_argument("--processes", type=int, default=os.cpu_count())
     asked = parser.parse_args()
     cases = [
-        Case(deployment, policy, fault, load, seed, asked.seconds)
+        Case(
+            deployment,
+            policy,
+            fault,
+            load,
+            seed,
+            asked.seconds,
+            asked.objective,
+        )
         for deployment, fault, load, policy, seed in itertools.product(
             asked.deployments,
             asked.faults,
--- a/tools/policy_world.py
+++ b/tools/policy_world.py
@@ -127,7 +127,12 @@
     """Engines, a planner and the requests of one run."""
 
     def __init__(
-        self, deployment: Deployment, policy: str, fault: str, seed: int
+        self,
+        deployment: Deployment,
+        policy: str,
+        fault: str,
+        seed: int,
+        objective: config.Objective | None = None,
     ) -> None:
         self.clock = event_clock.EventClock()
         self._deployment = deployment
@@ -135,7 +140,7 @@
         self._fault = fault
         self._rng = random.Random(seed)
         document = folder.load(f"examples/{deployment.name}")
-        self._document = document
+        self._objective = objective or document["objective"]
         self._service = document["services"][deployment.service]
         profile: Any = document.get("engines", {})["standard"]
         self.profile: config.Engine = profile
@@ -169,7 +174,7 @@
         self._servers[name] = _Server(known, engine)
 
     def _make_planner(self) -> placement.Planner:
-        made = planners.make_planner(self._policy, self._document["objective"])
+        made = planners.make_planner(self._policy, self._objective)
         made.set_workers(
             [s.worker for s in self._servers.values()],
             {"prefill": self.profile, "decode": self.profile},
