Orphans are checked when there is reason; two controllers get smaller

Cause: with each report of a busy worker its planner asked every host for all of its runs, twice a second.

Changed: a run is looked at when its host isn't alive, after a denial, and every 4 s otherwise; this is a controller of its own now, as are the kept answers. A host's call to itself needs no branch at the callers.

--- a/nutmegscale/application.py
+++ b/nutmegscale/application.py
@@ -65,7 +65,12 @@
         key = bytes.fromhex(host_settings["mesh_key"])
         sealer = envelope.Sealer(host, key, rng.getrandbits(63))
         self.mesh = mesh.Mesh(
-            clock, transport, sealer, self.board.timeline, self._address_of
+            clock,
+            transport,
+            sealer,
+            self.board.timeline,
+            self._address_of,
+            host=host,
         )
         self.members = membership_controller.MembershipController(
             self.board, self.mesh
--- a/nutmegscale/exchange_controller.py
+++ b/nutmegscale/exchange_controller.py
@@ -1,6 +1,5 @@
 """Controller of model requests: admission, repeats, handover, cancel."""
 
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import NamedTuple
 import uuid
@@ -15,14 +14,13 @@
 from nutmegscale import exchange
 from nutmegscale import exchange_runner
 from nutmegscale import home_controller
+from nutmegscale import kept_answers
 from nutmegscale import mesh
 from nutmegscale import messages
 from nutmegscale import periodic
 from nutmegscale import planner_controller
 from nutmegscale import prompts
 
-ANSWERS_MAX_BYTES = 6 << 20
-ANSWER_LIFE_S = 90.0
 CLAIM_TRIES = 6
 CLAIM_POLL_S = 0.05
 HANDOVER_WAIT_S = 3.0
@@ -32,42 +30,6 @@
 DRAINING_RETRY_AFTER_S = 0.2
 
 
-class _Answer(NamedTuple):
-    """A whole answer, kept for repeats."""
-
-    text: str
-    tokens: int
-    expires: float
-
-
-class _Answers:
-    """Whole answers by exchange, bounded in bytes and time."""
-
-    def __init__(self) -> None:
-        self._answers: OrderedDict[str, _Answer] = OrderedDict()
-        self._bytes = 0
-
-    def put(self, now: float, name: str, text: str, tokens: int) -> None:
-        """Keep an answer."""
-        self._drop(name)
-        self._answers[name] = _Answer(text, tokens, now + ANSWER_LIFE_S)
-        self._bytes += len(text.encode())
-        while self._bytes > ANSWERS_MAX_BYTES or (
-            self._answers and next(iter(self._answers.values())).expires <= now
-        ):
-            self._drop(next(iter(self._answers)))
-
-    def get(self, now: float, name: str) -> _Answer | None:
-        """Return an answer that is still kept."""
-        answer = self._answers.get(name)
-        return answer if answer is not None and answer.expires > now else None
-
-    def _drop(self, name: str) -> None:
-        answer = self._answers.pop(name, None)
-        if answer is not None:
-            self._bytes -= len(answer.text.encode())
-
-
 class _Live(NamedTuple):
     """An exchange that runs here, and its coroutine."""
 
@@ -90,7 +52,7 @@
         self._mesh = link
         self._homes = homes
         self._live: dict[str, _Live] = {}
-        self._answers = _Answers()
+        self._answers = kept_answers.KeptAnswers()
         self._attempt = 0
         self._claiming: set[str] = set()
         self.planning = planner_controller.PlannerController(
--- a/nutmegscale/mesh.py
+++ b/nutmegscale/mesh.py
@@ -59,7 +59,10 @@
         sealer: envelope.Sealer,
         line: timeline.Timeline,
         address_of: Callable[[str], str | None],
+        *,
+        host: str = "",
     ) -> None:
+        self._host = host
         self._clock = clock
         self._transport = transport
         self._sealer = sealer
@@ -122,6 +125,8 @@
           errors.PeerError: No reply came in time; the question may have taken
             effect.
         """
+        if host == self._host:
+            return await self._call_self(message, kind)
         now = self._clock.seconds()
         if now < self._silent_until.get(host, 0.0):
             raise errors.PeerError(f"{host} has just given no answer")
@@ -144,6 +149,12 @@
             raise errors.PeerError(f"{host} answered {type(answer).__name__}")
         return answer
 
+    async def _call_self(self, message: Any, kind: type[_T]) -> _T:
+        result = self._handlers[type(message)](self._host, message)
+        answer = await result if inspect.isawaitable(result) else result
+        assert isinstance(answer, kind)
+        return answer
+
     def receive(self, data: bytes) -> None:
         """Take in a sealed message from the transport."""
         try:
--- /dev/null
+++ b/nutmegscale/orphan_controller.py
@@ -0,0 +1,123 @@
+"""Controller that frees what engines hold for runs nobody serves."""
+
+from typing import NamedTuple
+
+from nutmegscale import blackboard
+from nutmegscale import cancel_controller
+from nutmegscale import errors
+from nutmegscale import home_controller
+from nutmegscale import membership
+from nutmegscale import mesh
+from nutmegscale import messages
+from nutmegscale import worker
+
+CHECKS_TO_CANCEL = 2
+MIN_AGE_S = 0.5
+CHECK_PERIOD_S = 4.0
+
+
+class _Known(NamedTuple):
+    """What is known of a run that a worker lists.
+
+    Attributes:
+      checked: Time of the last check, or when it was first listed.
+      denials: Checks in a row that found nobody who serves it.
+    """
+
+    checked: float
+    denials: int
+
+
+class OrphanController:
+    """Finds runs without a host in the reports of workers, and cancels them.
+
+    A run is looked at when its host isn't alive, and every few seconds
+    otherwise, since a host may have restarted or lost a cancel.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        link: mesh.Mesh,
+        homes: home_controller.HomeController,
+        cancels: cancel_controller.CancelController,
+    ) -> None:
+        self._board = board
+        self._mesh = link
+        self._homes = homes
+        self._cancels = cancels
+        self._runs: dict[str, dict[str, _Known]] = {}
+
+    async def check(self, w: worker.Worker, report: worker.Report) -> None:
+        """Cancel the runs of a report that no host serves any more."""
+        known = self._runs.get(w.name, {})
+        now = self._board.now()
+        self._runs[w.name] = runs = {
+            run.run_id: known.get(run.run_id, _Known(now, 0))
+            for run in report.running
+        }
+        by_host: dict[str, list[str]] = {}
+        for run in report.running:
+            if self._is_due(run, runs[run.run_id]):
+                by_host.setdefault(run.host, []).append(run.run_id)
+        for host, run_ids in by_host.items():
+            live = await self._live_runs(host, run_ids)
+            for run_id in run_ids:
+                self._take_check(w, host, run_id, run_id in live)
+
+    def _is_due(self, run: worker.Running, known: _Known) -> bool:
+        if run.phase == "decode" and run.age_s < MIN_AGE_S:
+            return False
+        member = self._board.membership.get(run.host)
+        is_alive = member is not None and member.state == membership.State.ALIVE
+        is_old = self._board.now() - known.checked >= CHECK_PERIOD_S
+        return not is_alive or is_old or known.denials > 0
+
+    def _take_check(
+        self, w: worker.Worker, host: str, run_id: str, is_live: bool
+    ) -> None:
+        known = self._runs[w.name].get(run_id)
+        if known is None:
+            return
+        denials = 0 if is_live else known.denials + 1
+        self._runs[w.name][run_id] = _Known(self._board.now(), denials)
+        if denials >= CHECKS_TO_CANCEL:
+            self._board.note(
+                "run.orphaned",
+                worker.exchange_of(run_id),
+                worker=w.name,
+                host=host,
+            )
+            self._cancels.cancel(w.address, run_id)
+
+    async def _live_runs(self, host: str, run_ids: list[str]) -> set[str]:
+        """Return the runs that their host, or a later one, still serves.
+
+        A host that gives no answer but isn't dead yet is given time; one
+        that is held for dead but answers is believed.
+        """
+        live = await self._ask(host, run_ids)
+        if live is not None:
+            return live
+        member = self._board.membership.get(host)
+        if member is not None and member.state != membership.State.DEAD:
+            return set(run_ids)
+        return await self._taken_over(run_ids)
+
+    async def _taken_over(self, run_ids: list[str]) -> set[str]:
+        """Return the runs of a dead host that another one took over."""
+        live: set[str] = set()
+        for run_id in run_ids:
+            host = await self._homes.look_up(worker.exchange_of(run_id))
+            if host is not None and not self._board.membership.is_dead(host):
+                live |= await self._ask(host, [run_id]) or set()
+        return live
+
+    async def _ask(self, host: str, run_ids: list[str]) -> set[str] | None:
+        """Ask a host which runs it serves; None when it gives no answer."""
+        request = messages.LiveRequest(tuple(run_ids))
+        try:
+            reply = await self._mesh.call(host, request, messages.LiveReply)
+        except errors.PeerError:
+            return None
+        return set(reply.run_ids)
--- a/nutmegscale/planner_controller.py
+++ b/nutmegscale/planner_controller.py
@@ -10,9 +10,9 @@
 from nutmegscale import engine
 from nutmegscale import errors
 from nutmegscale import home_controller
-from nutmegscale import membership
 from nutmegscale import mesh
 from nutmegscale import messages
+from nutmegscale import orphan_controller
 from nutmegscale import periodic
 from nutmegscale import placement
 from nutmegscale import planners
@@ -23,8 +23,6 @@
 FAILURES_TO_LOSE = 2
 ISOLATED_AFTER_S = 3.0
 IDLE_REPORT_POLL_S = 2.0
-CHECKS_TO_CANCEL = 2
-ORPHAN_AGE_S = 0.5
 PLAN_TIMEOUT_S = 0.15
 PLAN_PATIENCE_S = 0.25
 LOCAL_RETRY_AFTER_S = 1.0
@@ -38,7 +36,6 @@
         self.planner = planner
         self.asked = 0.0
         self.failures: dict[str, int] = {}
-        self.unclaimed: dict[str, int] = {}
         self.next_poll: dict[str, float] = {}
         self.workers: tuple[worker.Worker, ...] = ()
         self.config_revision = 0
@@ -65,8 +62,9 @@
         self._board = board
         self._mesh = link
         self._engines = engines
-        self._cancels = cancels
-        self._homes = homes
+        self._orphans = orphan_controller.OrphanController(
+            board, link, homes, cancels
+        )
         self._is_live = is_live
         self._active: dict[str, _ActiveCell] = {}
         self._polls = periodic.Periodic(
@@ -324,7 +322,7 @@
         active.planner.observe(self._board.now(), w.name, report)
         self._spread_leaving(w.name, report.leaving)
         if report.running:
-            await self._cancel_orphans(active, w, report)
+            await self._orphans.check(w, report)
 
     def _spread_leaving(self, name: str, leaving: bool) -> None:
         """Tell every host of a worker that is leaving, until it is gone."""
@@ -338,65 +336,3 @@
         for host in self._board.membership.alive():
             if host != self._board.host:
                 self._mesh.send(host, message)
-
-    async def _cancel_orphans(
-        self, active: _ActiveCell, w: worker.Worker, report: worker.Report
-    ) -> None:
-        """Cancel the runs that no host serves any more."""
-        by_host: dict[str, list[str]] = {}
-        for run in report.running:
-            if run.phase != "decode" or run.age_s >= ORPHAN_AGE_S:
-                by_host.setdefault(run.host, []).append(run.run_id)
-        for host, run_ids in by_host.items():
-            live = await self._live_runs(host, run_ids)
-            for run_id in run_ids:
-                if run_id in live:
-                    active.unclaimed.pop(run_id, None)
-                    continue
-                checks = active.unclaimed.get(run_id, 0) + 1
-                active.unclaimed[run_id] = checks
-                if checks >= CHECKS_TO_CANCEL:
-                    del active.unclaimed[run_id]
-                    self._board.note(
-                        "run.orphaned",
-                        worker.exchange_of(run_id),
-                        worker=w.name,
-                        host=host,
-                    )
-                    self._cancels.cancel(w.address, run_id)
-
-    async def _live_runs(self, host: str, run_ids: list[str]) -> set[str]:
-        """Return the runs that their host, or a later one, still serves.
-
-        A host that gives no answer but isn't dead yet is given time; one
-        that is held for dead but answers is believed.
-        """
-        request = messages.LiveRequest(tuple(run_ids))
-        if host == self._board.host:
-            return set(self._receive_live(host, request).run_ids)
-        try:
-            reply = await self._mesh.call(host, request, messages.LiveReply)
-            return set(reply.run_ids)
-        except errors.PeerError:
-            member = self._board.membership.get(host)
-            if member is not None and member.state != membership.State.DEAD:
-                return set(run_ids)
-        return await self._taken_over(run_ids)
-
-    async def _taken_over(self, run_ids: list[str]) -> set[str]:
-        """Return the runs of a dead host that another one took over."""
-        live: set[str] = set()
-        for run_id in run_ids:
-            host = await self._homes.look_up(worker.exchange_of(run_id))
-            if host is None or self._board.membership.is_dead(host):
-                continue
-            request = messages.LiveRequest((run_id,))
-            if host == self._board.host:
-                live.update(self._receive_live(host, request).run_ids)
-                continue
-            try:
-                reply = await self._mesh.call(host, request, messages.LiveReply)
-                live.update(reply.run_ids)
-            except errors.PeerError:
-                continue
-        return live
