--- a/nutmegscale/joint_planner.py
+++ b/nutmegscale/joint_planner.py
@@ -1,6 +1,6 @@
 """Joint planning: slot, link and prefill are reserved together."""
 
-import heapq
+import itertools
 from typing import NamedTuple
 
 from result import Err
@@ -127,14 +127,15 @@
             self._ledger.expire(now)
         self._callers[ask.caller] = (now, ask.weight)
         self.release(now, ask.exchange, 0)
-        decode = self._choose_decode(now, ask)
+        blocked = self._blocked(now, ask)
+        decode = self._choose_decode(now, ask, blocked)
         if decode is None:
             # Suspects wait for one another, which takes a moment only.
             wait_s = NO_WORKERS_RETRY_AFTER_S
             if ask.suspect:
                 wait_s = SUSPECT_RETRY_AFTER_S
             return Err(placement.Refusal("no_decode_worker", wait_s))
-        prefill = self._choose_prefill(now, ask, decode)
+        prefill = self._choose_prefill(now, ask, decode, blocked)
         if prefill is None:
             return Err(
                 placement.Refusal("no_prefill_worker", NO_WORKERS_RETRY_AFTER_S)
@@ -238,8 +239,9 @@
         heard = names - self._silent - blocked
         return names & self._silent if heard else set()
 
-    def _choose_decode(self, now: float, ask: placement.Ask) -> _Decode | None:
-        blocked = self._blocked(now, ask)
+    def _choose_decode(
+        self, now: float, ask: placement.Ask, blocked: set[str]
+    ) -> _Decode | None:
         best: _Decode | None = None
         best_key = (0.0, 0.0)
         limits: dict[str, int] = {}
@@ -267,9 +269,12 @@
         return best
 
     def _choose_prefill(
-        self, now: float, ask: placement.Ask, decode: _Decode
+        self,
+        now: float,
+        ask: placement.Ask,
+        decode: _Decode,
+        blocked: set[str],
     ) -> _Prefill | None:
-        blocked = self._blocked(now, ask)
         names = [
             name
             for name in self._lanes
@@ -290,15 +295,12 @@
         """Choose the lanes to look at closely: idle ones and warm ones."""
         if len(names) <= FULL_SEARCH_LANES:
             return names
-        chosen = heapq.nsmallest(
-            LEAST_BUSY_LANES, names, key=lambda n: self._lanes[n].busy_until
-        )
+        by_load = sorted((self._lanes[n].busy_until, n) for n in names)
+        chosen = [name for _, name in by_load[:LEAST_BUSY_LANES]]
         if ask.blocks:
             first = ask.blocks[0]
-            warm = [n for n in names if self._lanes[n].prefixes.has(first)]
-            chosen += heapq.nsmallest(
-                WARMEST_LANES, warm, key=lambda n: self._lanes[n].busy_until
-            )
+            warm = (n for _, n in by_load if self._lanes[n].prefixes.has(first))
+            chosen += itertools.islice(warm, WARMEST_LANES)
         return chosen
 
     def _admit(
--- a/nutmegscale/kept_answers.py
+++ b/nutmegscale/kept_answers.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-MAX_BYTES = 6 << 20
+MAX_BYTES = 2 << 20
 LIFE_S = 90.0
 
 
--- a/nutmegscale/ledger.py
+++ b/nutmegscale/ledger.py
@@ -44,6 +44,7 @@
         self._by_exchange: dict[str, Reservation] = {}
         self._by_worker: dict[str, dict[str, Reservation]] = {}
         self._foreign: dict[str, dict[str, float]] = {}
+        self._foreign_exchanges: set[str] = set()
 
     def reserve(self, reservation: Reservation) -> None:
         """Hold a slot; an earlier one of the same exchange is freed."""
@@ -76,8 +77,10 @@
         held = self._by_exchange.pop(exchange, None)
         if held is not None:
             self._by_worker[held.worker].pop(exchange, None)
-        for runs in self._foreign.values():
-            runs.pop(exchange, None)
+        if exchange in self._foreign_exchanges:
+            self._foreign_exchanges.discard(exchange)
+            for runs in self._foreign.values():
+                runs.pop(exchange, None)
         return held
 
     def drop_worker(self, name: str) -> list[Reservation]:
@@ -108,11 +111,15 @@
             if is_old and reservation.exchange not in listed:
                 self.release(reservation.exchange)
         known = self._foreign.get(name, {})
-        self._foreign[name] = {
-            exchange: known.get(exchange, now + FOREIGN_RUN_S)
-            for exchange in listed
-            if exchange not in self._by_exchange
-        }
+        foreign = listed - self._by_exchange.keys()
+        if foreign or known:
+            self._foreign[name] = {
+                exchange: known.get(exchange, now + FOREIGN_RUN_S)
+                for exchange in foreign
+            }
+            self._foreign_exchanges = {
+                exchange for runs in self._foreign.values() for exchange in runs
+            }
 
     def count(self, name: str) -> int:
         """Count the slots of a worker that are held."""
--- a/nutmegscale/timeline.py
+++ b/nutmegscale/timeline.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-CAPACITY = 8_192
+CAPACITY = 4_096
 
 
 class Event(NamedTuple):
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -119,6 +119,9 @@
     ]
     engine = _engine()
     planner.set_workers(rows, {"p": engine, "q": engine})
+    report = worker.Report(False, 20, (), 0, 0, ())
+    for row in rows:
+        planner.observe(0.0, row.name, report)
     return planner
 
 
