Failures of the runner are counted by reason too

Red before: a new test, 1 of 29 failures counted. An exchange keeps its failure and its end counts it, once, whichever path it came by. After: all counted.

Ruled out: counting at each x.fail (five places, and a repeat's superseded connection isn't an end).

--- a/nutmegscale/exchange.py
+++ b/nutmegscale/exchange.py
@@ -86,6 +86,7 @@
         self.largest_gap_s = 0.0
         self.is_done = False
         self.is_whole = False
+        self.failure: errors.Failure | None = None
         self.is_moved = False
         self.has_started = False
         self.touched = arrived
@@ -161,6 +162,7 @@
     def fail(self, failure: errors.Failure) -> None:
         """Deliver a failure and end the exchange."""
         self.is_done = True
+        self.failure = failure
         sink, self._sink = self._sink, None
         if sink is not None:
             sink.fail(failure)
--- a/nutmegscale/exchange_controller.py
+++ b/nutmegscale/exchange_controller.py
@@ -178,6 +178,8 @@
     def _end(self, x: exchange.Exchange) -> None:
         if x.is_whole:
             self._answers.put(self._board.now(), x.id, x.text, len(x.tokens))
+        if x.failure is not None:
+            self._board.metrics.refused(x.request.service, x.failure)
         if x.request.request_id and not x.is_moved:
             self._homes.end(x.id, x.attempt, answered=x.is_whole)
 
--- a/tests/test_exchange_controller.py
+++ b/tests/test_exchange_controller.py
@@ -191,6 +191,21 @@
         assert system.prefills(prompt) == 0
 
 
+def test_every_failure_is_counted_by_its_reason() -> None:
+    system = deployment.federation()
+    counted: list[str] = []
+    metrics = system.hosts["maadi-1"].board.metrics
+    metrics.refused = lambda service, failure: counted.append(  # type: ignore[method-assign]
+        failure.type
+    )
+    sinks = [system.send("maadi-1", f"{n} " * 2_000, 200) for n in range(40)]
+    sinks.append(system.send("maadi-1", "p", 8, service="nothing"))
+    system.run(0.5)
+    told = [s.failure.type for s in sinks if s.failure]
+    assert "first_token_too_late" in told
+    assert sorted(counted) == sorted(told)
+
+
 def test_bad_requests_reach_no_engine() -> None:
     system = deployment.federation()
     sinks = {
