Read once more: what stood twice, and what nothing used

The outcome of a failure was worked out in three places of the runner and is a property of the exchange now; the benchmark connected and read twice in the same lines; the process launcher, the fake network and the stand-in deployment had members that nothing used. Behaviour as before.

--- a/nutmegscale/exchange.py
+++ b/nutmegscale/exchange.py
@@ -93,6 +93,11 @@
         self._sink: Sink | None = sink
         self._decoder = codecs.getincrementaldecoder("utf-8")("replace")
 
+    @property
+    def outcome(self) -> errors.Outcome:
+        """What a failure says of the run now."""
+        return "maybe_run" if self.was_sent else "not_run"
+
     @property
     def text(self) -> str:
         """Text of the tokens so far; a split character at the end is left."""
--- a/nutmegscale/exchange_runner.py
+++ b/nutmegscale/exchange_runner.py
@@ -414,7 +414,7 @@
         503,
         reason,
         "the targets can't be met now",
-        "maybe_run" if x.was_sent else "not_run",
+        x.outcome,
         retry_after_s,
     )
 
@@ -424,7 +424,7 @@
         502,
         "retries_spent",
         "no backend server finished the request",
-        "maybe_run" if x.was_sent else "not_run",
+        x.outcome,
         REFUSAL_RETRY_AFTER_S,
     )
 
@@ -435,5 +435,5 @@
         422,
         "quarantined",
         "this content crashed the servers that ran it",
-        "maybe_run" if x.was_sent else "not_run",
+        x.outcome,
     )
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -17,7 +17,6 @@
 from standins import fake_platform
 from standins import fake_servers
 
-DELAY_S = 0.001
 STEP_S = 0.002
 
 
--- a/standins/fake_network.py
+++ b/standins/fake_network.py
@@ -14,7 +14,6 @@
         self.clock = clock
         self.receivers: dict[str, Callable[[bytes], None]] = {}
         self.cut: set[tuple[str, str]] = set()
-        self.frozen: dict[str, list[Callable[[], None]]] = {}
 
     def cut_off(self, group: list[str], others: list[str]) -> None:
         """Cut two groups of names off from each other."""
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -141,12 +141,28 @@
     cpu_ms_request: float
 
 
-def complete(url: str, number: int, tokens: int, *, stream: bool) -> float:
-    """Send one completion and return the time to its first byte of text."""
+def _connect(url: str) -> http.client.HTTPConnection:
     address = parse.urlsplit(url)
-    connection = http.client.HTTPConnection(
+    return http.client.HTTPConnection(
         str(address.hostname), address.port, timeout=30.0
     )
+
+
+def _first_line_s(
+    connection: http.client.HTTPConnection, began: float
+) -> float:
+    """Read a whole response; return when its first line came."""
+    response = connection.getresponse()
+    response.readline()
+    first_s = time.perf_counter() - began
+    response.read()
+    connection.close()
+    return first_s
+
+
+def complete(url: str, number: int, tokens: int, *, stream: bool) -> float:
+    """Send one completion and return the time to its first byte of text."""
+    connection = _connect(url)
     body = json.dumps(
         {
             "model": "notes-model",
@@ -162,12 +178,7 @@
         body.encode(),
         {"authorization": "Bearer cairo-club-key"},
     )
-    response = connection.getresponse()
-    response.readline()
-    first_s = time.perf_counter() - began
-    response.read()
-    connection.close()
-    return first_s
+    return _first_line_s(connection, began)
 
 
 def direct(deployment: cluster.Cluster, number: int) -> float:
@@ -189,17 +200,9 @@
         "handle": result["handle"],
     }
     cluster.call("POST", f"{decode}/v1/runs", order)
-    address = parse.urlsplit(decode)
-    connection = http.client.HTTPConnection(
-        str(address.hostname), address.port, timeout=30.0
-    )
+    connection = _connect(decode)
     connection.request("GET", f"/v1/runs/{run_id}/tokens?from=0")
-    response = connection.getresponse()
-    response.readline()
-    first_s = time.perf_counter() - began
-    response.read()
-    connection.close()
-    return first_s
+    return _first_line_s(connection, began)
 
 
 def fast_folder() -> tempfile.TemporaryDirectory[str]:
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -228,15 +228,6 @@
         rows = list(self._listed.values())
         call("POST", f"{self.platform_url}/_admin/hosts", rows)
 
-    def publish_state(self, name: str, state: str) -> None:
-        """Change the state of a host or worker in the platform's list."""
-        self._listed[name]["state"] = state
-        self._publish()
-
-    def publish(self) -> None:
-        """Publish the list of hosts and workers again."""
-        self._publish()
-
     def platform_faults(self, **faults: Any) -> None:
         """Switch faults of the platform."""
         call("POST", f"{self.platform_url}/_admin/faults", faults)
