--- a/nutmegscale/application.py
+++ b/nutmegscale/application.py
@@ -73,7 +73,9 @@
             host=host,
         )
         self.members = membership_controller.MembershipController(
-            self.board, self.mesh
+            self.board,
+            self.mesh,
+            period_s=host_settings["probe_period_s"],
         )
         self.configs = config_controller.ConfigController(
             self.board, self.mesh, platform, rng=rng
--- /dev/null
+++ b/nutmegscale/backend_controller.py
@@ -0,0 +1,99 @@
+"""Registered backend servers on this host, from the store's feed."""
+
+from collections.abc import Callable
+
+from nutmegscale import backend
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import mesh
+from nutmegscale import periodic
+from nutmegscale import routing_board
+from nutmegscale import row_store
+
+EXPIRY_PERIOD_S = 0.2
+# An entry that vanishes within this time after the store was away may have
+# lapsed only, seconds.
+AFTER_OUTAGE_S = 1.0
+
+
+class BackendController:
+    """Writes `RoutingBoard.backends`."""
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        link: mesh.Mesh,
+        decode: Callable[[row_store.Row], backend.Backend],
+    ) -> None:
+        self._board = board
+        self._mesh = link
+        self._decode = decode
+        self._outage_ended = -AFTER_OUTAGE_S
+        self._is_out = False
+        self._expiry = periodic.Periodic(
+            board.clock, EXPIRY_PERIOD_S, self._expire
+        )
+
+    def start(self) -> None:
+        """Start to drop the entries that aren't back in time."""
+        self._expiry.start()
+
+    def stop(self) -> None:
+        """Stop."""
+        self._expiry.stop()
+
+    def note_contact(self, ok: bool) -> None:
+        """Note whether the store answered."""
+        if ok and self._is_out:
+            self._outage_ended = self._board.now()
+        self._is_out = not ok
+
+    def take_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Take in all entries; those that are missing may be gone."""
+        for row in rows:
+            self.take_row(row)
+        present = {row.key for row in rows}
+        for entry in self._board.backends.all():
+            if entry.id not in present:
+                self._remove(entry.id)
+
+    def take_row(self, row: row_store.Row) -> None:
+        """Take in an entry that changed."""
+        if row.is_removed:
+            self._remove(row.key)
+            return
+        try:
+            entry = self._decode(row)
+        except errors.EntryError as exc:
+            logs.get().warning("entry_skipped", key=row.key, message=str(exc))
+            self._remove(row.key)
+            return
+        if self._board.backends.put(entry):
+            logs.get().info(
+                "backend_entry",
+                backend=entry.id,
+                incarnation=entry.incarnation,
+                service=entry.service,
+                address=entry.address,
+                draining=entry.is_draining,
+                stage=entry.stage,
+                version=row.version,
+            )
+            self._forget_gone()
+
+    def _remove(self, backend_id: str) -> None:
+        now = self._board.now()
+        lapse_until = 0.0
+        if now - self._outage_ended < AFTER_OUTAGE_S:
+            lapse_until = now + backend.LAPSE_GRACE_S
+        if self._board.backends.remove(backend_id, lapse_until=lapse_until):
+            logs.get().info("backend_gone", backend=backend_id)
+            self._forget_gone()
+
+    def _forget_gone(self) -> None:
+        self._board.loads.keep_only(self._board.backends.all())
+
+    async def _expire(self) -> None:
+        for backend_id in self._board.backends.expire(self._board.now()):
+            logs.get().info("backend_gone", backend=backend_id, lapsed=True)
+            self._forget_gone()
--- a/nutmegscale/daemon.py
+++ b/nutmegscale/daemon.py
@@ -31,7 +31,7 @@
         return self._reactor.callLater(delay, function, *args, **kwargs)
 
 
-def _install_reactor() -> tuple[Any, asyncio.AbstractEventLoop]:
+def install_reactor() -> tuple[Any, asyncio.AbstractEventLoop]:
     """Install Twisted's reactor on a new asyncio loop.
 
     This precedes every other import of the reactor, so that the futures of
@@ -171,7 +171,7 @@
         sys.stderr.write(f"nutmegscaled: {exc}\n")
         sys.exit(EXIT_USAGE)
     logs.configure(host_settings["host"])
-    reactor, loop = _install_reactor()
+    reactor, loop = install_reactor()
     daemon = Daemon(reactor, loop, host_settings)
     try:
         daemon.start()
--- a/nutmegscale/envelope.py
+++ b/nutmegscale/envelope.py
@@ -74,6 +74,10 @@
         self._sequence = 0
         self._seen: dict[str, OrderedDict[int, int]] = {}
 
+    def set_key(self, key: bytes) -> None:
+        """Replace the key, once the one that all hosts share is known."""
+        self._key = key[:64]
+
     def seal(
         self,
         receiver: str,
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -46,6 +46,42 @@
     """No answer came in time; the request may have taken effect."""
 
 
+class ConnectionResetTransportError(TransportError):
+    """The connection was reset before the answer was whole."""
+
+
+class MalformedAnswerError(TransportError):
+    """What came back is no answer in the protocol."""
+
+
+class RequestError(NutmegscaleError):
+    """A caller's request has a header that can't be read."""
+
+
+class RejectedError(NutmegscaleError):
+    """A backend server said that it hasn't run and won't run a request."""
+
+
+class MisdirectedError(RejectedError):
+    """Another backend server has the address now; nothing was run."""
+
+
+class EntryError(NutmegscaleError):
+    """A row of the platform's store can't be read as what it should be."""
+
+
+class StoreError(NutmegscaleError):
+    """The platform's store gave no usable answer."""
+
+
+class StoreRefusedError(StoreError):
+    """The store refused a call; nothing was done."""
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer has the changes since a version."""
+
+
 class PlatformError(NutmegscaleError):
     """The platform's service refused or failed an operation."""
 
--- /dev/null
+++ b/nutmegscale/host_rows.py
@@ -0,0 +1,93 @@
+"""How hosts find each other: one row a host, and the key they share."""
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+import msgspec
+
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import periodic
+from nutmegscale import routing_board
+from nutmegscale import row_store
+
+KEY_TABLE = "nutmegscale-keys"
+KEY_NAME = "mesh"
+HOST_TABLE = "nutmegscale-hosts"
+KEY_BYTES = 32
+FIRST_RETRY_S = 0.2
+MAX_RETRY_S = 2.0
+
+
+class HostRow(NamedTuple):
+    """What a host says of itself in the store."""
+
+    address: str
+    failure_domain: str
+
+
+class HostRows:
+    """Joins this host to the others through the store."""
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        store: row_store.RowStore,
+        address: str,
+        *,
+        rng: random.Random,
+        on_key: Callable[[bytes], None],
+    ) -> None:
+        self._board = board
+        self._store = store
+        self._address = address
+        self._rng = rng
+        self._on_key = on_key
+        self._has_key = False
+
+    async def join(self) -> None:
+        """Join, and try again until the store has answered each step."""
+        pause_s = FIRST_RETRY_S
+        while True:
+            try:
+                await self._join()
+                return
+            except errors.StoreError as exc:
+                logs.get().warning("join_failed", message=str(exc))
+            await periodic.sleep(
+                self._board.clock, pause_s * (0.7 + 0.6 * self._rng.random())
+            )
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
+
+    async def _join(self) -> None:
+        if not self._has_key:
+            self._on_key(await self._shared_key())
+            self._has_key = True
+        row = HostRow(self._address, self._board.failure_domain)
+        written = await self._store.write(
+            HOST_TABLE, self._board.host, msgspec.msgpack.encode(row)
+        )
+        # Grows with each start of this host, whatever its earlier ones knew.
+        self._board.membership.restart(written.version)
+        found = await self._store.read_table(HOST_TABLE)
+        for row_found in found.rows:
+            self._learn(row_found)
+        logs.get().info("joined", hosts=len(found.rows))
+
+    async def _shared_key(self) -> bytes:
+        key = self._rng.randbytes(KEY_BYTES)
+        found = await self._store.write(KEY_TABLE, KEY_NAME, key, expected=0)
+        return found.rows[0].value if found.rows else key
+
+    def _learn(self, row: row_store.Row) -> None:
+        if row.key == self._board.host or row.is_removed:
+            return
+        try:
+            host = msgspec.msgpack.decode(row.value, type=HostRow)
+        except msgspec.DecodeError as exc:
+            logs.get().warning("host_row_skipped", key=row.key, why=str(exc))
+            return
+        self._board.membership.learn(
+            self._board.now(), row.key, host.failure_domain, host.address
+        )
--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -12,7 +12,6 @@
 from twisted.internet import error
 from twisted.internet import protocol
 from twisted.python import failure
-from twisted.web import _newclient
 from twisted.web import client
 from twisted.web import http_headers
 from twisted.web import iweb
@@ -298,7 +297,7 @@
     error.ConnectError,
     error.TimeoutError,
     error.NoRouteError,
-    _newclient.RequestNotSent,
+    client.RequestNotSent,
 )
 _FAILURES = (
     *_NEVER_SENT,
--- /dev/null
+++ b/nutmegscale/http_ingress.py
@@ -0,0 +1,375 @@
+"""HTTP/1.1 connections of callers, parsed by llhttp.
+
+llhttp refuses what two parsers might read differently: two lengths, a length
+beside chunks, bare CR or LF, folded headers. twisted.web joins folded
+headers and doesn't take over the limits below before a body is read, so its
+parser isn't used here.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+import httptools
+from twisted.internet import protocol
+
+from nutmegscale import http_message
+from nutmegscale import tcp_options
+
+# How long the rest of a refused request is read and thrown away, seconds,
+# so that the caller gets the answer before the connection is reset.
+LINGER_S = 1.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Limits(NamedTuple):
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+      max_header_bytes: Longest request line and headers.
+      max_body_bytes: Longest body.
+      header_timeout_s: Longest time from the first byte to the last header.
+      idle_timeout_s: Longest time without a byte.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Handler(Protocol):
+    """What answers requests."""
+
+    def handle(self, request: "Incoming") -> None:
+        """Answer a whole request, now or later."""
+        ...
+
+
+class Incoming:
+    """A whole request of a caller, and the way to answer it."""
+
+    def __init__(
+        self,
+        connection: "IngressConnection",
+        head: http_message.RequestHead,
+        body: bytes,
+        arrived: float,
+    ) -> None:
+        self._connection = connection
+        self._on_gone: Callable[[], None] | None = None
+        self._is_chunked = False
+        self._is_started = False
+        self._is_ended = False
+        self.head = head
+        self.body = body
+        self.arrived = arrived
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the head of the answer was sent."""
+        return self._is_started
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the answer is whole, was broken off, or nobody waits."""
+        return self._is_ended
+
+    def watch_gone(self, on_gone: Callable[[], None]) -> None:
+        """Call a function when the caller closes before the answer ends."""
+        self._on_gone = on_gone
+
+    def respond(
+        self,
+        status: int,
+        headers: list[http_message.Header],
+        body: bytes,
+    ) -> None:
+        """Send a whole answer."""
+        if self._is_ended:
+            return
+        self._is_started = True
+        sent = [*headers, (b"Content-Length", b"%d" % len(body))]
+        payload = b"" if self.head.method == b"HEAD" else body
+        self._connection.send_head(status, sent)
+        self._connection.send(payload)
+        self._end()
+
+    def start(self, status: int, headers: list[http_message.Header]) -> None:
+        """Send the head of an answer whose body follows in parts."""
+        if self._is_ended:
+            return
+        self._is_started = True
+        self._is_chunked = True
+        sent = [*headers, (b"Transfer-Encoding", b"chunked")]
+        self._connection.send_head(status, sent)
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data and not self._is_ended:
+            self._connection.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def finish(self) -> None:
+        """End an answer that was sent in parts."""
+        if not self._is_ended:
+            self._connection.send(b"0\r\n\r\n")
+            self._end()
+
+    def abort(self) -> None:
+        """Break the answer off, so that it doesn't look complete."""
+        if not self._is_ended:
+            self._is_ended = True
+            self._connection.abort()
+
+    def _end(self) -> None:
+        self._is_ended = True
+        self._connection.answered()
+
+    def lost(self) -> None:
+        """Note that the caller closed the connection."""
+        if self._is_ended:
+            return
+        self._is_ended = True
+        if self._on_gone is not None:
+            self._on_gone()
+
+
+class IngressConnection(protocol.Protocol):
+    """One connection of a caller: one request at a time."""
+
+    transport: Any
+
+    def __init__(self, site: "IngressFactory") -> None:
+        self._site = site
+        self._parser = httptools.HttpRequestParser(self)
+        self._timer: Any = None
+        self._request: Incoming | None = None
+        self._is_closing = False
+        self._is_discarding = False
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: list[http_message.Header] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._has_head = False
+        self._is_complete = False
+        self._has_extra = False
+        self._refusal = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._request is None and not self._head_bytes
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set up a new connection."""
+        tcp_options.apply(self.transport)
+        self._site.connections.add(self)
+        self._wait(self._site.limits().idle_timeout_s)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Give up what the caller waited for."""
+        self._site.connections.discard(self)
+        self._cancel_timer()
+        request, self._request = self._request, None
+        if request is not None:
+            request.lost()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what came in."""
+        if self._is_discarding:
+            return
+        if self._request is not None:
+            # Nothing may follow a request before its answer: what does is
+            # never read as a request, and the connection ends.
+            self._is_closing = True
+            return
+        limits = self._site.limits()
+        if not self._head_bytes:
+            self._wait(limits.header_timeout_s)
+        if not self._has_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refusal = self._refusal or 501
+        except httptools.HttpParserError:
+            self._refusal = self._refusal or 400
+        if not self._has_head and self._head_bytes > limits.max_header_bytes:
+            self._refusal = self._refusal or 431
+        if self._refusal:
+            self._refuse(self._refusal)
+        elif self._is_complete:
+            self._dispatch()
+        elif self._has_head:
+            self._wait(limits.idle_timeout_s)
+
+    def on_message_begin(self) -> None:
+        """Note the start of a message; see httptools."""
+        if self._is_complete:
+            self._has_extra = True
+
+    def on_url(self, url: bytes) -> None:
+        """Take in a part of the target; see httptools."""
+        if not self._is_complete:
+            self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header; trailers are left out; see httptools."""
+        if not self._has_head:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head; see httptools."""
+        if self._is_complete:
+            return
+        self._has_head = True
+        limits = self._site.limits()
+        size = len(self._target) + sum(
+            len(name) + len(value) + 4 for name, value in self._headers
+        )
+        head = self._head()
+        length = head.get(b"content-length") or b"0"
+        if size > limits.max_header_bytes:
+            self._refusal = 431
+        elif head.count(b"host") != 1:
+            self._refusal = 400
+        elif int(length) > limits.max_body_bytes:
+            self._refusal = 413
+        elif (head.get(b"expect") or b"").lower() == b"100-continue":
+            self.transport.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of the body; see httptools."""
+        if self._is_complete:
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > self._site.limits().max_body_bytes:
+            self._refusal = self._refusal or 413
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Note the end of a message; see httptools."""
+        if not self._is_complete:
+            self._is_complete = True
+            self._keeps_alive = self._parser.should_keep_alive()
+
+    def _head(self) -> http_message.RequestHead:
+        method = self._parser.get_method()
+        return http_message.RequestHead(
+            method, self._target, tuple(self._headers)
+        )
+
+    def _dispatch(self) -> None:
+        if self._has_extra:
+            self._refuse(400)
+            return
+        self._cancel_timer()
+        head, body = self._head(), b"".join(self._body)
+        self._is_closing = self._is_closing or not self._keeps_alive
+        self._reset_message()
+        self._request = Incoming(self, head, body, self._site.now())
+        self._site.handler.handle(self._request)
+
+    def _refuse(self, status: int) -> None:
+        """Answer what can't be read, and close."""
+        self._site.on_refused(status)
+        self._is_closing = True
+        headers = [(b"Content-Length", b"0")]
+        self.send_head(status, headers)
+        self._close_gently()
+
+    def send_head(
+        self, status: int, headers: list[http_message.Header]
+    ) -> None:
+        """Send the head of an answer."""
+        if self._site.is_draining:
+            self._is_closing = True
+        if self._is_closing:
+            headers = [*headers, (b"Connection", b"close")]
+        self.transport.write(http_message.encode_response_head(status, headers))
+
+    def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self.transport.write(data)
+
+    def answered(self) -> None:
+        """Go on to the next request, or close."""
+        self._request = None
+        if self._is_closing:
+            self._close_gently()
+        else:
+            self._wait(self._site.limits().idle_timeout_s)
+
+    def abort(self) -> None:
+        """Close at once, in the middle of an answer."""
+        self._request = None
+        self._is_discarding = True
+        self.transport.abortConnection()
+
+    def close_if_idle(self) -> None:
+        """Close a connection that no request is on."""
+        if self.is_idle:
+            self._close_gently()
+
+    def _close_gently(self) -> None:
+        """Close so that what was sent still arrives."""
+        self._is_discarding = True
+        self.transport.loseWriteConnection()
+        self._wait(LINGER_S)
+
+    def _wait(self, seconds: float) -> None:
+        self._cancel_timer()
+        self._timer = self._site.clock.callLater(seconds, self._timed_out)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _timed_out(self) -> None:
+        if self._is_discarding:
+            self.transport.abortConnection()
+        elif self._head_bytes:
+            self._refuse(408)
+        else:
+            self._close_gently()
+
+
+class IngressFactory(protocol.Factory):
+    """Makes the connections of callers."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        clock: Any,
+        handler: Handler,
+        limits: Callable[[], Limits],
+        *,
+        on_refused: Callable[[int], None] = lambda status: None,
+    ) -> None:
+        self.clock = clock
+        self.handler = handler
+        self.limits = limits
+        self.on_refused = on_refused
+        self.is_draining = False
+        self.connections: set[IngressConnection] = set()
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return float(self.clock.seconds())
+
+    def buildProtocol(self, addr: Any) -> IngressConnection:  # noqa: N802
+        """Make the protocol of a new connection."""
+        return IngressConnection(self)
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
--- /dev/null
+++ b/nutmegscale/http_message.py
@@ -0,0 +1,127 @@
+"""Heads of HTTP/1.1 messages and the headers that concern one connection."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+Header = tuple[bytes, bytes]
+
+# RFC 9110 7.6.1, and the framing headers that each hop sets anew.
+_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class RequestHead(NamedTuple):
+    """Head of a request.
+
+    Attributes:
+      method: Method, as sent.
+      target: Path and query, as sent.
+      headers: Names and values in their order, as sent.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+
+    @property
+    def path(self) -> bytes:
+        """Target without its query."""
+        return self.target.partition(b"?")[0]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; `name` is in lower case."""
+        return find(self.headers, name)
+
+    def count(self, name: bytes) -> int:
+        """Count how often a header was sent; `name` is in lower case."""
+        return sum(n.lower() == name for n, _ in self.headers)
+
+
+class ResponseHead(NamedTuple):
+    """Head of a response.
+
+    Attributes:
+      status: Status code.
+      headers: Names and values in their order, as sent.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; `name` is in lower case."""
+        return find(self.headers, name)
+
+
+def find(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Return the first value of a header; `name` is in lower case."""
+    for sent, value in headers:
+        if sent.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(
+    headers: tuple[Header, ...], drop: frozenset[bytes] = frozenset()
+) -> list[Header]:
+    """Return the headers to pass on.
+
+    Args:
+      headers: Headers as received.
+      drop: Further names to leave out, in lower case.
+
+    Returns:
+      All but those of one connection, those that the Connection header
+      names, and those to drop.
+    """
+    named = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named |= {word.strip().lower() for word in value.split(b",")}
+    left_out = _HOP_HEADERS | drop | named
+    return [(n, v) for n, v in headers if n.lower() not in left_out]
+
+
+def encode_request(head: RequestHead, body: bytes) -> bytes:
+    """Return the bytes of a request with its length stated."""
+    lines = [head.method + b" " + head.target + b" HTTP/1.1"]
+    lines += [name + b": " + value for name, value in head.headers]
+    if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def encode_response_head(status: int, headers: Iterable[Header]) -> bytes:
+    """Return the bytes of a response head."""
+    reason = REASONS.get(status, b"Status")
+    lines = [b"HTTP/1.1 %d %s" % (status, reason)]
+    lines += [name + b": " + value for name, value in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/nutmegscale/membership.py
+++ b/nutmegscale/membership.py
@@ -195,6 +195,12 @@
                 known._replace(address=address, state=State.ALIVE, since=now)
             )
 
+    def restart(self, incarnation: int) -> None:
+        """Take a higher incarnation, so that peers forget an earlier start."""
+        own = self._members[self._host]
+        if incarnation > own.incarnation:
+            self._set(own._replace(incarnation=incarnation))
+
     def leave(self, now: float) -> list[Outgoing]:
         """Say that this host is leaving and takes no more state.
 
--- a/nutmegscale/membership_controller.py
+++ b/nutmegscale/membership_controller.py
@@ -1,8 +1,9 @@
 """Controller that keeps the view of the hosts up to date."""
 
 from collections.abc import Callable
+from typing import Any
+from typing import Protocol
 
-from nutmegscale import blackboard
 from nutmegscale import membership
 from nutmegscale import mesh
 from nutmegscale import periodic
@@ -10,13 +11,36 @@
 TICKS_PER_PERIOD = 4
 
 
+class Board(Protocol):
+    """What the controller needs of a host's shared state."""
+
+    @property
+    def clock(self) -> Any:
+        """Source of monotonic time and timers."""
+        ...
+
+    @property
+    def membership(self) -> membership.Membership:
+        """View of the hosts."""
+        ...
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        ...
+
+    def note(self, kind: str, request: str = "", **detail: object) -> None:
+        """Add an event to the time line."""
+        ...
+
+
 class MembershipController:
-    """Writes `Blackboard.membership`."""
+    """Writes the view of the hosts on the blackboard."""
 
-    def __init__(self, board: blackboard.Blackboard, link: mesh.Mesh) -> None:
+    def __init__(
+        self, board: Board, link: mesh.Mesh, *, period_s: float
+    ) -> None:
         self._board = board
         self._mesh = link
-        period_s = board.settings["probe_period_s"]
         self._ticks = periodic.Periodic(
             board.clock, period_s / TICKS_PER_PERIOD, self._tick
         )
@@ -66,6 +90,9 @@
         for member in view.members():
             if self._states.get(member.host) != member.state:
                 self._states[member.host] = member.state
+                if member.state == membership.State.SUSPECT:
+                    # Its connection may have gone silent, not the host.
+                    self._mesh.reset(member.host)
                 self._board.note(
                     "member.state",
                     host=member.host,
--- a/nutmegscale/mesh.py
+++ b/nutmegscale/mesh.py
@@ -99,6 +99,10 @@
         """Send a one-way message; it may be lost."""
         self._send(host, message, 0, is_reply=False)
 
+    def reset(self, host: str) -> None:
+        """Replace the connection to a host, which may have gone silent."""
+        self._transport.reset(host)
+
     async def call(
         self,
         host: str,
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -214,6 +214,97 @@
     leaving: bool
 
 
+class SlotAsk(NamedTuple):
+    """A stream that wants a slot, sent to the planner of its service.
+
+    Times are spans from now, seconds.
+    """
+
+    service: str
+    exchange: str
+    prompt_tokens: int
+    expected_tokens: int
+    priority: int
+    in_time_s: float
+    patience_s: float
+    avoid: tuple[str, ...]
+    reads_itself: bool
+
+
+class SlotReply(NamedTuple):
+    """What the planner decided of a stream, now or after a wait.
+
+    Attributes:
+      exchange: The stream.
+      state: "granted", "refused" or "queued".
+      prefill: Prefill worker of a grant; "" where decode reads the prompt.
+      decode: Decode worker of a grant.
+      retry_after_s: When a refused caller shall come back.
+      reason: Why it is refused.
+    """
+
+    exchange: str
+    state: str
+    prefill: str = ""
+    decode: str = ""
+    retry_after_s: float = 0.0
+    reason: str = ""
+
+
+class SlotNews(NamedTuple):
+    """What became of a grant.
+
+    Attributes:
+      service: Service of the stream.
+      exchange: The stream.
+      kind: "prefilled" when the prompt was read, "ended" when the slot is
+        free, "lost" when a worker of the grant can't be reached.
+      worker: The worker that it is about.
+      tokens: Tokens made by a whole run, else 0.
+      took_s: Time that the prefill or the run took, seconds.
+    """
+
+    service: str
+    exchange: str
+    kind: str
+    worker: str
+    tokens: int
+    took_s: float
+
+
+class SlotList(NamedTuple):
+    """Slots that a host holds, sent to the planner of their service.
+
+    Attributes:
+      service: The service.
+      held: Exchange, decode worker, prompt tokens, expected tokens and age
+        in seconds of each one.
+    """
+
+    service: str
+    held: tuple[tuple[str, str, int, int, float], ...]
+
+
+class RoutingRequest(NamedTuple):
+    """Question for the routing configuration, if later than a version."""
+
+    known_version: int
+
+
+class RoutingReply(NamedTuple):
+    """Routing configuration in force as it was read; may be empty."""
+
+    version: int
+    content: bytes
+
+
+class BackendLeft(NamedTuple):
+    """A backend server that is leaving or gone, as the store told a host."""
+
+    backend: str
+    incarnation: int
+
+
 _TYPES: tuple[Any, ...] = (
     membership.Probe,
     membership.Ack,
@@ -239,6 +330,13 @@
     Suspicion,
     Cleared,
     WorkerLeaving,
+    SlotAsk,
+    SlotReply,
+    SlotNews,
+    SlotList,
+    RoutingRequest,
+    RoutingReply,
+    BackendLeft,
 )
 BY_NUMBER: dict[int, Any] = dict(enumerate(_TYPES, start=1))
 NUMBERS: dict[Any, int] = {kind: number for number, kind in BY_NUMBER.items()}
--- /dev/null
+++ b/nutmegscale/plain_runner.py
@@ -0,0 +1,151 @@
+"""Calls of plain services: one server, and another where that is safe."""
+
+from nutmegscale import backend
+from nutmegscale import caller_request
+from nutmegscale import errors
+from nutmegscale import http_message
+from nutmegscale import request_context
+from nutmegscale import retry_share
+from nutmegscale import routing_board
+from nutmegscale import upstream
+
+# Longest answer of a plain service that is kept whole before it is passed
+# on, so that one that breaks off can be sent for again.
+MAX_BODY_BYTES = 4 << 20
+# Servers that one request is offered to while all of them reject it.
+MAX_OFFERS = 3
+MIN_LEFT_S = 0.01
+REJECTED_RETRY_AFTER_S = 0.3
+
+
+class PlainRunner:
+    """Runs calls of plain services."""
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        pool: upstream.UpstreamPool,
+        wire: caller_request.ServerWire,
+        budgets: "dict[str, retry_share.RetryShare]",
+    ) -> None:
+        self._board = board
+        self._pool = pool
+        self._wire = wire
+        self._budgets = budgets
+
+    async def run(self, context: request_context.RequestContext) -> None:
+        """Answer a request."""
+        runs = 0
+        for offer in range(MAX_OFFERS):
+            server = self._choose(context)
+            if server is None or context.left_s < MIN_LEFT_S:
+                break
+            if offer and not self._take_repeat(context):
+                break
+            context.tries.append(server.id)
+            try:
+                head, body = await self._offer(context, server)
+            except (errors.ConnectError, errors.RejectedError) as exc:
+                context.log("server_rejected", server=server.id, why=str(exc))
+                continue
+            except errors.TransportError as exc:
+                runs += 1
+                context.log(
+                    "server_failed",
+                    server=server.id,
+                    error=type(exc).__name__,
+                    why=str(exc),
+                )
+                if self._may_repeat(context, runs):
+                    continue
+                self._fail_broken(context, exc)
+                return
+            runs += 1
+            if head.status >= 500 and self._may_repeat(context, runs):
+                last = (head, body)
+                if self._has_other(context) and offer + 1 < MAX_OFFERS:
+                    context.log(
+                        "server_failed", server=server.id, status=head.status
+                    )
+                    continue
+                head, body = last
+            context.answer(head, body)
+            return
+        self._end_without_answer(context, runs)
+
+    def _choose(
+        self, context: request_context.RequestContext
+    ) -> backend.Backend | None:
+        return self._board.loads.choose(
+            self._board.now(),
+            self._board.backends.usable(context.service),
+            self._board.failure_domain,
+            avoid=frozenset(context.tries),
+        )
+
+    def _has_other(self, context: request_context.RequestContext) -> bool:
+        budget = self._budgets[context.service]
+        has_budget = budget.left(self._board.now()) >= 1.0
+        return has_budget and self._choose(context) is not None
+
+    def _take_repeat(self, context: request_context.RequestContext) -> bool:
+        return self._budgets[context.service].take(self._board.now())
+
+    def _may_repeat(
+        self, context: request_context.RequestContext, runs: int
+    ) -> bool:
+        route = context.route
+        return route.is_idempotent and runs < route.max_attempts
+
+    async def _offer(
+        self, context: request_context.RequestContext, server: backend.Backend
+    ) -> tuple[http_message.ResponseHead, bytes]:
+        loads = self._board.loads
+        request = self._wire.plain(context.request, server, context.left_s)
+        loads.sent(server)
+        call: upstream.Call | None = None
+        try:
+            call = await self._pool.call(server.address, request)
+            head = await call.head(context.left_s)
+            verdict = self._wire.verdict(head)
+            loads.stated(self._board.now(), server, verdict.load)
+            body = await call.body(context.left_s, MAX_BODY_BYTES)
+            if verdict.is_misdirected:
+                self._pool.forget(server.address)
+                raise errors.MisdirectedError("another server has its address")
+            if not verdict.has_run:
+                raise errors.RejectedError(f"rejected with {head.status}")
+            if head.status < 300 and not verdict.is_genuine:
+                raise errors.MalformedAnswerError("answer without proof")
+            loads.worked(server)
+        except errors.ResponseTimeoutError:
+            raise
+        except (errors.ConnectError, errors.TransportError):
+            loads.failed(self._board.now(), server)
+            raise
+        finally:
+            loads.ended(server)
+            if call is not None:
+                call.abort()
+        return head, body
+
+    def _fail_broken(
+        self, context: request_context.RequestContext, exc: Exception
+    ) -> None:
+        is_late = isinstance(exc, errors.ResponseTimeoutError)
+        status, kind = (504, "timeout") if is_late else (502, "server_broke")
+        context.fail(
+            errors.Failure(status, kind, "the server broke off", "maybe_run")
+        )
+
+    def _end_without_answer(
+        self, context: request_context.RequestContext, runs: int
+    ) -> None:
+        if runs:
+            context.fail(
+                errors.Failure(502, "no_other_server", "failed", "maybe_run")
+            )
+        elif context.left_s < MIN_LEFT_S:
+            context.fail(errors.Failure(504, "timeout", "too late", "not_run"))
+        else:
+            context.refuse("no_server", REJECTED_RETRY_AFTER_S)
--- /dev/null
+++ b/nutmegscale/platform/desired_state.py
@@ -0,0 +1,140 @@
+"""Configuration in force, from the row that the platform's operator writes."""
+
+from typing import Any
+
+import msgspec
+
+from nutmegscale import errors
+from nutmegscale import http_ingress
+from nutmegscale import routes
+
+TABLE = "op"
+KEY = "config"
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    prefix: str = msgspec.field(name="pathPrefix")
+    kind: routes.RouteKind
+    timeout_ms: float = msgspec.field(name="timeoutMs")
+    # Despite its name no latency that was seen, but the objective.
+    target_latency_ms: float = msgspec.field(name="targetLatencyMs")
+    attempts: int = msgspec.field(name="maxAttempts", default=1)
+    priority: int = 0
+    service: str = ""
+    split: list[_Split] = msgspec.field(name="trafficSplit", default=[])
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    # Tokens, not bytes.
+    capacity: int = msgspec.field(name="kvCapacity")
+    handle_ttl: float = msgspec.field(name="handleTtlS", default=0.5)
+
+
+class _Service(msgspec.Struct):
+    name: str
+    connections: int = msgspec.field(name="maxConnections", default=100)
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    header_bytes: int = msgspec.field(name="maxHeaderBytes", default=16_384)
+    body_bytes: int = msgspec.field(name="maxBodyBytes", default=4 << 20)
+    header_ms: float = msgspec.field(name="headerTimeoutMs", default=3_000.0)
+    idle_ms: float = msgspec.field(name="idleTimeoutMs", default=15_000.0)
+
+
+class _State(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_decoder = msgspec.json.Decoder(_State)
+
+
+def decode(data: bytes) -> routes.RoutingConfig:
+    """Decode a configuration.
+
+    Raises:
+      errors.ConfigError: It is malformed, or a route names no known service.
+    """
+    try:
+        state = _decoder.decode(data)
+    except msgspec.DecodeError as exc:
+        raise errors.ConfigError(str(exc), file=f"{TABLE}/{KEY}") from exc
+    services = {service.name: _service(service) for service in state.services}
+    found = []
+    for route in state.routes:
+        found.append(_route(route))
+        for target in found[-1].targets:
+            if target.service not in services:
+                raise errors.ConfigError(
+                    f"no service {target.service!r}",
+                    file=f"{TABLE}/{KEY}",
+                    key=f"routes.{route.name}",
+                )
+    limits = http_ingress.Limits(
+        max_header_bytes=state.limits.header_bytes,
+        max_body_bytes=state.limits.body_bytes,
+        header_timeout_s=state.limits.header_ms / 1000,
+        idle_timeout_s=state.limits.idle_ms / 1000,
+    )
+    return routes.RoutingConfig(state.version, tuple(found), services, limits)
+
+
+def _service(service: _Service) -> routes.Service:
+    engine = None
+    if service.engine is not None:
+        engine = routes.EngineFigures(
+            slots=service.engine.slots,
+            kv_tokens=service.engine.capacity,
+            handle_life_s=service.engine.handle_ttl,
+        )
+    return routes.Service(service.name, service.connections, engine)
+
+
+def _route(route: _Route) -> routes.Route:
+    targets: tuple[routes.Target, ...] = tuple(
+        routes.Target(split.service, split.weight) for split in route.split
+    )
+    if not targets and route.service:
+        targets = (routes.Target(route.service, 1.0),)
+    if not targets:
+        raise errors.ConfigError(
+            "no service", file=f"{TABLE}/{KEY}", key=f"routes.{route.name}"
+        )
+    return routes.Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        path_prefix=route.prefix,
+        kind=route.kind,
+        targets=targets,
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.target_latency_ms / 1000,
+        max_attempts=max(1, route.attempts),
+        priority=route.priority,
+        is_resumable=route.resumable and route.kind == "stream",
+    )
+
+
+def peek_version(data: bytes) -> int | None:
+    """Return the version of a configuration without reading the rest."""
+
+    class _Version(msgspec.Struct):
+        version: int
+
+    try:
+        found: Any = msgspec.json.decode(data, type=_Version)
+    except msgspec.DecodeError:
+        return None
+    return int(found.version)
--- /dev/null
+++ b/nutmegscale/platform/ingress.py
@@ -0,0 +1,95 @@
+"""Headers and statuses between callers and hosts."""
+
+from nutmegscale import caller_request
+from nutmegscale import errors
+from nutmegscale import http_message
+
+# Headers that only hosts may set, and those of the hop to a server: whatever
+# a caller sends under these names isn't passed on.
+SYSTEM_HEADERS = frozenset(
+    {
+        b"stage",
+        b"kv-source",
+        b"kv-hold",
+        b"kv-fetch",
+        b"kv-backup",
+        b"pin-ms",
+        b"wait-ms",
+        b"request-priority",
+        b"expected-version",
+        b"target-instance",
+        b"deadline-ms",
+        b"last-event-id",
+    }
+)
+# Headers of a server's answer that speak to hosts only.
+_HOST_HEADERS = frozenset({b"not-executed", b"server-load", b"instance-id"})
+_SINGLE_HEADERS = (
+    b"request-id",
+    b"deadline-ms",
+    b"token-count",
+    b"length-hint",
+    b"last-event-id",
+)
+
+
+class CallerWire:
+    """`caller_request.CallerWire` of the platform."""
+
+    def decode(
+        self, head: http_message.RequestHead, body: bytes
+    ) -> caller_request.CallerRequest:
+        """Decode a request; see `caller_request.CallerWire`."""
+        for name in _SINGLE_HEADERS:
+            if head.count(name) > 1:
+                raise errors.RequestError(f"{name.decode()} sent twice")
+        deadline_ms = _number(head, b"deadline-ms")
+        prompt_tokens, max_tokens = _token_count(head)
+        hint = _number(head, b"length-hint")
+        expected = max_tokens if hint is None else int(hint)
+        return caller_request.CallerRequest(
+            id=(head.get(b"request-id") or b"").decode("latin-1"),
+            host=(head.get(b"host") or b"").decode("latin-1"),
+            path=head.path.decode("latin-1"),
+            patience_s=None if deadline_ms is None else deadline_ms / 1000,
+            prompt_tokens=prompt_tokens,
+            max_tokens=max_tokens,
+            expected_tokens=max(1, min(expected, max_tokens or expected)),
+            last_event=head.get(b"last-event-id") or b"",
+            head=head,
+            body=body,
+        )
+
+    def answer_headers(
+        self, head: http_message.ResponseHead
+    ) -> list[http_message.Header]:
+        """Return headers to pass on; see `caller_request.CallerWire`."""
+        return http_message.end_to_end(head.headers, _HOST_HEADERS)
+
+    def failure_headers(
+        self, failure: errors.Failure
+    ) -> list[http_message.Header]:
+        """Return headers of a failure; see `caller_request.CallerWire`."""
+        headers = [(b"Content-Type", b"application/json")]
+        if failure.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % failure.retry_after_s))
+        return headers
+
+
+def _number(head: http_message.RequestHead, name: bytes) -> float | None:
+    value = head.get(name)
+    if value is None:
+        return None
+    if not value.isdigit():
+        raise errors.RequestError(f"{name.decode()} isn't a number")
+    return float(value)
+
+
+def _token_count(head: http_message.RequestHead) -> tuple[int, int]:
+    value = head.get(b"token-count")
+    if value is None:
+        return 0, 0
+    prompt, _, answer = value.partition(b",")
+    if not prompt.strip().isdigit() or not answer.strip().isdigit():
+        raise errors.RequestError("token-count isn't two numbers")
+    return int(prompt), int(answer)
--- /dev/null
+++ b/nutmegscale/platform/settings.py
@@ -0,0 +1,127 @@
+"""Settings of a process, from the file that the platform writes (TOML)."""
+
+import os
+import tomllib
+from typing import NamedTuple
+
+import msgspec
+
+from nutmegscale import errors
+
+SETTINGS_VARIABLE = "NUTMEGSCALE_SETTINGS"
+
+
+class HostSettings(NamedTuple):
+    """What a host learns from its settings file.
+
+    Attributes:
+      host: Name of this host.
+      failure_domain: Where it stands.
+      ip: Its address.
+      caller_port: Port for callers.
+      caller_ip: Address for callers.
+      ready_ip: Address for the balancer's question whether it is ready.
+      ready_port: Port for that question.
+      peer_port: First port that is free for messages between hosts.
+      store_address: IP and port of the platform's store.
+      grace_s: Time from SIGTERM until the process is killed.
+      drain_s: Time after which a leaving server must get nothing more.
+      retry_ratio: Repeats allowed for each request of a service, all hosts.
+      retry_extra: Repeats allowed beside that in each window, all hosts.
+      retry_window_s: Length of that window.
+    """
+
+    host: str
+    failure_domain: str
+    ip: str
+    caller_ip: str
+    caller_port: int
+    ready_ip: str
+    ready_port: int
+    peer_port: int
+    store_address: str
+    grace_s: float
+    drain_s: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Bounds(msgspec.Struct):
+    grace: float = msgspec.field(name="graceS", default=8.0)
+    drain_ms: float = msgspec.field(name="drainMs", default=2000.0)
+    retry_ratio: float = msgspec.field(name="retryBudgetRatio", default=0.2)
+    retry_extra: float = msgspec.field(name="budgetExtra", default=0.0)
+    retry_window: float = msgspec.field(name="budgetWindowS", default=10.0)
+
+
+class _File(msgspec.Struct):
+    node: str = msgspec.field(name="nodeName")
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: _Store
+    ports: tuple[int, int] = msgspec.field(name="internalPorts")
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def load(path: str | None = None) -> HostSettings:
+    """Read the settings file.
+
+    Args:
+      path: The file; the one that the environment names if left out.
+
+    Raises:
+      errors.SettingsError: It can't be read, or a field is missing or wrong.
+    """
+    if path is None:
+        path = os.environ.get(SETTINGS_VARIABLE, "")
+        if not path:
+            raise errors.SettingsError(f"{SETTINGS_VARIABLE} isn't set")
+    try:
+        with open(path, "rb") as file:
+            parsed = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(f"{path}: can't be read: {exc}") from exc
+    try:
+        found = msgspec.convert(parsed, _File, strict=True)
+    except msgspec.ValidationError as exc:
+        raise errors.SettingsError(f"{path}: {exc}") from exc
+    front_ip, front_port = _split(path, "listen.front", found.listen.front)
+    ready_ip, ready_port = _split(path, "listen.ready", found.listen.ready)
+    _split(path, "platform.address", found.platform.address)
+    bounds = found.bounds
+    return HostSettings(
+        host=found.node,
+        failure_domain=found.zone,
+        ip=found.ip,
+        caller_ip=front_ip,
+        caller_port=front_port,
+        ready_ip=ready_ip,
+        ready_port=ready_port,
+        peer_port=found.ports[0],
+        store_address=found.platform.address,
+        grace_s=bounds.grace,
+        drain_s=bounds.drain_ms / 1000,
+        retry_ratio=bounds.retry_ratio,
+        retry_extra=bounds.retry_extra,
+        retry_window_s=bounds.retry_window,
+    )
+
+
+def _split(path: str, key: str, address: str) -> tuple[str, int]:
+    ip, _, port = address.rpartition(":")
+    if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise errors.SettingsError(
+            f"{path}: {key}: {address!r} isn't an address with a port"
+        )
+    return ip, int(port)
--- /dev/null
+++ b/nutmegscale/platform/store_client.py
@@ -0,0 +1,155 @@
+"""Client of the platform's store of rows, over HTTP."""
+
+import base64
+import binascii
+import json
+from typing import Any
+from urllib import parse
+
+import msgspec
+
+from nutmegscale import errors
+from nutmegscale import http_message
+from nutmegscale import row_store
+from nutmegscale import upstream
+
+# Longest wait for an answer beside the wait that was asked for, seconds; a
+# slow store takes up to 62 times its usual 4 ms, several calls in a row.
+ANSWER_TIMEOUT_S = 1.5
+MAX_ANSWER_BYTES = 8 << 20
+PAGE_ROWS = 500
+
+
+class _Row(msgspec.Struct):
+    key: str
+    ver: int
+    value: str = ""
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct):
+    ver: int
+    rows: list[_Row] = []
+    more: bool = msgspec.field(name="hasMore", default=False)
+
+
+_decoder = msgspec.json.Decoder(_Answer)
+
+
+class StoreClient:
+    """`row_store.RowStore` of the platform; all rows have an empty part."""
+
+    def __init__(
+        self,
+        pool: upstream.UpstreamPool,
+        address: str,
+        *,
+        answer_timeout_s: float = ANSWER_TIMEOUT_S,
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._answer_timeout_s = answer_timeout_s
+
+    async def read_table(self, table: str) -> row_store.Changes:
+        """Read all rows of a table; see `row_store.RowStore`."""
+        rows: list[row_store.Row] = []
+        first = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+            if first:
+                query["from"] = first
+            answer = await self._get("rows-get", query)
+            rows += _rows(answer)
+            if not answer.more or not answer.rows:
+                return row_store.Changes(tuple(rows), answer.ver)
+            first = answer.rows[-1].key + "\0"
+
+    async def follow(
+        self, table: str, after: int, wait_s: float
+    ) -> row_store.Changes:
+        """Wait for changes of a table; see `row_store.RowStore`."""
+        query = {
+            "table": table,
+            "after": str(after),
+            "waitMs": str(int(wait_s * 1000)),
+        }
+        answer = await self._get("rows-feed", query, wait_s=wait_s)
+        return row_store.Changes(tuple(_rows(answer)), answer.ver)
+
+    async def write(
+        self, table: str, key: str, value: bytes, *, expected: int | None = None
+    ) -> row_store.Changes:
+        """Write a row; see `row_store.RowStore`."""
+        place = {"table": table, "part": "", "key": key}
+        put = {**place, "value": base64.b64encode(value).decode()}
+        condition = [] if expected is None else [{**place, "ver": expected}]
+        body = {"expected": condition, "puts": [put], "drops": []}
+        head = http_message.RequestHead(
+            b"POST",
+            b"/nutmegscale/rows-tx",
+            (*self._headers(), (b"Content-Type", b"application/json")),
+        )
+        status, data = await self._call(head, json.dumps(body).encode(), 0.0)
+        if status not in (200, 412):
+            raise errors.StoreRefusedError(f"write refused with {status}")
+        answer = _decode(data)
+        return row_store.Changes(tuple(_rows(answer)), answer.ver)
+
+    async def _get(
+        self, call: str, query: dict[str, str], *, wait_s: float = 0.0
+    ) -> _Answer:
+        target = f"/nutmegscale/{call}?{parse.urlencode(query)}"
+        head = http_message.RequestHead(
+            b"GET", target.encode(), self._headers()
+        )
+        status, data = await self._call(head, b"", wait_s)
+        if status == 410:
+            raise errors.HistoryGoneError(f"{call}: history is gone")
+        if status != 200:
+            raise errors.StoreRefusedError(f"{call} refused with {status}")
+        return _decode(data)
+
+    def _headers(self) -> tuple[http_message.Header, ...]:
+        return ((b"Host", self._address.encode()),)
+
+    async def _call(
+        self, head: http_message.RequestHead, body: bytes, wait_s: float
+    ) -> tuple[int, bytes]:
+        request = upstream.Request(head, body, b"")
+        timeout_s = wait_s + self._answer_timeout_s
+        try:
+            call = await self._pool.call(self._address, request)
+        except errors.ConnectError as exc:
+            raise errors.StoreRefusedError(str(exc)) from exc
+        try:
+            answer = await call.head(timeout_s)
+            data = await call.body(self._answer_timeout_s, MAX_ANSWER_BYTES)
+        except errors.TransportError as exc:
+            raise errors.StoreError(str(exc)) from exc
+        finally:
+            call.abort()
+        return answer.status, data
+
+
+def _decode(data: bytes) -> _Answer:
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as exc:
+        raise errors.StoreError(f"malformed answer: {exc}") from exc
+
+
+def _rows(answer: _Answer) -> list[row_store.Row]:
+    rows = []
+    for row in answer.rows:
+        try:
+            value = base64.b64decode(row.value, validate=True)
+        except (binascii.Error, ValueError):
+            # Readers of the row report that it can't be decoded.
+            value = row.value.encode()
+        rows.append(row_store.Row(row.key, value, row.ver, row.deleted))
+    return rows
+
+
+def describe(row: row_store.Row) -> dict[str, Any]:
+    """Return the fields that log lines give of a row."""
+    return {"key": row.key, "version": row.version, "bytes": len(row.value)}
--- /dev/null
+++ b/nutmegscale/platform/worker_calls.py
@@ -0,0 +1,114 @@
+"""Calls to backend servers and what their answers say."""
+
+import msgspec
+
+from nutmegscale import backend
+from nutmegscale import caller_request
+from nutmegscale import errors
+from nutmegscale import http_message
+from nutmegscale import upstream
+from nutmegscale.platform import ingress
+
+_PROOF = b"response-signature"
+
+
+class _Prefilled(msgspec.Struct):
+    handle: str
+
+
+_prefilled_decoder = msgspec.json.Decoder(_Prefilled)
+
+
+class ServerWire:
+    """`caller_request.ServerWire` of the platform."""
+
+    def plain(
+        self,
+        request: caller_request.CallerRequest,
+        server: backend.Backend,
+        left_s: float,
+    ) -> upstream.Request:
+        """Encode a plain call; see `caller_request.ServerWire`."""
+        return _encode(request, server, left_s, [])
+
+    def prefill(
+        self,
+        request: caller_request.CallerRequest,
+        server: backend.Backend,
+        left_s: float,
+    ) -> upstream.Request:
+        """Encode a prefill; see `caller_request.ServerWire`."""
+        return _encode(request, server, left_s, [(b"Stage", b"prefill")])
+
+    def decode(
+        self,
+        request: caller_request.CallerRequest,
+        server: backend.Backend,
+        left_s: float,
+        *,
+        source: caller_request.KvHandle | None,
+        last_event: bytes,
+    ) -> upstream.Request:
+        """Encode a run; see `caller_request.ServerWire`."""
+        headers = []
+        if source is not None:
+            place = f"{source.address}/{source.handle}".encode()
+            headers.append((b"Kv-Source", place))
+        if last_event:
+            headers.append((b"Last-Event-Id", last_event))
+        return _encode(request, server, left_s, headers)
+
+    def free(self, handle: caller_request.KvHandle) -> upstream.Request:
+        """Encode the freeing; see `caller_request.ServerWire`."""
+        target = f"/nutmegscale/kv-handle/{handle.handle}".encode()
+        headers = ((b"Host", handle.address.encode()),)
+        head = http_message.RequestHead(b"DELETE", target, headers)
+        return upstream.Request(head, b"", b"")
+
+    def read_handle(self, body: bytes) -> str:
+        """Decode a prefill's answer; see `caller_request.ServerWire`."""
+        try:
+            return _prefilled_decoder.decode(body).handle
+        except msgspec.DecodeError as exc:
+            raise errors.MalformedAnswerError(f"prefill: {exc}") from exc
+
+    def verdict(
+        self, head: http_message.ResponseHead
+    ) -> caller_request.Verdict:
+        """Decode a head; see `caller_request.ServerWire`."""
+        is_misdirected = head.status == 421
+        is_rejected = head.get(b"not-executed") is not None
+        encoding = head.get(b"content-encoding") or b"identity"
+        is_plain = encoding.lower() == b"identity"
+        return caller_request.Verdict(
+            has_run=not (is_misdirected or is_rejected),
+            is_misdirected=is_misdirected,
+            is_genuine=head.get(_PROOF) is not None and is_plain,
+            load=_load(head.get(b"server-load")),
+        )
+
+
+def _encode(
+    request: caller_request.CallerRequest,
+    server: backend.Backend,
+    left_s: float,
+    extra: list[http_message.Header],
+) -> upstream.Request:
+    headers = http_message.end_to_end(
+        request.head.headers, ingress.SYSTEM_HEADERS
+    )
+    headers.append((b"Deadline-Ms", b"%d" % max(1, int(left_s * 1000))))
+    headers.append((b"Target-Instance", server.id.encode()))
+    headers += extra
+    head = request.head._replace(headers=tuple(headers))
+    return upstream.Request(head, request.body, request.id.encode("latin-1"))
+
+
+def _load(value: bytes | None) -> caller_request.ServerLoad | None:
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return caller_request.ServerLoad(running, waiting, slots)
--- /dev/null
+++ b/nutmegscale/platform_daemon.py
@@ -0,0 +1,138 @@
+"""The daemon `nutmegscaled` on the users' platform; assembles the adapter."""
+
+import asyncio
+import signal
+import sys
+from typing import Any
+
+from nutmegscale import daemon
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+LISTEN_BACKLOG = 512
+
+
+class PlatformDaemon:
+    """Ports and signals around the router of one host."""
+
+    def __init__(
+        self, reactor: Any, loop: asyncio.AbstractEventLoop, found: Any
+    ) -> None:
+        from nutmegscale import http_ingress  # noqa: PLC0415
+        from nutmegscale import nng_transport  # noqa: PLC0415
+        from nutmegscale import ready_site  # noqa: PLC0415
+        from nutmegscale import router  # noqa: PLC0415
+        from nutmegscale import upstream  # noqa: PLC0415
+        from nutmegscale.platform import desired_state  # noqa: PLC0415
+        from nutmegscale.platform import ingress  # noqa: PLC0415
+        from nutmegscale.platform import store_client  # noqa: PLC0415
+        from nutmegscale.platform import worker_calls  # noqa: PLC0415
+        from nutmegscale.platform import worker_entries  # noqa: PLC0415
+
+        self._reactor = reactor
+        self._settings = found
+        clock = daemon.MonotonicClock(reactor)
+        peer_address = f"tcp://{found.ip}:{found.peer_port}"
+        self._transport = nng_transport.NngTransport(loop, peer_address)
+        pool = upstream.UpstreamPool(reactor, clock)
+        self._router = router.Router(
+            router.HostFacts(
+                host=found.host,
+                failure_domain=found.failure_domain,
+                peer_address=peer_address,
+                grace_s=found.grace_s,
+                retry_ratio=found.retry_ratio,
+                retry_extra=found.retry_extra,
+                retry_window_s=found.retry_window_s,
+            ),
+            clock,
+            store=store_client.StoreClient(pool, found.store_address),
+            pool=pool,
+            transport=self._transport,
+            wires=router.Wires(
+                callers=ingress.CallerWire(),
+                servers=worker_calls.ServerWire(),
+                decode_config=desired_state.decode,
+                config_table=desired_state.TABLE,
+                config_key=desired_state.KEY,
+                decode_entry=worker_entries.decode,
+                entry_table=worker_entries.TABLE,
+            ),
+        )
+        board = self._router.board
+        self._callers = http_ingress.IngressFactory(
+            clock, self._router, lambda: board.limits
+        )
+        self._ready = http_ingress.IngressFactory(
+            clock,
+            ready_site.ReadySite(lambda: board.is_ready),
+            lambda: board.limits,
+        )
+        self._is_stopping = False
+
+    def start(self) -> None:
+        """Listen on every port and start the router."""
+        found = self._settings
+        self._transport.start(self._router.mesh.receive)
+        self._listen(found.ready_port, self._ready, found.ready_ip)
+        self._listen(found.caller_port, self._callers, found.caller_ip)
+        self._router.start()
+
+    def _listen(self, port: int, factory: Any, ip: str) -> None:
+        self._reactor.listenTCP(port, factory, LISTEN_BACKLOG, interface=ip)
+
+    def on_signal(self, number: int, frame: Any) -> None:
+        """Start a graceful shutdown."""
+        self._reactor.callFromThread(self.shut_down)
+
+    def shut_down(self) -> None:
+        """Drain, then stop."""
+        from nutmegscale import periodic  # noqa: PLC0415
+
+        if not self._is_stopping:
+            self._is_stopping = True
+            self._callers.is_draining = True
+            periodic.spawn(self._drain())
+
+    async def _drain(self) -> None:
+        await self._router.drain(self._callers.close_idle)
+        self._reactor.callLater(daemon.CLOSE_PAUSE_S, self._stop)
+
+    def _stop(self) -> None:
+        self._router.stop()
+        self._transport.stop()
+        if self._reactor.running:
+            self._reactor.stop()
+
+
+def main() -> None:
+    """Run the daemon until it is told to stop."""
+    from nutmegscale import errors  # noqa: PLC0415
+    from nutmegscale import logs  # noqa: PLC0415
+    from nutmegscale.platform import settings  # noqa: PLC0415
+
+    try:
+        found = settings.load()
+    except errors.SettingsError as exc:
+        sys.stderr.write(f"nutmegscaled: {exc}\n")
+        sys.exit(EXIT_USAGE)
+    logs.configure(found.host)
+    reactor, loop = daemon.install_reactor()
+    running = PlatformDaemon(reactor, loop, found)
+    try:
+        running.start()
+    except Exception as exc:
+        logs.get().error(
+            "start_failed", error=type(exc).__name__, message=str(exc)
+        )
+        sys.exit(EXIT_FAILED)
+    signal.signal(signal.SIGTERM, running.on_signal)
+    signal.signal(signal.SIGINT, running.on_signal)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    logs.get().info("started", caller_port=found.caller_port)
+    reactor.run(installSignalHandlers=False)
+    logs.get().info("stopped")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/nutmegscale/request_context.py
@@ -0,0 +1,99 @@
+"""What the runners of requests share: deadline, answer, log line."""
+
+from typing import Any
+
+from nutmegscale import caller_request
+from nutmegscale import errors
+from nutmegscale import http_ingress
+from nutmegscale import http_message
+from nutmegscale import logs
+from nutmegscale import routes
+from nutmegscale import routing_board
+
+# Part of a caller's patience kept for the way of the answer, seconds.
+ANSWER_MARGIN_S = 0.05
+
+
+class RequestContext:
+    """One request of a caller on its way through this host."""
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        incoming: http_ingress.Incoming,
+        request: caller_request.CallerRequest,
+        route: routes.Route,
+        *,
+        wire: caller_request.CallerWire,
+        service: str,
+    ) -> None:
+        self._board = board
+        self._wire = wire
+        self.incoming = incoming
+        self.request = request
+        self.route = route
+        self.service = service
+        patience_s = request.patience_s
+        limit_s = route.timeout_s
+        if patience_s is not None:
+            limit_s = min(limit_s, patience_s - ANSWER_MARGIN_S)
+        self.deadline = incoming.arrived + limit_s
+        self.tries: list[str] = []
+
+    @property
+    def left_s(self) -> float:
+        """Time until the final answer is due, seconds."""
+        return self.deadline - self._board.now()
+
+    def refuse(self, reason: str, retry_after_s: float) -> None:
+        """Say that the request hasn't run and won't."""
+        failure = errors.Failure(
+            503, reason, "not run", "not_run", retry_after_s
+        )
+        self.fail(failure)
+
+    def fail(self, failure: errors.Failure, **inputs: Any) -> None:
+        """Send an answer of our own."""
+        headers = self._wire.failure_headers(failure)
+        body = b'{"error":"%s","outcome":"%s"}' % (
+            failure.type.encode(),
+            failure.outcome.encode(),
+        )
+        if self.incoming.is_started:
+            self.incoming.abort()
+        else:
+            self.incoming.respond(failure.status, headers, body)
+        self.log(
+            "request_failed",
+            status=failure.status,
+            reason=failure.type,
+            outcome=failure.outcome,
+            retry_after_s=failure.retry_after_s,
+            **inputs,
+        )
+
+    def start(self, head: http_message.ResponseHead) -> None:
+        """Pass on the head of a server's answer; its body follows."""
+        headers = self._wire.answer_headers(head)
+        self.incoming.start(head.status, headers)
+
+    def answer(self, head: http_message.ResponseHead, body: bytes) -> None:
+        """Pass on a server's whole answer."""
+        headers = self._wire.answer_headers(head)
+        self.incoming.respond(head.status, headers, body)
+        self.log("request_answered", status=head.status)
+
+    def log(self, event: str, **inputs: Any) -> None:
+        """Write the line of a decision about this request."""
+        now = self._board.now()
+        config = self._board.config
+        logs.get().info(
+            event,
+            request=self.request.id,
+            route=self.route.name,
+            service=self.service,
+            config=config.version if config else 0,
+            age_ms=round((now - self.incoming.arrived) * 1000, 1),
+            tries=",".join(self.tries),
+            **inputs,
+        )
--- /dev/null
+++ b/nutmegscale/router.py
@@ -0,0 +1,349 @@
+"""Application of a host that routes for a platform: makes and owns its parts.
+
+Embed it with any wire forms: a store of rows, the callers' and the servers'
+wire, a transport between hosts.
+"""
+
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from nutmegscale import backend
+from nutmegscale import backend_controller
+from nutmegscale import caller_request
+from nutmegscale import envelope
+from nutmegscale import errors
+from nutmegscale import host_rows
+from nutmegscale import http_ingress
+from nutmegscale import logs
+from nutmegscale import membership
+from nutmegscale import membership_controller
+from nutmegscale import mesh
+from nutmegscale import periodic
+from nutmegscale import plain_runner
+from nutmegscale import request_context
+from nutmegscale import retry_share
+from nutmegscale import routes
+from nutmegscale import routing_board
+from nutmegscale import routing_controller
+from nutmegscale import row_store
+from nutmegscale import slot_controller
+from nutmegscale import stream_runner
+from nutmegscale import table_follower
+from nutmegscale import upstream
+
+PROBE_PERIOD_S = 0.8
+# How long a host that just began, or lost its workers, is told to wait, s.
+NOT_READY_RETRY_AFTER_S = 0.5
+# After SIGTERM the balancer takes up to two questions, a second apart, to
+# send new connections elsewhere; until then they are answered.
+LEAVE_S = 2.2
+# New streams are turned away that long after SIGTERM: they may last longer
+# than the rest of the time until the process is killed.
+DRAIN_STREAMS_AFTER_S = 1.0
+# Time before the kill at which what still runs is broken off, seconds.
+KILL_MARGIN_S = 0.4
+DRAIN_POLL_S = 0.05
+
+
+class HostFacts(NamedTuple):
+    """What a host knows of itself when it starts.
+
+    Attributes:
+      host: Its name, unique among the hosts.
+      failure_domain: Where it stands.
+      peer_address: Where its peers reach it.
+      grace_s: Longest graceful shutdown, seconds.
+      retry_ratio: Repeats for each request of a service, over all hosts.
+      retry_extra: Repeats beside that in each window, over all hosts.
+      retry_window_s: Length of that window, seconds.
+    """
+
+    host: str
+    failure_domain: str
+    peer_address: str
+    grace_s: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+
+
+class Wires(NamedTuple):
+    """Wire forms and formats of a deployment.
+
+    Attributes:
+      callers: Wire form between callers and hosts.
+      servers: Wire form between hosts and backend servers.
+      decode_config: Decodes a routing configuration.
+      config_table: Table of the store that holds it.
+      config_key: Its key there.
+      decode_entry: Decodes the entry of a backend server.
+      entry_table: Table of the store that holds the entries.
+    """
+
+    callers: caller_request.CallerWire
+    servers: caller_request.ServerWire
+    decode_config: Callable[[bytes], routes.RoutingConfig]
+    config_table: str
+    config_key: str
+    decode_entry: Callable[[row_store.Row], backend.Backend]
+    entry_table: str
+
+
+class Router:
+    """All parts of one host."""
+
+    def __init__(
+        self,
+        facts: HostFacts,
+        clock: Any,
+        *,
+        store: row_store.RowStore,
+        pool: upstream.UpstreamPool,
+        transport: mesh.Transport,
+        wires: Wires,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._rng = rng or random.Random()
+        self._facts = facts
+        self._wires = wires
+        view = membership.Membership(
+            facts.host,
+            facts.failure_domain,
+            facts.peer_address,
+            period_s=PROBE_PERIOD_S,
+            rng=self._rng,
+        )
+        self.board = routing_board.RoutingBoard(
+            facts.host, facts.failure_domain, clock, view=view
+        )
+        self._sealer = envelope.Sealer(
+            facts.host, self._rng.randbytes(32), self._rng.getrandbits(63)
+        )
+        self.mesh = mesh.Mesh(
+            clock,
+            transport,
+            self._sealer,
+            self.board.timeline,
+            self._address_of,
+            host=facts.host,
+        )
+        self.members = membership_controller.MembershipController(
+            self.board, self.mesh, period_s=PROBE_PERIOD_S
+        )
+        self.configs = routing_controller.RoutingController(
+            self.board, self.mesh, wires.decode_config, key=wires.config_key
+        )
+        self.members.watch_revisions(self.configs.learn_from)
+        self.backends = backend_controller.BackendController(
+            self.board, self.mesh, wires.decode_entry
+        )
+        self._followers = [
+            table_follower.TableFollower(
+                clock,
+                store,
+                wires.config_table,
+                on_snapshot=self.configs.take_rows,
+                on_change=self.configs.take_row,
+                rng=self._rng,
+            ),
+            table_follower.TableFollower(
+                clock,
+                store,
+                wires.entry_table,
+                on_snapshot=self.backends.take_rows,
+                on_change=self.backends.take_row,
+                on_contact=self.backends.note_contact,
+                rng=self._rng,
+            ),
+        ]
+        self._rows = host_rows.HostRows(
+            self.board,
+            store,
+            facts.peer_address,
+            rng=self._rng,
+            on_key=self._sealer.set_key,
+        )
+        self.slots = slot_controller.SlotController(self.board, self.mesh)
+        self._budgets: dict[str, retry_share.RetryShare] = {}
+        self._plain = plain_runner.PlainRunner(
+            self.board, pool, wires.servers, self._budgets
+        )
+        self._streams = stream_runner.StreamRunner(
+            self.board, pool, wires.servers, self.slots, self._budgets
+        )
+        self._live: set[http_ingress.Incoming] = set()
+        self._joining: defer.Deferred[Any] | None = None
+        self._drain_began = 0.0
+
+    def _address_of(self, host: str) -> str | None:
+        member = self.board.membership.get(host)
+        return member.address if member else None
+
+    @property
+    def live(self) -> int:
+        """Number of requests that are being answered."""
+        return len(self._live)
+
+    def start(self) -> None:
+        """Start every part."""
+        for follower in self._followers:
+            follower.start()
+        self.backends.start()
+        self.members.start()
+        self.slots.start()
+        self._joining = periodic.spawn(self._rows.join())
+
+    def stop(self) -> None:
+        """Stop every part at once."""
+        if self._joining is not None:
+            self._joining.cancel()
+        self.slots.stop()
+        self.members.stop()
+        self.backends.stop()
+        for follower in self._followers:
+            follower.stop()
+
+    async def drain(self, close_idle: Callable[[], None]) -> None:
+        """Shut down gracefully: take nothing new, finish what runs.
+
+        Args:
+          close_idle: Closes the callers' connections that nothing is on.
+        """
+        now = self.board.now()
+        self.board.is_draining = True
+        self._drain_began = now
+        self.members.leave()
+        logs.get().info("draining", live=self.live)
+        deadline = now + self._facts.grace_s - KILL_MARGIN_S
+        await periodic.sleep(self.board.clock, LEAVE_S)
+        while self._live and self.board.now() < deadline:
+            close_idle()
+            await periodic.sleep(self.board.clock, DRAIN_POLL_S)
+        close_idle()
+        logs.get().info("drained", left=self.live)
+
+    def handle(self, incoming: http_ingress.Incoming) -> None:
+        """Answer a request; see `http_ingress.Handler`."""
+        try:
+            request = self._wires.callers.decode(incoming.head, incoming.body)
+        except errors.RequestError as exc:
+            self._reject(incoming, 400, "malformed_request", str(exc))
+            return
+        board = self.board
+        if board.config is None or board.table is None:
+            self._refuse(incoming, request, "no_config")
+            return
+        route = board.table.find(request.host, request.path)
+        if route is None:
+            self._reject(incoming, 404, "no_route", request.path, request.id)
+            return
+        names = [t.service for t in route.targets]
+        usable = [name for name in names if board.backends.usable(name)]
+        if not usable:
+            self._refuse(incoming, request, "no_server")
+            return
+        service = route.choose_service(self._rng, usable)
+        is_leaving = (
+            board.is_draining
+            and board.now() - self._drain_began > DRAIN_STREAMS_AFTER_S
+        )
+        if is_leaving and route.kind == "stream":
+            self._refuse(incoming, request, "host_is_leaving")
+            return
+        context = request_context.RequestContext(
+            board,
+            incoming,
+            request,
+            route,
+            wire=self._wires.callers,
+            service=service,
+        )
+        self._run(context)
+
+    def _run(self, context: request_context.RequestContext) -> None:
+        self._budget(context.service).note_request(self.board.now())
+        has_engine = self._has_engine(context.service)
+        is_stream = context.route.kind == "stream" and has_engine
+        runner = self._streams.run if is_stream else self._plain.run
+        incoming = context.incoming
+        self._live.add(incoming)
+        running = periodic.spawn(runner(context))
+        running.addBoth(self._ended, context)
+        if not running.called:
+            incoming.watch_gone(lambda: self._gone(context, running))
+
+    def _gone(
+        self,
+        context: request_context.RequestContext,
+        running: defer.Deferred[Any],
+    ) -> None:
+        context.log("caller_gone")
+        running.cancel()
+
+    def _ended(
+        self, result: Any, context: request_context.RequestContext
+    ) -> None:
+        self._live.discard(context.incoming)
+        if not context.incoming.is_ended:
+            # A defect: the runner ended without an answer.
+            context.fail(
+                errors.Failure(502, "internal", "no answer", "maybe_run")
+            )
+
+    def _has_engine(self, service: str) -> bool:
+        config = self.board.config
+        spec = config.services.get(service) if config else None
+        return spec is not None and spec.engine is not None
+
+    def _budget(self, service: str) -> retry_share.RetryShare:
+        hosts = len(self.board.membership.alive())
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = retry_share.RetryShare(
+                ratio=self._facts.retry_ratio,
+                extra=self._facts.retry_extra,
+                window_s=self._facts.retry_window_s,
+                hosts=hosts,
+            )
+        budget.set_hosts(hosts)
+        return budget
+
+    def _reject(
+        self,
+        incoming: http_ingress.Incoming,
+        status: int,
+        kind: str,
+        why: str,
+        request_id: str = "",
+    ) -> None:
+        failure = errors.Failure(status, kind, why)
+        headers = self._wires.callers.failure_headers(failure)
+        incoming.respond(status, headers, b"")
+        config = self.board.config
+        logs.get().info(
+            "request_failed",
+            request=request_id,
+            status=status,
+            reason=kind,
+            why=why,
+            config=config.version if config else 0,
+        )
+
+    def _refuse(
+        self,
+        incoming: http_ingress.Incoming,
+        request: caller_request.CallerRequest,
+        kind: str,
+    ) -> None:
+        failure = errors.Failure(
+            503, kind, "not run", "not_run", NOT_READY_RETRY_AFTER_S
+        )
+        headers = self._wires.callers.failure_headers(failure)
+        incoming.respond(503, headers, b"")
+        logs.get().info(
+            "request_failed", request=request.id, status=503, reason=kind
+        )
--- /dev/null
+++ b/nutmegscale/routing_controller.py
@@ -0,0 +1,99 @@
+"""Configuration in force on this host: from the store, or from a peer.
+
+A version is never followed by an older one. A host that the store turns
+away learns of a newer version from the greetings of its peers.
+"""
+
+from collections.abc import Callable
+
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import mesh
+from nutmegscale import messages
+from nutmegscale import periodic
+from nutmegscale import routes
+from nutmegscale import routing_board
+from nutmegscale import row_store
+
+
+class RoutingController:
+    """Writes `RoutingBoard.config`, `content` and `table`."""
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        link: mesh.Mesh,
+        decode: Callable[[bytes], routes.RoutingConfig],
+        *,
+        key: str,
+    ) -> None:
+        self._board = board
+        self._mesh = link
+        self._decode = decode
+        self._key = key
+        self._is_asking = False
+        link.on(messages.RoutingRequest, self._receive_request)
+
+    def take_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Take in all rows of the operator's table."""
+        for row in rows:
+            self.take_row(row)
+
+    def take_row(self, row: row_store.Row) -> None:
+        """Take in a row of the operator's table."""
+        if row.key == self._key and not row.is_removed:
+            self._adopt(row.value, "store")
+
+    def learn_from(self, host: str) -> None:
+        """Ask a peer that has a later version."""
+        if not self._is_asking:
+            self._is_asking = True
+            periodic.spawn(self._ask(host))
+
+    async def _ask(self, host: str) -> None:
+        try:
+            reply = await self._mesh.call(
+                host,
+                messages.RoutingRequest(self._version),
+                messages.RoutingReply,
+            )
+        except errors.PeerError as exc:
+            logs.get().info("config_not_learnt", peer=host, why=str(exc))
+            return
+        finally:
+            self._is_asking = False
+        if reply.content:
+            self._adopt(reply.content, host)
+
+    @property
+    def _version(self) -> int:
+        return self._board.config.version if self._board.config else 0
+
+    def _adopt(self, content: bytes, source: str) -> None:
+        try:
+            config = self._decode(content)
+        except errors.ConfigError as exc:
+            logs.get().error("config_rejected", source=source, message=str(exc))
+            return
+        known = self._version
+        if self._board.config is not None and config.version <= known:
+            return
+        self._board.config = config
+        self._board.content = content
+        self._board.table = routes.RouteTable(config)
+        self._board.membership.revision = config.version
+        logs.get().info(
+            "config_in_force",
+            version=config.version,
+            before=known,
+            source=source,
+            routes=len(config.routes),
+        )
+
+    def _receive_request(
+        self, sender: str, request: messages.RoutingRequest
+    ) -> messages.RoutingReply:
+        content = b""
+        if self._version > request.known_version:
+            content = self._board.content
+        return messages.RoutingReply(self._version, content)
--- /dev/null
+++ b/nutmegscale/slot_controller.py
@@ -0,0 +1,366 @@
+"""Slots of decode workers: this host as planner, and as one that asks.
+
+One host plans for each service: the first by rendezvous hashing among the
+hosts that this host holds for alive. Two hosts may both plan for a while;
+that costs goodput only, since the engines have the last word.
+"""
+
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import mesh
+from nutmegscale import messages
+from nutmegscale import periodic
+from nutmegscale import rendezvous
+from nutmegscale import routing_board
+from nutmegscale import slot_queue
+
+# How long a planner may take for an answer, seconds: some trips between
+# failure domains, and what a slow host takes.
+ASK_TIMEOUT_S = 0.25
+# A queued stream asks again after that, in case the decision was lost, s.
+ASK_AGAIN_S = 0.4
+# Period of the planner's own look at its queue, seconds.
+PUMP_PERIOD_S = 0.05
+LIST_PERIOD_S = 0.5
+# Pause between two looks for a slot while no planner answers, seconds.
+ALONE_POLL_S = 0.05
+
+
+class Want(NamedTuple):
+    """A stream that wants a slot; times are of this host's clock.
+
+    Attributes:
+      service: Service that it goes to.
+      exchange: Name of the request at this host.
+      prompt_tokens: Length of the prompt.
+      expected_tokens: Expected length of the answer.
+      priority: Rank, 0 first.
+      in_time_by: Time until which its first event is on time.
+      give_up_at: Time after which a first event reaches nobody.
+      avoid: Ids of workers that must not be used.
+      reads_itself: Whether the decode worker shall read the prompt.
+    """
+
+    service: str
+    exchange: str
+    prompt_tokens: int
+    expected_tokens: int
+    priority: int
+    in_time_by: float
+    give_up_at: float
+    avoid: tuple[str, ...] = ()
+    reads_itself: bool = False
+
+
+class _Own(NamedTuple):
+    """A slot that this host holds."""
+
+    service: str
+    decode: str
+    prompt_tokens: int
+    expected_tokens: int
+    since: float
+
+
+class SlotController:
+    """Asks for slots, and gives them out where this host is the planner."""
+
+    def __init__(
+        self, board: routing_board.RoutingBoard, link: mesh.Mesh
+    ) -> None:
+        self._board = board
+        self._mesh = link
+        self._desks: dict[str, slot_queue.SlotQueue] = {}
+        self._desk_states: dict[str, tuple[int, int]] = {}
+        self._waiters: dict[str, defer.Deferred[messages.SlotReply]] = {}
+        self._own: dict[str, _Own] = {}
+        self._planners: dict[str, str] = {}
+        self._pumps = periodic.Periodic(board.clock, PUMP_PERIOD_S, self._pump)
+        self._lists = periodic.Periodic(
+            board.clock, LIST_PERIOD_S, self._send_lists
+        )
+        link.on(messages.SlotAsk, self._receive_ask)
+        link.on(messages.SlotReply, self._receive_reply)
+        link.on(messages.SlotNews, self._receive_news)
+        link.on(messages.SlotList, self._receive_list)
+
+    def start(self) -> None:
+        """Start to plan and to tell the planners what this host holds."""
+        self._pumps.start()
+        self._lists.start()
+
+    def stop(self) -> None:
+        """Stop."""
+        self._pumps.stop()
+        self._lists.stop()
+
+    def planner_of(self, service: str) -> str:
+        """Return the host that plans for a service, as seen from here."""
+        alive = self._board.membership.alive()
+        return rendezvous.best(service.encode(), alive) or self._board.host
+
+    async def acquire(self, want: Want) -> messages.SlotReply:
+        """Wait for a slot.
+
+        Returns:
+          A grant or a refusal.
+        """
+        reply = await self._acquire(want)
+        if reply.state == "granted":
+            self._own[want.exchange] = _Own(
+                want.service,
+                reply.decode,
+                want.prompt_tokens,
+                want.expected_tokens,
+                self._board.now(),
+            )
+        return reply
+
+    async def _acquire(self, want: Want) -> messages.SlotReply:
+        try:
+            while True:
+                planner = self.planner_of(want.service)
+                try:
+                    reply = await self._ask(planner, want)
+                except errors.PeerError as exc:
+                    logs.get().warning(
+                        "planner_silent",
+                        request=want.exchange,
+                        planner=planner,
+                        message=str(exc),
+                    )
+                    return await self._plan_alone(want)
+                if reply.state != "queued":
+                    return reply
+                decided = await self._wait_decision(want.exchange)
+                if decided is not None:
+                    return decided
+        except defer.CancelledError:
+            self.tell(want.service, want.exchange, "ended")
+            raise
+
+    async def _ask(self, planner: str, want: Want) -> messages.SlotReply:
+        now = self._board.now()
+        ask = messages.SlotAsk(
+            want.service,
+            want.exchange,
+            want.prompt_tokens,
+            want.expected_tokens,
+            want.priority,
+            want.in_time_by - now,
+            want.give_up_at - now,
+            want.avoid,
+            want.reads_itself,
+        )
+        return await self._mesh.call(
+            planner, ask, messages.SlotReply, timeout_s=ASK_TIMEOUT_S
+        )
+
+    async def _wait_decision(self, exchange: str) -> messages.SlotReply | None:
+        """Wait for a decision of the planner, None when it is time to ask."""
+        waiter: defer.Deferred[messages.SlotReply] = defer.Deferred()
+        self._waiters[exchange] = waiter
+        waiter.addTimeout(ASK_AGAIN_S, self._board.clock)
+        try:
+            return await waiter
+        except (defer.TimeoutError, TimeoutError):
+            return None
+        finally:
+            del self._waiters[exchange]
+
+    async def _plan_alone(self, want: Want) -> messages.SlotReply:
+        """Use this host's share of the slots while no planner answers."""
+        while True:
+            now = self._board.now()
+            reply = self._take_alone(now, want)
+            if reply is not None:
+                return reply
+            if now > want.give_up_at - slot_queue.FIRST_EVENT_OVERHEAD_S:
+                return messages.SlotReply(
+                    want.exchange,
+                    "refused",
+                    retry_after_s=1.0,
+                    reason="no_planner",
+                )
+            await periodic.sleep(self._board.clock, ALONE_POLL_S)
+
+    def _take_alone(self, now: float, want: Want) -> messages.SlotReply | None:
+        workers = self._board.backends.usable(want.service)
+        loads = self._board.loads
+        hosts = max(1, len(self._board.membership.alive()))
+        avoid = frozenset(want.avoid)
+        decodes = tuple(
+            w
+            for w in workers
+            if w.stage != "prefill" and loads.outstanding(w) <= w.slots // hosts
+        )
+        decode = loads.choose(
+            now, decodes, self._board.failure_domain, avoid=avoid
+        )
+        if decode is None:
+            return None
+        prefills = tuple(w for w in workers if w.stage == "prefill")
+        prefill = None
+        if not want.reads_itself:
+            prefill = loads.choose(
+                now, prefills, self._board.failure_domain, avoid=avoid
+            )
+        return messages.SlotReply(
+            want.exchange,
+            "granted",
+            prefill=prefill.id if prefill else "",
+            decode=decode.id,
+        )
+
+    def tell(
+        self,
+        service: str,
+        exchange: str,
+        kind: str,
+        *,
+        worker: str = "",
+        tokens: int = 0,
+        took_s: float = 0.0,
+    ) -> None:
+        """Tell the planner what became of a grant; see `messages.SlotNews`."""
+        if kind == "ended":
+            self._own.pop(exchange, None)
+        news = messages.SlotNews(
+            service, exchange, kind, worker, tokens, took_s
+        )
+        planner = self.planner_of(service)
+        if planner == self._board.host:
+            self._receive_news(planner, news)
+        else:
+            self._mesh.send(planner, news)
+
+    def _desk(self, service: str) -> slot_queue.SlotQueue:
+        desk = self._desks.get(service)
+        if desk is None:
+            desk = self._desks[service] = slot_queue.SlotQueue()
+        config = self._board.config
+        version = config.version if config else 0
+        state = (self._board.backends.version, version)
+        if self._desk_states.get(service) != state:
+            self._desk_states[service] = state
+            spec = config.services.get(service) if config else None
+            kv_tokens = spec.engine.kv_tokens if spec and spec.engine else 0
+            desk.set_workers(
+                self._board.backends.usable(service), kv_tokens=kv_tokens
+            )
+        return desk
+
+    def _receive_ask(
+        self, sender: str, ask: messages.SlotAsk
+    ) -> messages.SlotReply:
+        now = self._board.now()
+        decisions = self._desk(ask.service).submit(
+            now,
+            slot_queue.Ask(
+                exchange=ask.exchange,
+                host=sender,
+                prompt_tokens=ask.prompt_tokens,
+                expected_tokens=ask.expected_tokens,
+                priority=ask.priority,
+                asked_at=now,
+                in_time_by=now + ask.in_time_s,
+                give_up_at=now + ask.patience_s,
+                avoid=ask.avoid,
+                reads_itself=ask.reads_itself,
+            ),
+        )
+        answer = messages.SlotReply(ask.exchange, "queued")
+        for decision in decisions:
+            if decision.exchange == ask.exchange:
+                answer = _reply(decision)
+            else:
+                self._deliver(decision)
+        return answer
+
+    def _deliver(self, decision: slot_queue.Decision) -> None:
+        reply = _reply(decision)
+        if decision.host == self._board.host:
+            self._receive_reply(decision.host, reply)
+        else:
+            self._mesh.send(decision.host, reply)
+
+    def _receive_reply(self, sender: str, reply: messages.SlotReply) -> None:
+        waiter = self._waiters.get(reply.exchange)
+        if waiter is not None and not waiter.called:
+            waiter.callback(reply)
+
+    def _receive_news(self, sender: str, news: messages.SlotNews) -> None:
+        desk = self._desks.get(news.service)
+        if desk is None:
+            return
+        now = self._board.now()
+        if news.kind == "prefilled":
+            desk.prefilled(news.exchange, news.took_s)
+        elif news.kind == "lost":
+            desk.lost(now, news.worker)
+        else:
+            desk.ran(news.worker, news.tokens, news.took_s)
+            desk.release(news.exchange)
+            self._pump_desk(news.service, now)
+
+    def _receive_list(self, sender: str, message: messages.SlotList) -> None:
+        now = self._board.now()
+        held = [
+            slot_queue.Held(
+                exchange, sender, decode, "", prompt, expected, now - age, now
+            )
+            for exchange, decode, prompt, expected, age in message.held
+        ]
+        self._desk(message.service).confirm(now, sender, held)
+
+    def _pump_desk(self, service: str, now: float) -> None:
+        for decision in self._desk(service).pump(now):
+            self._deliver(decision)
+
+    async def _pump(self) -> None:
+        now = self._board.now()
+        for service, desk in list(self._desks.items()):
+            if desk.waiting:
+                self._pump_desk(service, now)
+
+    async def _send_lists(self) -> None:
+        """Tell each planner what this host holds."""
+        now = self._board.now()
+        by_service: dict[str, list[tuple[str, str, int, int, float]]] = {}
+        for exchange, own in self._own.items():
+            by_service.setdefault(own.service, []).append(
+                (
+                    exchange,
+                    own.decode,
+                    own.prompt_tokens,
+                    own.expected_tokens,
+                    now - own.since,
+                )
+            )
+        for service, held in by_service.items():
+            message = messages.SlotList(service, tuple(held))
+            planner = self.planner_of(service)
+            if planner == self._board.host:
+                self._receive_list(planner, message)
+            else:
+                self._mesh.send(planner, message)
+
+
+def _reply(decision: slot_queue.Decision) -> messages.SlotReply:
+    if isinstance(decision, slot_queue.Grant):
+        return messages.SlotReply(
+            decision.exchange,
+            "granted",
+            prefill=decision.prefill,
+            decode=decision.decode,
+        )
+    return messages.SlotReply(
+        decision.exchange,
+        "refused",
+        retry_after_s=decision.retry_after_s,
+        reason=decision.reason,
+    )
--- /dev/null
+++ b/nutmegscale/slot_queue.py
@@ -0,0 +1,379 @@
+"""Queue of streams for the slots of decode workers, and who holds them.
+
+Decode slots are the scarce part: a prompt is read only once a slot is held
+for its run. What can still be in time goes first; what is late anyway fills
+slots that nothing else needs.
+"""
+
+from typing import NamedTuple
+
+from nutmegscale import backend
+
+# Time from the grant to the first event beside the prefill itself, seconds:
+# three trips between hosts and workers, a transfer and the first step.
+FIRST_EVENT_OVERHEAD_S = 0.08
+# Start values of what is learnt, for the engines of the users' sheets:
+# 55.6 prompt tokens a ms, and a step of 0.9 ms with all slots taken.
+START_PREFILL_S = 1 / 50_000
+START_TOKEN_S = 0.0009
+SMOOTHING = 0.2
+# Part of an engine's memory that is planned with: answers may be longer
+# than their callers guess.
+MEMORY_FRACTION = 0.95
+# Free slots that late requests leave to those that can be in time.
+LATE_RESERVE = 3
+# Longest time for which smaller requests pass one that finds no room, s.
+PASSING_S = 0.25
+# Holders that weren't confirmed for so long are given up, seconds.
+HOLDER_LIFE_S = 4.0
+# A holder younger than that may be missing from its host's list, seconds.
+CONFIRM_GRACE_S = 1.0
+MIN_RETRY_AFTER_S = 0.2
+# Step between the times at which refused callers come back, seconds.
+RETRY_SPREAD_S = 0.1
+LOST_PAUSE_S = 2.0
+
+
+class Ask(NamedTuple):
+    """A stream that wants a slot; times are the queue's own clock.
+
+    Attributes:
+      exchange: Unique name of the request at its host.
+      host: Host that serves it.
+      prompt_tokens: Length of the prompt.
+      expected_tokens: Expected length of the answer.
+      priority: Rank, 0 first.
+      asked_at: When it was first asked.
+      in_time_by: Time until which its first event is on time.
+      give_up_at: Time after which a first event reaches nobody.
+      avoid: Ids of decode workers that must not be used.
+      reads_itself: Whether the decode worker shall read the prompt.
+    """
+
+    exchange: str
+    host: str
+    prompt_tokens: int
+    expected_tokens: int
+    priority: int
+    asked_at: float
+    in_time_by: float
+    give_up_at: float
+    avoid: tuple[str, ...] = ()
+    reads_itself: bool = False
+
+
+class Held(NamedTuple):
+    """A slot that a stream holds."""
+
+    exchange: str
+    host: str
+    decode: str
+    prefill: str
+    prompt_tokens: int
+    expected_tokens: int
+    since: float
+    confirmed: float
+
+
+class Grant(NamedTuple):
+    """Where a stream runs; `prefill` is "" where decode reads the prompt."""
+
+    exchange: str
+    host: str
+    prefill: str
+    decode: str
+
+
+class Refusal(NamedTuple):
+    """A stream that gets no slot in time."""
+
+    exchange: str
+    host: str
+    retry_after_s: float
+    reason: str
+
+
+Decision = Grant | Refusal
+
+
+class SlotQueue:
+    """Slots of the decode workers of one service; pure."""
+
+    def __init__(self) -> None:
+        self._prefills: dict[str, backend.Backend] = {}
+        self._decodes: dict[str, backend.Backend] = {}
+        self._kv_tokens = 0
+        self._waiting: dict[str, Ask] = {}
+        self._held: dict[str, Held] = {}
+        self._lost_until: dict[str, float] = {}
+        self._prefill_s: dict[str, float] = {}
+        self._token_s: dict[str, float] = {}
+        self._refused = 0
+
+    @property
+    def waiting(self) -> int:
+        """Number of streams that wait."""
+        return len(self._waiting)
+
+    @property
+    def held(self) -> int:
+        """Number of slots that are held."""
+        return len(self._held)
+
+    def set_workers(
+        self, workers: tuple[backend.Backend, ...], *, kv_tokens: int
+    ) -> None:
+        """Set the workers that take new work.
+
+        Args:
+          workers: Workers of the service.
+          kv_tokens: Tokens that the memory of each one holds.
+        """
+        self._prefills = {w.id: w for w in workers if w.stage == "prefill"}
+        self._decodes = {w.id: w for w in workers if w.stage != "prefill"}
+        self._kv_tokens = kv_tokens
+
+    def submit(self, now: float, ask: Ask) -> list[Decision]:
+        """Take in a stream, and return what is decided by now."""
+        held = self._held.get(ask.exchange)
+        if held is not None:
+            return [Grant(held.exchange, held.host, held.prefill, held.decode)]
+        known = self._waiting.get(ask.exchange)
+        if known is not None:
+            ask = ask._replace(asked_at=known.asked_at)
+        self._waiting[ask.exchange] = ask
+        return self.pump(now)
+
+    def release(self, exchange: str) -> None:
+        """Free what a stream holds, or take it out of the queue."""
+        self._waiting.pop(exchange, None)
+        self._held.pop(exchange, None)
+
+    def prefilled(self, exchange: str, prefill_s: float) -> None:
+        """Note how long the prefill of a stream took; its lane is free."""
+        held = self._held.get(exchange)
+        if held is None or not held.prefill:
+            return
+        if prefill_s > 0.0 and held.prompt_tokens:
+            sample = prefill_s / held.prompt_tokens
+            _learn(self._prefill_s, held.prefill, sample, START_PREFILL_S)
+        self._held[exchange] = held._replace(prefill="")
+
+    def ran(self, decode: str, tokens: int, run_s: float) -> None:
+        """Note how long a whole run took."""
+        if tokens > 0:
+            _learn(self._token_s, decode, run_s / tokens, START_TOKEN_S)
+
+    def lost(self, now: float, worker: str) -> None:
+        """Note that a worker can't be reached."""
+        self._lost_until[worker] = now + LOST_PAUSE_S
+
+    def confirm(self, now: float, host: str, held: list[Held]) -> None:
+        """Replace what is known of a host's slots by its own list."""
+        listed = {h.exchange for h in held}
+        for known in list(self._held.values()):
+            is_young = now - known.since < CONFIRM_GRACE_S
+            if known.host == host and known.exchange not in listed:
+                if not is_young:
+                    del self._held[known.exchange]
+        for item in held:
+            known_item = self._held.get(item.exchange)
+            if known_item is None:
+                self._held[item.exchange] = item._replace(confirmed=now)
+            else:
+                self._held[item.exchange] = known_item._replace(confirmed=now)
+
+    def pump(self, now: float) -> list[Decision]:
+        """Give out the free slots and refuse what can't be served.
+
+        Returns:
+          The decisions, for the hosts that asked.
+        """
+        self._expire(now)
+        decisions: list[Decision] = []
+        in_time, late = self._sort(now)
+        blocked = False
+        for ask in in_time:
+            grant = None if blocked else self._place(now, ask)
+            if grant is not None:
+                decisions.append(grant)
+            elif now - ask.asked_at > PASSING_S:
+                blocked = True
+        still_waiting = any(a.exchange in self._waiting for a in in_time)
+        for ask in late:
+            spare = self._free_slots(now) - LATE_RESERVE
+            if still_waiting or spare <= 0:
+                break
+            grant = self._place(now, ask)
+            if grant is not None:
+                decisions.append(grant)
+        decisions += self._refuse(now)
+        return decisions
+
+    def first_event_s(self, now: float, ask: Ask) -> float:
+        """Return the time from a grant to the first event, seconds."""
+        if ask.reads_itself or not self._prefills:
+            return FIRST_EVENT_OVERHEAD_S + 2 * ask.prompt_tokens * (
+                START_PREFILL_S
+            )
+        waits = [
+            self._lane_s(name) + ask.prompt_tokens * self._prefill_speed(name)
+            for name in self._prefills
+        ]
+        return FIRST_EVENT_OVERHEAD_S + min(waits)
+
+    def _sort(self, now: float) -> tuple[list[Ask], list[Ask]]:
+        ordered = sorted(
+            self._waiting.values(), key=lambda a: (a.priority, a.asked_at)
+        )
+        in_time, late = [], []
+        for ask in ordered:
+            first_at = now + self.first_event_s(now, ask)
+            (in_time if first_at <= ask.in_time_by else late).append(ask)
+        return in_time, late
+
+    def _place(self, now: float, ask: Ask) -> Grant | None:
+        decode = self._choose_decode(now, ask)
+        if decode is None:
+            return None
+        prefill = "" if ask.reads_itself else self._choose_prefill(now)
+        del self._waiting[ask.exchange]
+        self._held[ask.exchange] = Held(
+            ask.exchange,
+            ask.host,
+            decode,
+            prefill,
+            ask.prompt_tokens,
+            ask.expected_tokens,
+            now,
+            now,
+        )
+        return Grant(ask.exchange, ask.host, prefill, decode)
+
+    def _is_lost(self, now: float, worker: str) -> bool:
+        return self._lost_until.get(worker, 0.0) > now
+
+    def _choose_decode(self, now: float, ask: Ask) -> str | None:
+        best: str | None = None
+        best_key = 0.0
+        for name, worker in self._decodes.items():
+            if name in ask.avoid or self._is_lost(now, name):
+                continue
+            runs = self._runs(name)
+            if len(runs) >= worker.slots or not self._fits(now, ask, name):
+                continue
+            key = len(runs) / worker.slots
+            if best is None or key < best_key:
+                best, best_key = name, key
+        return best
+
+    def _choose_prefill(self, now: float) -> str:
+        usable = [n for n in self._prefills if not self._is_lost(now, n)]
+        if not usable:
+            return ""
+        return min(usable, key=self._lane_s)
+
+    def _runs(self, decode: str) -> list[Held]:
+        return [held for held in self._held.values() if held.decode == decode]
+
+    def _fits(self, now: float, ask: Ask, decode: str) -> bool:
+        """Whether the memory holds all runs, each to its expected end."""
+        token_s = self._token_s.get(decode, START_TOKEN_S)
+        runs = [(now + ask.expected_tokens * token_s, ask.prompt_tokens, now)]
+        for held in self._runs(decode):
+            end = held.since + held.expected_tokens * token_s
+            runs.append((max(end, now), held.prompt_tokens, held.since))
+        limit = self._kv_tokens * MEMORY_FRACTION
+        return peak_tokens(runs, token_s) <= limit or len(runs) == 1
+
+    def _free_slots(self, now: float) -> int:
+        return sum(
+            max(0, worker.slots - len(self._runs(name)))
+            for name, worker in self._decodes.items()
+            if not self._is_lost(now, name)
+        )
+
+    def _prefill_speed(self, prefill: str) -> float:
+        return self._prefill_s.get(prefill, START_PREFILL_S)
+
+    def _lane_s(self, prefill: str) -> float:
+        """Return how long the prompts ahead take at a prefill worker."""
+        tokens = sum(
+            held.prompt_tokens
+            for held in self._held.values()
+            if held.prefill == prefill
+        )
+        return tokens * self._prefill_speed(prefill)
+
+    def _refuse(self, now: float) -> list[Decision]:
+        """Refuse what gets no slot before nobody waits for it any more."""
+        if not self._waiting:
+            return []
+        in_time, late = self._sort(now)
+        starts = self._slot_times(now)
+        decisions: list[Decision] = []
+        position = 0
+        for ask in in_time + late:
+            start = starts[position] if position < len(starts) else None
+            need_s = self.first_event_s(now, ask)
+            if start is not None and start + need_s <= ask.give_up_at:
+                position += 1
+                continue
+            del self._waiting[ask.exchange]
+            drained_at = starts[-1] if start is None and starts else start
+            decisions.append(self._refusal(now, ask, drained_at))
+        return decisions
+
+    def _refusal(self, now: float, ask: Ask, free_at: float | None) -> Refusal:
+        self._refused += 1
+        reason = "no_decode_worker" if free_at is None else "no_slot_in_time"
+        wait_s = 1.0 if free_at is None else max(0.0, free_at - now)
+        wait_s += RETRY_SPREAD_S * (self._refused % 8)
+        return Refusal(
+            ask.exchange, ask.host, max(MIN_RETRY_AFTER_S, wait_s), reason
+        )
+
+    def _slot_times(self, now: float) -> list[float]:
+        """Return when slots are expected free, sorted, free ones first."""
+        times: list[float] = []
+        for name, worker in self._decodes.items():
+            if self._is_lost(now, name):
+                continue
+            token_s = self._token_s.get(name, START_TOKEN_S)
+            runs = self._runs(name)
+            times += [now] * max(0, worker.slots - len(runs))
+            for held in runs:
+                run_s = held.expected_tokens * token_s
+                times.append(max(now, held.since + run_s))
+        times.sort()
+        return times
+
+    def _expire(self, now: float) -> None:
+        for held in list(self._held.values()):
+            if now - held.confirmed > HOLDER_LIFE_S:
+                del self._held[held.exchange]
+
+
+def _learn(
+    table: dict[str, float], name: str, sample: float, start: float
+) -> None:
+    known = table.get(name, start)
+    table[name] = known + SMOOTHING * (sample - known)
+
+
+def peak_tokens(runs: list[tuple[float, int, float]], token_s: float) -> float:
+    """Return the most memory that runs hold at once, in tokens.
+
+    Args:
+      runs: Expected end, prompt tokens and start of each run.
+      token_s: Time that one token takes, seconds.
+    """
+    ordered = sorted(runs, reverse=True)
+    peak = 0.0
+    for index, (end, _, _) in enumerate(ordered):
+        used = sum(
+            prompt + max(0.0, end - start) / token_s
+            for _, prompt, start in ordered[: index + 1]
+        )
+        peak = max(peak, used)
+    return peak
--- /dev/null
+++ b/nutmegscale/stream_runner.py
@@ -0,0 +1,365 @@
+"""Streams of model services: slot, prefill, transfer, run."""
+
+from nutmegscale import backend
+from nutmegscale import caller_request
+from nutmegscale import errors
+from nutmegscale import event_stream
+from nutmegscale import http_message
+from nutmegscale import logs
+from nutmegscale import messages
+from nutmegscale import periodic
+from nutmegscale import request_context
+from nutmegscale import retry_share
+from nutmegscale import routes
+from nutmegscale import routing_board
+from nutmegscale import slot_controller
+from nutmegscale import upstream
+
+# A caller abandons a stream without an event after the longest of two
+# seconds and four times the objective (the users' pages).
+MIN_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_MARGIN_S = 0.2
+# Longest wait for a prefill, in multiples of the time that the prompt takes
+# an idle worker, and at least, seconds.
+PREFILL_TIMEOUT_S = 1.5
+FREE_TIMEOUT_S = 1.0
+MAX_OFFERS = 3
+MAX_HANDLE_BYTES = 65_536
+MIN_LEFT_S = 0.05
+
+
+class StreamRunner:
+    """Runs streams."""
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        pool: upstream.UpstreamPool,
+        wire: caller_request.ServerWire,
+        slots: slot_controller.SlotController,
+        budgets: "dict[str, retry_share.RetryShare]",
+    ) -> None:
+        self._board = board
+        self._pool = pool
+        self._wire = wire
+        self._slots = slots
+        self._budgets = budgets
+
+    async def run(self, context: request_context.RequestContext) -> None:
+        """Answer a request."""
+        run = _Run(context)
+        for offer in range(MAX_OFFERS):
+            grant = await self._slots.acquire(self._want(context, run))
+            if grant.state != "granted":
+                self._give_up(context, run, grant)
+                return
+            try:
+                if await self._run_granted(context, run, grant, offer):
+                    return
+            finally:
+                self._slots.tell(
+                    context.service,
+                    run.exchange,
+                    "ended",
+                    worker=grant.decode,
+                    tokens=run.tokens_if_whole,
+                    took_s=run.took_s,
+                )
+            if not run.may_go_on(context.route):
+                return
+        self._give_up(context, run, None)
+
+    def _want(
+        self, context: request_context.RequestContext, run: "_Run"
+    ) -> slot_controller.Want:
+        request, route = context.request, context.route
+        arrived = context.incoming.arrived
+        patience_s = max(
+            MIN_PATIENCE_S, PATIENCE_OBJECTIVES * route.objective_s
+        )
+        run.number += 1
+        run.exchange = f"{request.id}.{run.number}"
+        return slot_controller.Want(
+            service=context.service,
+            exchange=run.exchange,
+            prompt_tokens=request.prompt_tokens,
+            expected_tokens=request.expected_tokens,
+            priority=route.priority,
+            in_time_by=arrived + route.objective_s,
+            give_up_at=min(
+                arrived + patience_s - PATIENCE_MARGIN_S, context.deadline
+            ),
+            avoid=tuple(run.avoid),
+            reads_itself=run.reads_itself,
+        )
+
+    async def _run_granted(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        grant: messages.SlotReply,
+        offer: int,
+    ) -> bool:
+        """Use a slot; False if the request may be offered once more."""
+        decode = self._board.backends.get(grant.decode)
+        prefill = self._board.backends.get(grant.prefill)
+        if decode is None or decode.is_draining:
+            run.avoid.append(grant.decode)
+            context.log("grant_outdated", decode=grant.decode)
+            return False
+        if offer and not self._budgets[context.service].take(self._board.now()):
+            context.refuse("retry_budget_spent", 1.0)
+            return True
+        source = None
+        if prefill is not None and not prefill.is_draining:
+            source = await self._prefill(context, run, prefill)
+        try:
+            await self._decode(context, run, decode, source)
+            return True
+        except errors.RejectedError as exc:
+            context.log("decode_rejected", decode=decode.id, why=str(exc))
+            run.rejected(decode.id, had_source=source is not None)
+            return False
+        except errors.ConnectError as exc:
+            self._note_lost(context, run, decode, exc)
+            return False
+        except errors.TransportError as exc:
+            run.runs += 1
+            self._board.loads.failed(self._board.now(), decode)
+            return self._broke_off(context, run, decode, exc)
+        finally:
+            if source is not None and not run.took_source:
+                periodic.spawn(self._free(source))
+
+    def _broke_off(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        decode: backend.Backend,
+        exc: Exception,
+    ) -> bool:
+        """Handle a run that ended early; False if it may go on elsewhere."""
+        is_late = isinstance(exc, errors.ResponseTimeoutError)
+        context.log(
+            "stream_broke",
+            decode=decode.id,
+            error=type(exc).__name__,
+            why=str(exc),
+            last_event=run.last_event.decode("latin-1"),
+        )
+        if run.may_go_on(context.route) and not is_late:
+            run.avoid.append(decode.id)
+            return False
+        status, kind = (504, "timeout") if is_late else (502, "server_broke")
+        context.fail(
+            errors.Failure(status, kind, "the run broke off", "maybe_run"),
+            decode=decode.id,
+        )
+        return True
+
+    async def _prefill(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        worker: backend.Backend,
+    ) -> caller_request.KvHandle | None:
+        """Have the prompt read; None if the decode worker must do so."""
+        request = self._wire.prefill(context.request, worker, context.left_s)
+        began = self._board.now()
+        call: upstream.Call | None = None
+        took_s = 0.0
+        timeout_s = min(PREFILL_TIMEOUT_S, max(0.0, context.left_s))
+        try:
+            call = await self._pool.call(worker.address, request)
+            head = await call.head(timeout_s)
+            body = await call.body(timeout_s, MAX_HANDLE_BYTES)
+            verdict = self._wire.verdict(head)
+            if verdict.is_misdirected:
+                self._pool.forget(worker.address)
+            if head.status != 200:
+                raise errors.RejectedError(f"prefill gave {head.status}")
+            handle = self._wire.read_handle(body)
+            took_s = self._board.now() - began
+            return caller_request.KvHandle(worker.address, handle)
+        except (errors.TransportError, errors.RejectedError) as exc:
+            context.log(
+                "prefill_failed",
+                prefill=worker.id,
+                error=type(exc).__name__,
+                why=str(exc),
+            )
+            if not isinstance(exc, errors.RejectedError):
+                self._slots.tell(
+                    context.service, run.exchange, "lost", worker=worker.id
+                )
+            return None
+        finally:
+            if call is not None:
+                call.abort()
+            self._slots.tell(
+                context.service,
+                run.exchange,
+                "prefilled",
+                worker=worker.id,
+                took_s=took_s,
+            )
+
+    async def _decode(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        worker: backend.Backend,
+        source: caller_request.KvHandle | None,
+    ) -> None:
+        loads = self._board.loads
+        last_event = run.last_event or context.request.last_event
+        request = self._wire.decode(
+            context.request,
+            worker,
+            context.left_s,
+            source=source,
+            last_event=last_event,
+        )
+        context.tries.append(worker.id)
+        loads.sent(worker)
+        call: upstream.Call | None = None
+        run.began = self._board.now()
+        try:
+            call = await self._pool.call(worker.address, request)
+            head = await call.head(max(0.0, context.left_s))
+            verdict = self._wire.verdict(head)
+            if verdict.is_misdirected:
+                self._pool.forget(worker.address)
+                raise errors.MisdirectedError("another server has its address")
+            if not verdict.has_run:
+                run.load = verdict.load
+                raise errors.RejectedError(f"rejected with {head.status}")
+            run.took_source = source is not None
+            await self._relay(context, run, call, head, verdict)
+            loads.worked(worker)
+        finally:
+            loads.ended(worker)
+            if call is not None:
+                call.abort()
+
+    async def _relay(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        call: upstream.Call,
+        head: http_message.ResponseHead,
+        verdict: caller_request.Verdict,
+    ) -> None:
+        if head.status >= 300:
+            body = await call.body(context.left_s, MAX_HANDLE_BYTES)
+            context.answer(head, body)
+            return
+        if not verdict.is_genuine:
+            raise errors.MalformedAnswerError("answer without proof")
+        incoming = context.incoming
+        if not incoming.is_started:
+            context.start(head)
+        splitter = event_stream.EventSplitter()
+        while True:
+            data = await call.chunk(max(0.0, context.left_s))
+            if not data:
+                break
+            whole = splitter.feed(data)
+            if whole:
+                run.last_event = splitter.last_id or run.last_event
+                run.events += splitter.count(whole)
+                incoming.write(whole)
+        if splitter.rest:
+            raise errors.TransportError("ended within an event")
+        run.ended = self._board.now()
+        run.is_whole = True
+        incoming.finish()
+        context.log("request_answered", status=head.status, events=run.events)
+
+    def _note_lost(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        worker: backend.Backend,
+        exc: Exception,
+    ) -> None:
+        context.log("decode_unreachable", decode=worker.id, why=str(exc))
+        self._board.loads.failed(self._board.now(), worker)
+        self._slots.tell(
+            context.service, run.exchange, "lost", worker=worker.id
+        )
+        run.avoid.append(worker.id)
+
+    async def _free(self, handle: caller_request.KvHandle) -> None:
+        """Free a KV cache that no run took."""
+        try:
+            call = await self._pool.call(
+                handle.address, self._wire.free(handle)
+            )
+            await call.body(FREE_TIMEOUT_S, MAX_HANDLE_BYTES)
+            call.abort()
+        except errors.TransportError as exc:
+            logs.get().info(
+                "handle_not_freed", server=handle.address, why=str(exc)
+            )
+
+    def _give_up(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        refusal: messages.SlotReply | None,
+    ) -> None:
+        if run.runs:
+            context.fail(
+                errors.Failure(502, "run_lost", "the run broke", "maybe_run")
+            )
+        elif refusal is not None:
+            context.refuse(refusal.reason, refusal.retry_after_s)
+        else:
+            context.refuse("rejected_by_servers", 1.0)
+
+
+class _Run:
+    """What is known of one stream while it is served."""
+
+    def __init__(self, context: request_context.RequestContext) -> None:
+        self.exchange = ""
+        self.number = 0
+        self.avoid: list[str] = []
+        self.reads_itself = False
+        self.took_source = False
+        self.runs = 0
+        self.events = 0
+        self.last_event = b""
+        self.began = 0.0
+        self.ended = 0.0
+        self.is_whole = False
+        self.load: caller_request.ServerLoad | None = None
+        self._expected_tokens = context.request.expected_tokens
+
+    @property
+    def took_s(self) -> float:
+        """Time that the whole run took, seconds."""
+        return max(0.0, self.ended - self.began)
+
+    @property
+    def tokens_if_whole(self) -> int:
+        """Tokens that the run was expected to make, 0 if it wasn't whole."""
+        return self._expected_tokens if self.is_whole else 0
+
+    def may_go_on(self, route: routes.Route) -> bool:
+        """Whether the stream may be run again after one that broke off."""
+        if self.runs == 0:
+            return True
+        return route.is_resumable and self.runs < route.max_attempts
+
+    def rejected(self, decode: str, *, had_source: bool) -> None:
+        """Note that a worker didn't take the run."""
+        load = self.load
+        has_room = load is not None and load.running < load.slots
+        if had_source and has_room:
+            # The KV cache is gone, not the room for it.
+            self.reads_itself = True
+        else:
+            self.avoid.append(decode)
--- /dev/null
+++ b/nutmegscale/table_follower.py
@@ -0,0 +1,116 @@
+"""Keeps up with a table of the store: snapshot, changes, lost history."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from twisted.internet import defer
+
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import periodic
+from nutmegscale import row_store
+
+# Longest wait of one question, seconds. Longer costs fewer calls; keep-alive
+# probes find a silent connection before it ends.
+WAIT_S = 20.0
+FIRST_RETRY_S = 0.2
+MAX_RETRY_S = 1.0
+RETRY_FACTOR = 1.7
+JITTER = 0.3
+
+
+class TableFollower:
+    """Follows one table and hands on what changes, for as long as it runs."""
+
+    def __init__(
+        self,
+        clock: Any,
+        store: row_store.RowStore,
+        table: str,
+        *,
+        on_snapshot: Callable[[tuple[row_store.Row, ...]], None],
+        on_change: Callable[[row_store.Row], None],
+        on_contact: Callable[[bool], None] = lambda ok: None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._table = table
+        self._on_snapshot = on_snapshot
+        self._on_change = on_change
+        self._on_contact = on_contact
+        self._rng = rng or random.Random()
+        self._running: defer.Deferred[Any] | None = None
+        self._version: int | None = None
+        self._is_in_contact: bool | None = None
+
+    @property
+    def is_in_contact(self) -> bool:
+        """Whether the last question was answered."""
+        return bool(self._is_in_contact)
+
+    def start(self) -> None:
+        """Start to follow."""
+        if self._running is None:
+            self._running = periodic.spawn(self._loop())
+
+    def stop(self) -> None:
+        """Stop."""
+        running, self._running = self._running, None
+        if running is not None:
+            running.cancel()
+
+    async def _loop(self) -> None:
+        pause_s = FIRST_RETRY_S
+        while True:
+            try:
+                await self._step()
+                pause_s = FIRST_RETRY_S
+                self._note_contact(True)
+                continue
+            except errors.HistoryGoneError as exc:
+                logs.get().warning(
+                    "feed_history_gone",
+                    table=self._table,
+                    version=self._version,
+                    message=str(exc),
+                )
+                self._version = None
+                continue
+            except errors.StoreError as exc:
+                self._note_contact(False, exc)
+            jitter = 1.0 + JITTER * (2.0 * self._rng.random() - 1.0)
+            await periodic.sleep(self._clock, pause_s * jitter)
+            pause_s = min(MAX_RETRY_S, pause_s * RETRY_FACTOR)
+
+    async def _step(self) -> None:
+        if self._version is None:
+            snapshot = await self._store.read_table(self._table)
+            self._version = snapshot.version
+            self._on_snapshot(snapshot.rows)
+            return
+        # After a failure a short question tells at once when it is back.
+        wait_s = WAIT_S if self._is_in_contact else 0.0
+        changes = await self._store.follow(self._table, self._version, wait_s)
+        self._version = max(self._version, changes.version)
+        for row in changes.rows:
+            self._on_change(row)
+
+    def _note_contact(self, ok: bool, exc: Exception | None = None) -> None:
+        self._on_contact(ok)
+        if ok == self._is_in_contact:
+            return
+        self._is_in_contact = ok
+        if ok:
+            logs.get().info(
+                "store_regained", table=self._table, version=self._version
+            )
+        else:
+            logs.get().warning(
+                "store_lost",
+                table=self._table,
+                version=self._version,
+                error=type(exc).__name__,
+                message=str(exc),
+            )
--- /dev/null
+++ b/nutmegscale/tcp_options.py
@@ -0,0 +1,29 @@
+"""Socket options that find connections which have gone silent."""
+
+import socket
+from typing import Any
+
+# A silent connection must be found before a change of configuration that it
+# holds up is due: two seconds, the shortest bound of the users' deployments.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_PERIOD_S = 1
+KEEPALIVE_PROBES = 2
+USER_TIMEOUT_MS = 3_000
+
+
+def apply(transport: Any) -> None:
+    """Set the options of a Twisted TCP transport; others are left alone."""
+    get_handle = getattr(transport, "getHandle", None)
+    handle = get_handle() if get_handle is not None else None
+    if handle is None:
+        return
+    transport.setTcpNoDelay(True)
+    transport.setTcpKeepAlive(True)
+    options = (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for option, value in options:
+        handle.setsockopt(socket.IPPROTO_TCP, option, value)
--- /dev/null
+++ b/nutmegscale/upstream.py
@@ -0,0 +1,445 @@
+"""HTTP/1.1 connections to backend servers, kept between requests."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import httptools
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import protocol
+
+from nutmegscale import errors
+from nutmegscale import http_message
+from nutmegscale import tcp_options
+
+CONNECT_TIMEOUT_S = 0.4
+# Idle life of a kept connection whose server states none, seconds: well
+# below the shortest idle timeout in common use, 5 s.
+IDLE_LIFE_S = 3.0
+# Margin for the way of a request to a server that is about to close.
+IDLE_MARGIN_S = 0.5
+MAX_IDLE_PER_SERVER = 6
+# Bytes of an answer that may wait for a slow caller before reading pauses.
+MAX_WAITING_BYTES = 256 << 10
+
+
+class Request(NamedTuple):
+    """A request for a server.
+
+    Attributes:
+      head: Its head, with all headers but the length.
+      body: Its whole body.
+      request_id: Value that the server repeats in its answer, or b"".
+    """
+
+    head: http_message.RequestHead
+    body: bytes
+    request_id: bytes
+
+
+class Call:
+    """One request on one connection, and its answer as it comes in."""
+
+    def __init__(self, connection: "_Connection", clock: Any) -> None:
+        self._connection = connection
+        self._clock = clock
+        self._head: http_message.ResponseHead | None = None
+        self._chunks: deque[bytes] = deque()
+        self._waiting_bytes = 0
+        self._is_whole = False
+        self._failure: errors.TransportError | None = None
+        self._waiter: defer.Deferred[None] | None = None
+
+    @property
+    def is_kept(self) -> bool:
+        """Whether the connection had served a request before this one."""
+        return self._connection.served > 1
+
+    async def head(self, timeout_s: float) -> http_message.ResponseHead:
+        """Wait for the head of the answer.
+
+        Raises:
+          errors.ResponseTimeoutError: None came in time.
+          errors.TransportError: The connection broke or sent no answer.
+        """
+        deadline = self._clock.seconds() + timeout_s
+        while self._head is None:
+            if self._failure is not None:
+                raise self._failure
+            await self._wait(deadline)
+        return self._head
+
+    async def chunk(self, timeout_s: float) -> bytes:
+        """Wait for the next part of the body; empty at its end.
+
+        Raises:
+          errors.ResponseTimeoutError: None came in time.
+          errors.TransportError: The answer broke off.
+        """
+        deadline = self._clock.seconds() + timeout_s
+        while not self._chunks:
+            if self._is_whole:
+                return b""
+            if self._failure is not None:
+                raise self._failure
+            await self._wait(deadline)
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self._waiting_bytes = 0
+        self._connection.resume()
+        return data
+
+    async def body(self, timeout_s: float, max_bytes: int) -> bytes:
+        """Wait for the whole body.
+
+        Raises:
+          errors.ResponseTimeoutError: It wasn't whole in time.
+          errors.TransportError: The answer broke off, or is too long.
+        """
+        deadline = self._clock.seconds() + timeout_s
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            left_s = max(0.0, deadline - self._clock.seconds())
+            data = await self.chunk(left_s)
+            if not data:
+                return b"".join(parts)
+            size += len(data)
+            if size > max_bytes:
+                raise errors.TransportError(f"answer above {max_bytes} bytes")
+            parts.append(data)
+
+    def abort(self) -> None:
+        """Close the connection, unless the answer is whole."""
+        if not self._is_whole:
+            self._connection.abort()
+
+    async def _wait(self, deadline: float) -> None:
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._waiter = waiter
+        left_s = deadline - self._clock.seconds()
+        timer = self._clock.callLater(max(0.0, left_s), waiter.cancel)
+        try:
+            await waiter
+        except defer.CancelledError as exc:
+            if timer.active():
+                raise
+            raise errors.ResponseTimeoutError("no answer in time") from exc
+        finally:
+            self._waiter = None
+            if timer.active():
+                timer.cancel()
+
+    def _wake(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None:
+            waiter.callback(None)
+
+    def got_head(self, head: http_message.ResponseHead) -> None:
+        """Take in the head of the answer."""
+        self._head = head
+        self._wake()
+
+    def got_data(self, data: bytes) -> None:
+        """Take in a part of the body."""
+        self._chunks.append(data)
+        self._waiting_bytes += len(data)
+        if self._waiting_bytes > MAX_WAITING_BYTES:
+            self._connection.pause()
+        self._wake()
+
+    def got_end(self) -> None:
+        """Note that the answer is whole."""
+        self._is_whole = True
+        self._wake()
+
+    def failed(self, failure: errors.TransportError) -> None:
+        """Note that no more of the answer will come."""
+        if not self._is_whole and self._failure is None:
+            self._failure = failure
+            self._wake()
+
+
+class _Connection(protocol.Protocol):
+    """One connection to a server; one call at a time."""
+
+    transport: Any
+
+    def __init__(self, pool: "UpstreamPool", address: str) -> None:
+        self._pool = pool
+        self._parser: Any = None
+        self._call: Call | None = None
+        self._request_id = b""
+        self._is_lost = False
+        self._is_foreign = False
+        self._is_spoilt = False
+        self._keeps_alive = False
+        self._finished: Call | None = None
+        self._runs_to_close = False
+        self._headers: list[http_message.Header] = []
+        self._idle_timer: Any = None
+        self.address = address
+        self.served = 0
+        self.idle_until = 0.0
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a request may be sent on it."""
+        return not self._is_lost and self._call is None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set up a new connection."""
+        tcp_options.apply(self.transport)
+
+    def send(self, call: Call, request: Request) -> None:
+        """Send a request."""
+        self._cancel_idle()
+        self.served += 1
+        self._call = call
+        self._request_id = request.request_id
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = []
+        self._is_foreign = False
+        self._runs_to_close = False
+        self.transport.write(
+            http_message.encode_request(request.head, request.body)
+        )
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what came in; bytes of no request end the connection."""
+        if self._call is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            # Also raised for bytes behind a whole answer.
+            self._fail(errors.MalformedAnswerError(f"no HTTP answer: {exc}"))
+            self._is_spoilt = True
+        if self._finished is not None:
+            self._finish(self._finished)
+        elif self._is_spoilt:
+            self.abort()
+
+    def on_message_begin(self) -> None:
+        """Start to read a message; see httptools."""
+        if self._call is None:
+            # A second answer behind the first one: it belongs to nothing.
+            self._is_spoilt = True
+            return
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header; see httptools."""
+        if self._call is not None:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Hand on the head if it answers our request; see httptools."""
+        if self._call is None:
+            return
+        status = self._parser.get_status_code()
+        head = http_message.ResponseHead(status, tuple(self._headers))
+        answered_id = head.get(b"request-id")
+        is_interim = status < 200
+        is_other = (
+            answered_id is not None
+            and self._request_id != b""
+            and answered_id != self._request_id
+        )
+        # A late second answer to an earlier request may come first.
+        self._is_foreign = is_interim or is_other
+        if not self._is_foreign:
+            self._runs_to_close = _runs_to_close(head)
+            self._call.got_head(head)
+
+    def on_body(self, body: bytes) -> None:
+        """Hand on a part of the body; see httptools."""
+        if self._call is not None and not self._is_foreign:
+            self._call.got_data(body)
+
+    def on_message_complete(self) -> None:
+        """End the call, and keep the connection if it may be."""
+        call = self._call
+        if call is None or self._is_foreign:
+            return
+        self._call = None
+        self._finished = call
+        self._keeps_alive = self._parser.should_keep_alive()
+
+    def _finish(self, call: Call) -> None:
+        """End a call whose answer is whole, once all that came is parsed.
+
+        Whoever waits may send the next request at once, so nothing of this
+        answer may be left in the parser by then.
+        """
+        self._finished = None
+        life_s = _idle_life_s(self._headers) if self._keeps_alive else 0.0
+        if self._is_spoilt:
+            self.abort()
+        elif life_s > 0.0:
+            self._pool.keep(self, life_s)
+        else:
+            self.transport.loseConnection()
+        call.got_end()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """End the call: whole if its answer had no length and ended."""
+        self._is_lost = True
+        self._cancel_idle()
+        self._pool.dropped(self)
+        call, self._call = self._call, None
+        if call is None:
+            return
+        is_clean = reason is not None and reason.check(error.ConnectionDone)
+        if self._runs_to_close and is_clean:
+            call.got_end()
+        elif is_clean:
+            call.failed(errors.TransportError("closed before its end"))
+        else:
+            call.failed(errors.ConnectionResetTransportError("reset"))
+
+    def _fail(self, failure: errors.TransportError) -> None:
+        call, self._call = self._call, None
+        if call is not None:
+            call.failed(failure)
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._fail(errors.TransportError("closed by this host"))
+        if not self._is_lost:
+            self._is_lost = True
+            self._pool.dropped(self)
+            self.transport.abortConnection()
+
+    def wait_idle(self, clock: Any, seconds: float) -> None:
+        """Close after a time without a request."""
+        self._idle_timer = clock.callLater(seconds, self._close_idle)
+
+    def _close_idle(self) -> None:
+        self._idle_timer = None
+        self._pool.dropped(self)
+        self.transport.loseConnection()
+
+    def _cancel_idle(self) -> None:
+        timer, self._idle_timer = self._idle_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def pause(self) -> None:
+        """Stop to read while the caller doesn't."""
+        self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        if not self._is_lost:
+            self.transport.resumeProducing()
+
+
+def _runs_to_close(head: http_message.ResponseHead) -> bool:
+    has_length = head.get(b"content-length") is not None
+    is_chunked = head.get(b"transfer-encoding") is not None
+    return not has_length and not is_chunked and head.status not in (204, 304)
+
+
+def _idle_life_s(headers: list[http_message.Header]) -> float:
+    stated = http_message.find(headers, b"keep-alive") or b""
+    for part in stated.split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return float(int(value) - IDLE_MARGIN_S)
+    return IDLE_LIFE_S
+
+
+class UpstreamPool:
+    """Connections to all servers, by address."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Any,
+        *,
+        connect: Callable[..., Any] | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._connect_timeout_s = connect_timeout_s
+        self._connect = connect or self._connect_tcp
+        self._idle: dict[str, list[_Connection]] = {}
+        self.opened = 0
+
+    def _connect_tcp(self, address: str, factory: Any) -> Any:
+        ip, _, port = address.rpartition(":")
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor, ip, int(port), timeout=self._connect_timeout_s
+        )
+        return endpoint.connect(factory)
+
+    async def call(
+        self, address: str, request: Request, *, fresh: bool = False
+    ) -> Call:
+        """Send a request to a server.
+
+        Args:
+          address: IP and port of the server.
+          request: The request.
+          fresh: Whether it must go on a new connection.
+
+        Returns:
+          The call; its answer is still to come.
+
+        Raises:
+          errors.ConnectError: Nothing was sent.
+        """
+        connection = None if fresh else self._take(address)
+        if connection is None:
+            connection = await self._open(address)
+        call = Call(connection, self._clock)
+        connection.send(call, request)
+        return call
+
+    def _take(self, address: str) -> _Connection | None:
+        idle = self._idle.get(address, [])
+        now = self._clock.seconds()
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable and now < connection.idle_until:
+                return connection
+        return None
+
+    async def _open(self, address: str) -> _Connection:
+        self.opened += 1
+        factory = protocol.Factory.forProtocol(
+            lambda: _Connection(self, address)  # type: ignore[arg-type]
+        )
+        factory.noisy = False
+        try:
+            connection: _Connection = await self._connect(address, factory)
+        except (error.ConnectError, error.ConnectingCancelledError) as exc:
+            raise errors.ConnectError(f"{address}: {exc}") from exc
+        return connection
+
+    def keep(self, connection: _Connection, life_s: float) -> None:
+        """Keep a connection for later requests."""
+        idle = self._idle.setdefault(connection.address, [])
+        if len(idle) >= MAX_IDLE_PER_SERVER:
+            connection.transport.loseConnection()
+            return
+        connection.idle_until = self._clock.seconds() + life_s
+        connection.wait_idle(self._clock, life_s)
+        idle.append(connection)
+
+    def dropped(self, connection: _Connection) -> None:
+        """Forget a connection."""
+        idle = self._idle.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+
+    def forget(self, address: str) -> None:
+        """Close the kept connections to an address."""
+        for connection in self._idle.pop(address, []):
+            connection.transport.loseConnection()
