--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -172,10 +172,9 @@
         """Replace what is known of a host's slots by its own list."""
         listed = {h.exchange for h in held}
         for known in list(self._held.values()):
-            is_young = now - known.since < CONFIRM_GRACE_S
-            if known.host == host and known.exchange not in listed:
-                if not is_young:
-                    del self._held[known.exchange]
+            is_dropped = known.host == host and known.exchange not in listed
+            if is_dropped and now - known.since >= CONFIRM_GRACE_S:
+                del self._held[known.exchange]
         for item in held:
             known_item = self._held.get(item.exchange)
             if known_item is None:
