Stand-ins and tests of the platform path; a lapsed entry is kept in doubt

The follower now says that it has contact first. Ruled out: the feed itself (the rows were right, only the order was wrong).

--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -297,7 +297,7 @@
     error.ConnectError,
     error.TimeoutError,
     error.NoRouteError,
-    client.RequestNotSent,
+    client.RequestNotSent,  # type: ignore[attr-defined]
 )
 _FAILURES = (
     *_NEVER_SENT,
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -225,7 +225,8 @@
         ordered = sorted(
             self._waiting.values(), key=lambda a: (a.priority, a.asked_at)
         )
-        in_time, late = [], []
+        in_time: list[Ask] = []
+        late: list[Ask] = []
         for ask in ordered:
             first_at = now + self.first_event_s(now, ask)
             (in_time if first_at <= ask.in_time_by else late).append(ask)
--- a/nutmegscale/table_follower.py
+++ b/nutmegscale/table_follower.py
@@ -67,9 +67,9 @@
             try:
                 await self._step()
                 pause_s = FIRST_RETRY_S
-                self._note_contact(True)
                 continue
             except errors.HistoryGoneError as exc:
+                self._note_contact(True)
                 logs.get().warning(
                     "feed_history_gone",
                     table=self._table,
@@ -87,12 +87,14 @@
     async def _step(self) -> None:
         if self._version is None:
             snapshot = await self._store.read_table(self._table)
+            self._note_contact(True)
             self._version = snapshot.version
             self._on_snapshot(snapshot.rows)
             return
         # After a failure a short question tells at once when it is back.
         wait_s = WAIT_S if self._is_in_contact else 0.0
         changes = await self._store.follow(self._table, self._version, wait_s)
+        self._note_contact(True)
         self._version = max(self._version, changes.version)
         for row in changes.rows:
             self._on_change(row)
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -414,7 +414,7 @@
     async def _open(self, address: str) -> _Connection:
         self.opened += 1
         factory = protocol.Factory.forProtocol(
-            lambda: _Connection(self, address)  # type: ignore[arg-type]
+            lambda: _Connection(self, address)
         )
         factory.noisy = False
         try:
--- /dev/null
+++ b/standins/memory_net.py
@@ -0,0 +1,135 @@
+"""TCP connections in memory on a virtual clock, with cuts and resets."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.python import failure
+
+DELAY_S = 0.001
+CONNECT_TIMEOUT_S = 0.4
+
+
+class MemoryTransport:
+    """One end of a connection."""
+
+    def __init__(self, net: "MemoryNet", owner: Any, address: str) -> None:
+        self._net = net
+        self._owner = owner
+        self.address = address
+        self.peer: MemoryTransport | None = None
+        self.is_closed = False
+        self.is_paused = False
+        self._held: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the other end."""
+        if data and not self.is_closed:
+            self._later(lambda end: end.receive(data))
+
+    def receive(self, data: bytes) -> None:
+        """Take in bytes; while reading is paused they are held."""
+        if self.is_paused:
+            self._held.append(data)
+        elif not self.is_closed:
+            self._owner.dataReceived(data)
+
+    def _later(self, act: Callable[["MemoryTransport"], None]) -> None:
+        def _arrive() -> None:
+            peer = self.peer
+            if peer is not None and self.address not in self._net.silent:
+                act(peer)
+
+        self._net.clock.callLater(DELAY_S, _arrive)
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close both ends, in order."""
+        self._close(error.ConnectionDone())
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Reset both ends."""
+        self._close(error.ConnectionLost())
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """Tell the other end that nothing more comes."""
+        self._later(lambda end: end.ended(error.ConnectionDone()))
+
+    def _close(self, reason: Exception) -> None:
+        if not self.is_closed:
+            self._later(lambda end: end.ended(reason))
+            self._net.clock.callLater(
+                0, lambda: self.ended(error.ConnectionDone())
+            )
+
+    def ended(self, reason: Exception) -> None:
+        """Tell the owner that the connection is over."""
+        if not self.is_closed:
+            self.is_closed = True
+            self._owner.connectionLost(failure.Failure(reason))
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Hold what comes in."""
+        self.is_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Hand on what was held."""
+        self.is_paused = False
+        held, self._held = self._held, []
+        for data in held:
+            self.receive(data)
+
+
+class MemoryNet:
+    """Addresses that listen, and connections to them."""
+
+    def __init__(self, clock: Any) -> None:
+        self.clock = clock
+        self.silent: set[str] = set()
+        self.opened: list[str] = []
+        self._listeners: dict[str, Any] = {}
+
+    def listen(self, address: str, factory: Any) -> None:
+        """Take connections at an address."""
+        self._listeners[address] = factory
+
+    def close(self, address: str) -> None:
+        """Take no more connections at an address."""
+        self._listeners.pop(address, None)
+
+    def connect(self, address: str, factory: Any) -> "defer.Deferred[Any]":
+        """Connect; it fails at once or, where all is silent, after a while."""
+        connected: defer.Deferred[Any] = defer.Deferred()
+        self.opened.append(address)
+
+        def _refuse() -> None:
+            connected.errback(error.ConnectionRefusedError())
+
+        if address in self.silent:
+            self.clock.callLater(
+                CONNECT_TIMEOUT_S,
+                lambda: connected.errback(error.TimeoutError()),
+            )
+        elif address not in self._listeners:
+            self.clock.callLater(DELAY_S, _refuse)
+        else:
+            self.clock.callLater(
+                DELAY_S, lambda: self._join(address, factory, connected)
+            )
+        return connected
+
+    def _join(self, address: str, factory: Any, connected: Any) -> None:
+        listener = self._listeners.get(address)
+        if listener is None:
+            connected.errback(error.ConnectionRefusedError())
+            return
+        near: Any = factory.buildProtocol(None)
+        far: Any = listener.buildProtocol(None)
+        ends = [
+            MemoryTransport(self, near, address),
+            MemoryTransport(self, far, address),
+        ]
+        ends[0].peer, ends[1].peer = ends[1], ends[0]
+        far.makeConnection(ends[1])
+        near.makeConnection(ends[0])
+        connected.callback(near)
--- /dev/null
+++ b/standins/platform_rows.py
@@ -0,0 +1,94 @@
+"""Rows as the users' operator and backend servers write them (fixtures)."""
+
+import json
+from typing import Any
+
+MODEL = "notes-model"
+PAGES = "entries-app"
+
+
+def config_row(version: int = 1, **changes: Any) -> bytes:
+    """Return a configuration: a stream route, a resumable one, two plain."""
+    state: dict[str, Any] = {
+        "version": version,
+        "routes": [
+            _route("brief", "stream", MODEL, 14_000, 900, 1),
+            _route("digest", "stream", MODEL, 14_000, 900, 2, resumable=True),
+            _route("confirm", "unsafe", PAGES, 800, 150, 1),
+            _route("slot", "safe", PAGES, 800, 150, 2),
+        ],
+        "services": [
+            {
+                "name": MODEL,
+                "healthPath": "/health",
+                "maxConnections": 160,
+                "engine": {
+                    "slots": 4,
+                    "kvCapacity": 40_000,
+                    "kvTokenBytes": 18_432,
+                    "handleTtlS": 0.5,
+                },
+            },
+            {"name": PAGES, "healthPath": "/health", "maxConnections": 110},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+    }
+    return json.dumps({**state, **changes}).encode()
+
+
+def _route(
+    name: str,
+    kind: str,
+    service: str,
+    timeout_ms: int,
+    objective_ms: int,
+    attempts: int,
+    *,
+    resumable: bool = False,
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "hostname": "clubs.example",
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": objective_ms,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": attempts,
+        "sessionAffinity": kind == "stream",
+        "resumable": resumable,
+    }
+
+
+def entry_row(
+    service: str,
+    address: str,
+    *,
+    zone: str = "maadi",
+    stage: str = "",
+    slots: int = 4,
+    state: str = "ready",
+    born: int = 1,
+    **changes: Any,
+) -> bytes:
+    """Return the entry of a backend server."""
+    entry = {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "slots": slots,
+        "state": state,
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        "born": born,
+    }
+    if stage:
+        entry["stage"] = stage
+    return json.dumps({**entry, **changes}).encode()
--- /dev/null
+++ b/standins/router_world.py
@@ -0,0 +1,239 @@
+"""Hosts, backend servers, store and callers on a virtual clock, no sockets."""
+
+import random
+from typing import Any
+from typing import NamedTuple
+
+import httptools
+from twisted.internet import protocol
+from twisted.internet import task
+
+from nutmegscale import http_ingress
+from nutmegscale import router
+from nutmegscale import upstream
+from nutmegscale.platform import desired_state
+from nutmegscale.platform import ingress
+from nutmegscale.platform import worker_calls
+from nutmegscale.platform import worker_entries
+from standins import fake_network
+from standins import memory_net
+from standins import platform_rows
+from standins import platform_worker
+from standins import row_table
+
+STEP_S = 0.005
+START_S = 2.0
+
+WIRES = router.Wires(
+    callers=ingress.CallerWire(),
+    servers=worker_calls.ServerWire(),
+    decode_config=desired_state.decode,
+    config_table=desired_state.TABLE,
+    config_key=desired_state.KEY,
+    decode_entry=worker_entries.decode,
+    entry_table=worker_entries.TABLE,
+)
+
+
+class Reply:
+    """What a caller got so far."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b""
+        self.is_whole = False
+        self.is_closed = False
+
+
+class Caller(protocol.Protocol):
+    """One connection of a caller."""
+
+    transport: Any
+
+    def __init__(self) -> None:
+        self.replies: list[Reply] = []
+        self._parser = httptools.HttpResponseParser(self)
+        self.raw = b""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what came in."""
+        self.raw += data
+        self._parser.feed_data(data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header; see httptools."""
+        self.replies[-1].headers[name.lower()] = value
+
+    def on_message_begin(self) -> None:
+        """Start a reply; see httptools."""
+        self.replies.append(Reply())
+
+    def on_headers_complete(self) -> None:
+        """Note the status; see httptools."""
+        self.replies[-1].status = self._parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of the body; see httptools."""
+        self.replies[-1].body += body
+
+    def on_message_complete(self) -> None:
+        """Note the end; see httptools."""
+        self.replies[-1].is_whole = True
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Note that the host closed."""
+        for reply in self.replies:
+            reply.is_closed = True
+
+
+class Host(NamedTuple):
+    """A host and its port for callers."""
+
+    router: router.Router
+    callers: http_ingress.IngressFactory
+    address: str
+
+
+class World:
+    """A small deployment."""
+
+    def __init__(self, *, hosts: int = 1, seed: int = 1) -> None:
+        self.clock = task.Clock()
+        self.net = memory_net.MemoryNet(self.clock)
+        self.peers = fake_network.Network(self.clock)
+        self.store = row_table.RowTable(self.clock)
+        self.workers: dict[str, platform_worker.PlatformWorker] = {}
+        self.addresses: dict[str, str] = {}
+        self._rng = random.Random(seed)
+        self._number = 0
+        self.hosts = [self._add_host(f"host-{n}") for n in range(hosts)]
+
+    def _add_host(self, name: str) -> Host:
+        pool = upstream.UpstreamPool(None, self.clock, connect=self.net.connect)
+        made = router.Router(
+            router.HostFacts(
+                host=name,
+                failure_domain="maadi",
+                peer_address=f"tcp://{name}",
+                grace_s=8.0,
+                retry_ratio=0.2,
+                retry_extra=56.0,
+                retry_window_s=10.0,
+            ),
+            self.clock,
+            store=self.store.for_host(name),
+            pool=pool,
+            transport=fake_network.FakeTransport(self.peers, name),
+            wires=WIRES,
+            rng=random.Random(self._rng.random()),
+        )
+        self.peers.receivers[name] = made.mesh.receive
+        callers = http_ingress.IngressFactory(
+            self.clock, made, lambda: made.board.limits
+        )
+        address = f"{name}:80"
+        self.net.listen(address, callers)
+        return Host(made, callers, address)
+
+    def add_worker(
+        self, name: str, *, stage: str = "", slots: int = 4, born: int = 1
+    ) -> platform_worker.PlatformWorker:
+        """Start a backend server and its entry in the store."""
+        made = platform_worker.PlatformWorker(
+            self.clock, name, stage=stage, slots=slots
+        )
+        address = f"{name}:{len(self.addresses) + 1000}"
+        self.addresses[name] = address
+        self.workers[name] = made
+        for worker in self.workers.values():
+            worker.sources = {
+                self.addresses[n]: w for n, w in self.workers.items()
+            }
+        self.net.listen(address, made.factory())
+        self.write_entry(name, born=born)
+        return made
+
+    def write_entry(self, name: str, **changes: Any) -> None:
+        """Write the entry of a backend server."""
+        worker = self.workers[name]
+        service = platform_rows.MODEL if worker.stage else platform_rows.PAGES
+        row = platform_rows.entry_row(
+            service,
+            self.addresses[name],
+            stage=worker.stage,
+            slots=worker.slots,
+            **changes,
+        )
+        self.store.put(worker_entries.TABLE, name, row)
+
+    def add_standard(self) -> None:
+        """Start a configuration, two model workers a stage and two plain."""
+        self.configure()
+        for name in ("p1", "p2"):
+            self.add_worker(name, stage="prefill")
+        for name in ("d1", "d2"):
+            self.add_worker(name, stage="decode")
+        for name in ("w1", "w2"):
+            self.add_worker(name)
+
+    def configure(self, version: int = 1, **changes: Any) -> None:
+        """Write a configuration."""
+        row = platform_rows.config_row(version, **changes)
+        self.store.put(desired_state.TABLE, desired_state.KEY, row)
+
+    def start(self, seconds: float = START_S) -> None:
+        """Start all hosts and let them find each other."""
+        for host in self.hosts:
+            host.router.start()
+        self.run(seconds)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def caller(self, host: int = 0) -> Caller:
+        """Open a caller's connection to a host."""
+        factory = protocol.Factory.forProtocol(Caller)
+        found: list[Caller] = []
+        connected = self.net.connect(self.hosts[host].address, factory)
+        connected.addCallback(found.append)
+        self.run(0.01)
+        return found[0]
+
+    def send(
+        self,
+        route: str,
+        *,
+        host: int = 0,
+        on: Caller | None = None,
+        method: str = "POST",
+        body: bytes = b"hello",
+        patience_ms: int = 14_000,
+        **headers: str,
+    ) -> Caller:
+        """Send a request and return its connection; the answer comes later."""
+        caller = on or self.caller(host)
+        self._number += 1
+        lines = [
+            f"{method} /{route}/x?q=1 HTTP/1.1",
+            "Host: clubs.example",
+            f"Request-Id: r{self._number}",
+            f"Deadline-Ms: {patience_ms}",
+        ]
+        if route in ("brief", "digest"):
+            lines.append("Token-Count: 5000,4000")
+            lines.append("Model: m")
+        lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        caller.transport.write(head + body)
+        return caller
+
+    def ask(self, route: str, seconds: float = 2.0, **more: Any) -> Reply:
+        """Send a request, let time pass and return what the caller got."""
+        caller = self.send(route, **more)
+        self.run(seconds)
+        return caller.replies[-1] if caller.replies else Reply()
--- /dev/null
+++ b/standins/row_table.py
@@ -0,0 +1,160 @@
+"""Store of versioned rows on a virtual clock, with the faults of a real one.
+
+`RowTable` is the store; `RowTable.for_host` gives one host's way to it.
+"""
+
+from typing import Any
+
+from twisted.internet import defer
+
+from nutmegscale import errors
+from nutmegscale import periodic
+from nutmegscale import row_store
+
+ANSWER_S = 0.004
+ANSWER_TIMEOUT_S = 1.5
+
+
+class RowTable:
+    """The store.
+
+    Attributes:
+      is_down: Whether it answers nobody.
+      refused: Hosts that it turns away.
+      loses_answers: Whether writes are done and not answered.
+      oldest: Version before which changes are forgotten.
+      calls: Number of calls, refused ones included.
+    """
+
+    def __init__(self, clock: Any) -> None:
+        self.clock = clock
+        self.is_down = False
+        self.refused: set[str] = set()
+        self.loses_answers = False
+        self.oldest = 0
+        self.calls = 0
+        self.version = 0
+        self._rows: dict[tuple[str, str], row_store.Row] = {}
+        self._log: list[tuple[str, row_store.Row]] = []
+        self._waiting: list[defer.Deferred[None]] = []
+
+    def for_host(self, host: str) -> "RowTableClient":
+        """Return a host's way to the store."""
+        return RowTableClient(self, host)
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as the operator or a backend server does."""
+        return self._change(table, row_store.Row(key, value, 0))
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._change(table, row_store.Row(key, b"", 0, is_removed=True))
+
+    def forget_history(self) -> None:
+        """Forget all changes up to now."""
+        self.oldest = self.version
+        self._log.clear()
+        self._wake()
+
+    def get(self, table: str, key: str) -> row_store.Row | None:
+        """Return a row."""
+        return self._rows.get((table, key))
+
+    def rows(self, table: str) -> tuple[row_store.Row, ...]:
+        """Return the rows of a table, by key."""
+        return tuple(
+            row
+            for (name, _), row in sorted(self._rows.items())
+            if name == table
+        )
+
+    def since(self, table: str, after: int) -> tuple[row_store.Row, ...]:
+        """Return the changes of a table after a version."""
+        return tuple(
+            row
+            for name, row in self._log
+            if name == table and row.version > after
+        )
+
+    def wait(self) -> "defer.Deferred[None]":
+        """Return what fires at the next change."""
+        waiting: defer.Deferred[None] = defer.Deferred()
+        self._waiting.append(waiting)
+        return waiting
+
+    def _change(self, table: str, row: row_store.Row) -> int:
+        self.version += 1
+        row = row._replace(version=self.version)
+        if row.is_removed:
+            self._rows.pop((table, row.key), None)
+        else:
+            self._rows[table, row.key] = row
+        self._log.append((table, row))
+        self._wake()
+        return self.version
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for one in waiting:
+            if not one.called:
+                one.callback(None)
+
+
+class RowTableClient:
+    """`row_store.RowStore` of one host."""
+
+    def __init__(self, store: RowTable, host: str) -> None:
+        self._store = store
+        self._host = host
+
+    async def _reach(self) -> None:
+        self._store.calls += 1
+        if self._store.is_down:
+            await periodic.sleep(self._store.clock, ANSWER_TIMEOUT_S)
+            raise errors.StoreError("no answer in time")
+        await periodic.sleep(self._store.clock, ANSWER_S)
+        if self._host in self._store.refused:
+            raise errors.StoreRefusedError("refused with 503")
+
+    async def read_table(self, table: str) -> row_store.Changes:
+        """Read all rows of a table; see `row_store.RowStore`."""
+        await self._reach()
+        return row_store.Changes(self._store.rows(table), self._store.version)
+
+    async def follow(
+        self, table: str, after: int, wait_s: float
+    ) -> row_store.Changes:
+        """Wait for changes; see `row_store.RowStore`."""
+        await self._reach()
+        deadline = self._store.clock.seconds() + wait_s
+        while True:
+            if after < self._store.oldest:
+                raise errors.HistoryGoneError("history is gone")
+            rows = self._store.since(table, after)
+            left_s = deadline - self._store.clock.seconds()
+            if rows or left_s <= 0:
+                return row_store.Changes(rows, self._store.version)
+            waiting = self._store.wait()
+            waiting.addTimeout(left_s, self._store.clock)
+            try:
+                await waiting
+            except (defer.TimeoutError, TimeoutError):
+                continue
+            if self._store.is_down or self._host in self._store.refused:
+                raise errors.StoreError("connection lost")
+
+    async def write(
+        self, table: str, key: str, value: bytes, *, expected: int | None = None
+    ) -> row_store.Changes:
+        """Write a row; see `row_store.RowStore`."""
+        await self._reach()
+        known = self._store.get(table, key)
+        version = known.version if known else 0
+        if expected is not None and expected != version:
+            rows = (known,) if known else ()
+            return row_store.Changes(rows, self._store.version)
+        version = self._store.put(table, key, value)
+        if self._store.loses_answers:
+            await periodic.sleep(self._store.clock, ANSWER_TIMEOUT_S)
+            raise errors.StoreError("no answer in time")
+        return row_store.Changes((), version)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,256 @@
+"""The adapter: what it decodes, what it refuses, and who may use it."""
+
+import ast
+import json
+import pathlib
+from typing import Any
+
+import pytest
+
+from nutmegscale import errors
+from nutmegscale import http_message
+from nutmegscale import row_store
+from nutmegscale.platform import desired_state
+from nutmegscale.platform import ingress
+from nutmegscale.platform import settings
+from nutmegscale.platform import worker_calls
+from nutmegscale.platform import worker_entries
+from standins import platform_rows
+
+PACKAGE = pathlib.Path("nutmegscale")
+ASSEMBLERS = {PACKAGE / "platform_daemon.py"}
+WIRE_WORDS = (
+    "Not-Executed",
+    "not-executed",
+    "Target-Instance",
+    "target-instance",
+    "Kv-Source",
+    "kv-source",
+    "kv-handle",
+    "Deadline-Ms",
+    "deadline-ms",
+    "Token-Count",
+    "token-count",
+    "Length-Hint",
+    "length-hint",
+    "Response-Signature",
+    "response-signature",
+    "Server-Load",
+    "server-load",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "trafficSplit",
+    "targetLatencyMs",
+    "pathPrefix",
+    "internalPorts",
+)
+SETTINGS = """
+nodeName = "front-1"
+ip = "10.1.0.35"
+zone = "maadi"
+internalPorts = [7660, 7675]
+unknown = 3
+[listen]
+front = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+[bounds]
+graceS = 6
+[platform]
+address = "10.200.1.7:8142"
+"""
+
+
+def test_only_the_assembling_program_imports_the_adapter() -> None:
+    for path in PACKAGE.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            names = []
+            if isinstance(node, ast.ImportFrom):
+                names = [f"{node.module}.{a.name}" for a in node.names]
+            elif isinstance(node, ast.Import):
+                names = [a.name for a in node.names]
+            for name in names:
+                is_adapter = f"{name}.".startswith("nutmegscale.platform.")
+                assert not is_adapter or path in ASSEMBLERS, (path, name)
+
+
+def test_no_word_of_the_wire_stands_outside_the_adapter() -> None:
+    for path in PACKAGE.glob("*.py"):
+        text = path.read_text(encoding="utf-8")
+        assert [w for w in WIRE_WORDS if w in text] == [], path
+
+
+def _load(tmp_path: pathlib.Path, text: str) -> settings.HostSettings:
+    path = tmp_path / "local.toml"
+    path.write_text(text, encoding="utf-8")
+    return settings.load(str(path))
+
+
+def test_settings_are_read_and_unknown_fields_passed_over(
+    tmp_path: pathlib.Path,
+) -> None:
+    found = _load(tmp_path, SETTINGS)
+    assert (found.host, found.failure_domain) == ("front-1", "maadi")
+    assert (found.caller_ip, found.caller_port) == ("10.1.0.35", 8144)
+    assert (found.ready_port, found.peer_port) == (8140, 7660)
+    assert (found.grace_s, found.drain_s) == (6.0, 2.0)
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        ('nodeName = "front-1"', ""),
+        ('front = "10.1.0.35:8144"', 'front = "10.1.0.35"'),
+        ('front = "10.1.0.35:8144"', 'front = "10.1.0.35:99999"'),
+        ('address = "10.200.1.7:8142"', "address = 5"),
+        ("[bounds]", "[bounds"),
+    ],
+)
+def test_bad_settings_are_a_typed_error(
+    tmp_path: pathlib.Path, before: str, after: str
+) -> None:
+    with pytest.raises(errors.SettingsError, match="local.toml"):
+        _load(tmp_path, SETTINGS.replace(before, after))
+
+
+def test_configuration_is_decoded() -> None:
+    config = desired_state.decode(platform_rows.config_row(7))
+    assert config.version == 7
+    assert [r.kind for r in config.routes] == [
+        "stream",
+        "stream",
+        "unsafe",
+        "safe",
+    ]
+    assert [r.is_resumable for r in config.routes] == [
+        False,
+        True,
+        False,
+        False,
+    ]
+    engine = config.services[platform_rows.MODEL].engine
+    assert engine is not None
+    assert engine.kv_tokens == 40_000
+    assert config.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"",
+        b"[]",
+        b"\xff\xfe",
+        b'{"version": "7", "routes": [], "services": []}',
+        platform_rows.config_row(1, services=[]),
+    ],
+)
+def test_bad_configuration_is_a_typed_error(content: bytes) -> None:
+    with pytest.raises(errors.ConfigError):
+        desired_state.decode(content)
+
+
+def _entry(**changes: Any) -> row_store.Row:
+    value = platform_rows.entry_row("m", "10.1.2.3:80", stage="decode")
+    body = {**json.loads(value), **changes}
+    kept = {k: v for k, v in body.items() if v is not None}
+    return row_store.Row("i-1", json.dumps(kept).encode(), 1)
+
+
+def test_entry_is_decoded() -> None:
+    entry = worker_entries.decode(_entry(born=17, state="draining"))
+    assert (entry.id, entry.incarnation, entry.stage) == ("i-1", 17, "decode")
+    assert entry.is_draining
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": None},
+        {"address": None},
+        {"address": "10.1.2.3"},
+        {"address": 5},
+        {"state": "sleeping"},
+        {"stage": "both"},
+        {"slots": "many"},
+        {"born": "today"},
+    ],
+)
+def test_entry_of_another_writer_names_no_server(
+    changes: dict[str, Any],
+) -> None:
+    with pytest.raises(errors.EntryError):
+        worker_entries.decode(_entry(**changes))
+    with pytest.raises(errors.EntryError):
+        worker_entries.decode(row_store.Row("i-1", b"\x00\xff", 1))
+
+
+def _head(*headers: tuple[bytes, bytes]) -> http_message.RequestHead:
+    return http_message.RequestHead(b"POST", b"/a/b?c", headers)
+
+
+def test_request_is_decoded() -> None:
+    request = ingress.CallerWire().decode(
+        _head(
+            (b"Host", b"Clubs.example:80"),
+            (b"Request-Id", b"r1"),
+            (b"Deadline-Ms", b"13997"),
+            (b"Token-Count", b"5021,7540"),
+            (b"Length-Hint", b"5286"),
+        ),
+        b"body",
+    )
+    assert (request.id, request.path) == ("r1", "/a/b")
+    assert request.patience_s == 13.997
+    assert (request.prompt_tokens, request.max_tokens) == (5021, 7540)
+    assert request.expected_tokens == 5286
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [(b"Deadline-Ms", b"soon")],
+        [(b"Deadline-Ms", b"1"), (b"deadline-ms", b"2")],
+        [(b"Token-Count", b"1")],
+        [(b"Request-Id", b"a"), (b"Request-Id", b"b")],
+    ],
+)
+def test_unreadable_headers_are_a_typed_error(
+    headers: list[http_message.Header],
+) -> None:
+    with pytest.raises(errors.RequestError):
+        ingress.CallerWire().decode(_head(*headers), b"")
+
+
+def test_headers_of_one_connection_are_left_out() -> None:
+    kept = http_message.end_to_end(
+        (
+            (b"Connection", b"close, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"Model", b"m"),
+        )
+    )
+    assert kept == [(b"Model", b"m")]
+
+
+def test_verdict_of_an_answer() -> None:
+    wire = worker_calls.ServerWire()
+    rejected = http_message.ResponseHead(
+        503, ((b"Not-Executed", b"1"), (b"Server-Load", b"3,1,8"))
+    )
+    verdict = wire.verdict(rejected)
+    assert (verdict.has_run, verdict.is_genuine) == (False, False)
+    assert verdict.load == (3, 1, 8)
+    encoded = http_message.ResponseHead(
+        200, ((b"Response-Signature", b"s"), (b"Content-Encoding", b"gzip"))
+    )
+    assert not wire.verdict(encoded).is_genuine
+    assert wire.verdict(http_message.ResponseHead(500, ())).has_run
+    moved = wire.verdict(http_message.ResponseHead(421, ()))
+    assert (moved.has_run, moved.is_misdirected) == (False, True)
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"handle": 3}', b"\xff"])
+def test_prefill_without_a_handle_is_a_typed_error(body: bytes) -> None:
+    with pytest.raises(errors.MalformedAnswerError):
+        worker_calls.ServerWire().read_handle(body)
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,285 @@
+"""A host on the platform's wire, on virtual time and without sockets."""
+
+from standins import router_world
+
+
+def _world(hosts: int = 1) -> router_world.World:
+    world = router_world.World(hosts=hosts)
+    world.add_standard()
+    world.start()
+    return world
+
+
+def test_plain_call_passes_through_unchanged() -> None:
+    world = _world()
+    reply = world.ask("confirm", X_Own="kept", Stage="prefill", Pin_Ms="9")
+    seen = [h for w in ("w1", "w2") for h in world.workers[w].seen]
+    assert (reply.status, reply.body, reply.is_whole) == (200, b"hello", True)
+    assert reply.headers[b"response-signature"].startswith(b"proof-")
+    assert len(seen) == 1
+    assert (seen[0].method, seen[0].target) == (b"POST", b"/confirm/x?q=1")
+    assert seen[0].get(b"x-own") == b"kept"
+    assert seen[0].get(b"stage") is None
+    assert seen[0].get(b"pin-ms") is None
+    left_ms = int(seen[0].get(b"deadline-ms") or b"0")
+    assert 0 < left_ms <= 800
+
+
+def test_stream_is_prefilled_apart_and_whole() -> None:
+    world = _world()
+    reply = world.ask("brief")
+    assert reply.status == 200
+    assert reply.is_whole
+    assert reply.body.count(b"\n\n") == 3
+    decode = [w for w in ("d1", "d2") if world.workers[w].ran]
+    prefill = [w for w in ("p1", "p2") if world.workers[w].seen]
+    assert (len(decode), len(prefill)) == (1, 1)
+    source = world.workers[decode[0]].seen[-1].get(b"kv-source") or b""
+    assert source.decode().startswith(world.addresses[prefill[0]])
+
+
+def test_unknown_path_is_404_and_no_config_is_503() -> None:
+    world = _world()
+    assert world.ask("nothing").status == 404
+    empty = router_world.World()
+    empty.start()
+    reply = empty.ask("confirm")
+    assert reply.status == 503
+    assert float(reply.headers[b"retry-after"]) > 0
+
+
+def test_rejected_call_goes_to_another_server() -> None:
+    world = _world()
+    world.workers["w1"].is_full = True
+    statuses = [world.ask("confirm", 0.5).status for _ in range(6)]
+    assert statuses == [200] * 6
+    assert not world.workers["w1"].ran
+
+
+def test_all_full_is_refused_as_not_run() -> None:
+    world = _world()
+    world.workers["w1"].is_full = world.workers["w2"].is_full = True
+    reply = world.ask("confirm", 0.5)
+    assert reply.status == 503
+    assert b"retry-after" in reply.headers
+
+
+def test_safe_call_is_repeated_after_a_fault_and_unsafe_is_not() -> None:
+    for route, status, runs in (("slot", 200, 2), ("confirm", 502, 1)):
+        world = _world()
+        world.workers["w1"].raw_answer = b"nonsense\r\n\r\n"
+        replies = [world.ask(route, 0.5, method="GET", body=b"")]
+        while not world.workers["w1"].ran:
+            replies.append(world.ask(route, 0.5, method="GET", body=b""))
+        assert replies[-1].status == status
+        names = [n for w in ("w1", "w2") for n in world.workers[w].ran]
+        assert names.count(world.workers["w1"].ran[0]) == runs
+
+
+def test_success_without_proof_is_no_success() -> None:
+    world = _world()
+    for name in ("w1", "w2"):
+        world.workers[
+            name
+        ].raw_answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+    assert world.ask("confirm", 0.5).status == 502
+
+
+def test_answer_cut_short_is_not_passed_on() -> None:
+    world = _world()
+    for name in ("w1", "w2"):
+        world.workers[name].raw_answer = (
+            b"HTTP/1.1 200 OK\r\nResponse-Signature: x\r\n"
+            b"Content-Length: 9\r\n\r\nhi"
+        )
+    assert world.ask("confirm", 0.5).status == 502
+
+
+def test_bytes_behind_an_answer_reach_nobody() -> None:
+    world = _world()
+    extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+    for name in ("w1", "w2"):
+        world.workers[name].extra = extra
+    bodies = [world.ask("confirm", 0.5, body=b"n%d" % n) for n in range(6)]
+    assert [b.body for b in bodies] == [b"n%d" % n for n in range(6)]
+
+
+def test_mute_server_gets_a_timeout_at_the_routes_time() -> None:
+    world = _world()
+    world.workers["w1"].is_mute = world.workers["w2"].is_mute = True
+    caller = world.send("confirm")
+    world.run(0.7)
+    assert not caller.replies
+    world.run(0.2)
+    assert caller.replies[0].status == 504
+
+
+def test_caller_gone_is_cancelled_and_its_handle_freed() -> None:
+    world = _world()
+    caller = world.send("brief")
+    world.run(0.05)
+    caller.transport.loseConnection()
+    world.run(1.0)
+    assert not world.workers["d1"].ran + world.workers["d2"].ran
+    caller = world.send("brief")
+    world.run(0.2)
+    caller.transport.loseConnection()
+    world.run(0.3)
+    cancelled = world.workers["d1"].cancelled + world.workers["d2"].cancelled
+    assert len(cancelled) == 1
+    assert world.hosts[0].router.live == 0
+
+
+def test_lapsed_handle_leads_to_a_run_that_reads_the_prompt() -> None:
+    world = _world()
+    world.workers["p1"].loses_handles = True
+    world.workers["p2"].loses_handles = True
+    reply = world.ask("brief")
+    assert (reply.status, reply.is_whole) == (200, True)
+
+
+def test_stream_without_prefill_workers_is_served() -> None:
+    world = router_world.World()
+    world.configure()
+    world.add_worker("d1", stage="decode")
+    world.start()
+    reply = world.ask("brief")
+    assert (reply.status, reply.is_whole) == (200, True)
+
+
+def test_broken_stream_is_broken_off_unless_it_may_go_on() -> None:
+    world = _world()
+    world.workers["d1"].breaks_after = world.workers["d2"].breaks_after = 1
+    reply = world.ask("brief")
+    assert (reply.is_whole, reply.is_closed) == (False, True)
+    world = _world()
+    world.workers["d1"].breaks_after = 1
+    replies = [world.ask("digest")]
+    while not world.workers["d1"].ran:
+        replies.append(world.ask("digest"))
+    for reply in replies:
+        lines = reply.body.split(b"\n")
+        ids = [line for line in lines if line.startswith(b"id:")]
+        assert ids == [b"id: 1", b"id: 2", b"id: 3"]
+        assert reply.is_whole
+
+
+def test_full_decode_workers_queue_then_refuse_with_a_time() -> None:
+    world = _world()
+    for name in ("d1", "d2"):
+        world.workers[name].events = 40
+    callers = [world.send("brief") for _ in range(30)]
+    world.run(4.5)
+    statuses = [c.replies[0].status if c.replies else 0 for c in callers]
+    assert statuses.count(200) >= 8
+    assert 0 not in statuses
+    refused = [c.replies[0] for c in callers if c.replies[0].status == 503]
+    assert refused
+    assert all(float(r.headers[b"retry-after"]) > 0 for r in refused)
+    for name in ("d1", "d2"):
+        rejected = len(world.workers[name].seen) - len(world.workers[name].ran)
+        assert rejected == 0
+
+
+def test_hosts_share_the_slots_through_one_planner() -> None:
+    world = _world(hosts=3)
+    for name in ("d1", "d2"):
+        world.workers[name].events = 20
+    callers = [world.send("brief", host=n % 3) for n in range(8)]
+    world.run(3.0)
+    assert [c.replies[0].status for c in callers] == [200] * 8
+    assert all(c.replies[0].is_whole for c in callers)
+    for name in ("d1", "d2"):
+        assert len(world.workers[name].seen) == len(world.workers[name].ran)
+
+
+def test_stream_is_served_while_the_planner_is_cut_off() -> None:
+    world = _world(hosts=3)
+    planner = world.hosts[0].router.slots.planner_of("notes-model")
+    other = next(
+        n for n, h in enumerate(world.hosts) if h.router.board.host != planner
+    )
+    names = [h.router.board.host for h in world.hosts]
+    world.peers.cut_off([planner], [n for n in names if n != planner])
+    reply = world.ask("brief", host=other)
+    assert (reply.status, reply.is_whole) == (200, True)
+
+
+def test_new_configuration_is_in_force_and_never_reverts() -> None:
+    world = _world(hosts=2)
+    world.store.refused.add("host-1")
+    world.configure(5, routes=[])
+    world.run(2.5)
+    assert world.ask("confirm", 0.5).status == 404
+    assert world.ask("confirm", 0.5, host=1).status == 404
+    world.configure(4)
+    world.run(2.5)
+    assert world.ask("confirm", 0.5).status == 404
+
+
+def test_bad_configuration_is_skipped() -> None:
+    world = _world()
+    world.store.put("op", "config", b'{"version": 9, "routes": [{}]}')
+    world.run(0.5)
+    assert world.ask("confirm", 0.5).status == 200
+
+
+def test_draining_server_gets_nothing_more() -> None:
+    world = _world()
+    world.write_entry("w1", state="draining")
+    world.run(0.1)
+    for _ in range(4):
+        assert world.ask("confirm", 0.3).status == 200
+    assert not world.workers["w1"].ran
+
+
+def test_entry_lost_in_a_gap_of_the_feed_is_gone() -> None:
+    world = _world()
+    world.store.remove("servers", "w1")
+    world.store.forget_history()
+    world.run(3.0)
+    for _ in range(4):
+        assert world.ask("confirm", 0.3).status == 200
+    assert not world.workers["w1"].ran
+
+
+def test_entries_that_lapse_in_an_outage_are_used_until_they_are_late() -> None:
+    world = _world()
+    world.store.is_down = True
+    world.store.forget_history()
+    for name in ("w1", "w2"):
+        world.store.remove("servers", name)
+    world.run(4.0)
+    world.store.is_down = False
+    world.run(1.5)
+    assert world.ask("confirm", 0.2).status == 200
+    world.write_entry("w2")
+    world.run(2.5)
+    usable = world.hosts[0].router.board.backends.usable("entries-app")
+    assert [b.id for b in usable] == ["w2"]
+
+
+def test_address_of_another_server_is_noticed() -> None:
+    world = _world()
+    world.workers["w1"].id = "another"
+    statuses = [world.ask("confirm", 0.3).status for _ in range(4)]
+    assert statuses == [200] * 4
+    assert not world.workers["w1"].ran
+
+
+def test_drain_finishes_what_runs_and_closes_between_requests() -> None:
+    world = _world()
+    idle = world.caller()
+    busy = world.send("brief")
+    world.run(0.2)
+    host = world.hosts[0]
+    host.callers.is_draining = True
+    from nutmegscale import periodic  # noqa: PLC0415
+
+    drained = periodic.spawn(host.router.drain(host.callers.close_idle))
+    assert not host.router.board.is_ready
+    late = world.ask("confirm", 0.5, on=idle)
+    assert (late.status, late.headers[b"connection"]) == (200, b"close")
+    world.run(4.0)
+    assert busy.replies[0].is_whole
+    assert drained.called
--- /dev/null
+++ b/tests/test_slot_queue.py
@@ -0,0 +1,195 @@
+"""Queue for decode slots: order, memory, refusals, what is lost."""
+
+from nutmegscale import backend
+from nutmegscale import slot_queue
+
+OBJECTIVE_S = 0.9
+PATIENCE_S = 3.4
+
+
+def _worker(name: str, stage: str, slots: int = 2) -> backend.Backend:
+    return backend.Backend(name, 1, "m", f"{name}:1", "z", slots, False, stage)
+
+
+def _queue(decodes: int = 1, kv_tokens: int = 100_000) -> slot_queue.SlotQueue:
+    queue = slot_queue.SlotQueue()
+    workers = [_worker("p1", "prefill"), _worker("p2", "prefill")]
+    workers += [_worker(f"d{n}", "decode") for n in range(decodes)]
+    queue.set_workers(tuple(workers), kv_tokens=kv_tokens)
+    return queue
+
+
+def _ask(
+    name: str,
+    now: float,
+    *,
+    prompt: int = 5_000,
+    expected: int = 4_000,
+    priority: int = 1,
+    late: bool = False,
+    host: str = "h",
+) -> slot_queue.Ask:
+    in_time_by = now - 1 if late else now + OBJECTIVE_S
+    return slot_queue.Ask(
+        name,
+        host,
+        prompt,
+        expected,
+        priority,
+        now,
+        in_time_by,
+        now + PATIENCE_S,
+    )
+
+
+def _granted(decisions: list[slot_queue.Decision]) -> list[str]:
+    return [d.exchange for d in decisions if isinstance(d, slot_queue.Grant)]
+
+
+def _refused(decisions: list[slot_queue.Decision]) -> list[str]:
+    return [d.exchange for d in decisions if isinstance(d, slot_queue.Refusal)]
+
+
+def test_slots_are_never_given_twice() -> None:
+    queue = _queue(decodes=2)
+    for n in range(6):
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=2_000))
+    assert queue.held == 4
+    again = queue.submit(0.1, _ask("r0", 0.1))
+    assert _granted(again) == ["r0"]
+    assert queue.held == 4
+    queue.release("r0")
+    assert _granted(queue.pump(0.2)) == ["r4"]
+
+
+def test_both_prefill_workers_are_used() -> None:
+    queue = _queue()
+    grants = [
+        d
+        for n in range(2)
+        for d in queue.submit(0.0, _ask(f"r{n}", 0.0))
+        if isinstance(d, slot_queue.Grant)
+    ]
+    assert {g.prefill for g in grants} == {"p1", "p2"}
+
+
+def test_what_can_be_in_time_goes_before_what_is_late() -> None:
+    queue = _queue(decodes=4)
+    for n in range(8):
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=1_000))
+    queue.submit(0.0, _ask("late", 0.0, late=True))
+    queue.submit(0.1, _ask("early", 0.1))
+    queue.release("r0")
+    assert _granted(queue.pump(0.2)) == ["early"]
+    assert queue.waiting == 1
+
+
+def test_late_ones_fill_slots_that_are_idle() -> None:
+    queue = _queue(decodes=4)
+    decisions = queue.submit(0.0, _ask("late", 0.0, late=True))
+    assert _granted(decisions) == ["late"]
+    for n in range(4):
+        queue.submit(0.0, _ask(f"r{n}", 0.0))
+    assert _granted(queue.submit(0.0, _ask("more", 0.0, late=True))) == []
+
+
+def test_urgent_ones_go_first() -> None:
+    queue = _queue()
+    for n in range(2):
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=500))
+    queue.submit(0.0, _ask("usual", 0.0, priority=2))
+    queue.submit(0.1, _ask("urgent", 0.1, priority=0))
+    queue.release("r0")
+    assert _granted(queue.pump(0.2)) == ["urgent"]
+
+
+def test_hopeless_ones_are_refused_at_once_with_a_time() -> None:
+    queue = _queue()
+    for n in range(2):
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=8_000))
+    decisions = queue.submit(0.0, _ask("hopeless", 0.0))
+    assert _refused(decisions) == ["hopeless"]
+    refusal = decisions[0]
+    assert isinstance(refusal, slot_queue.Refusal)
+    assert 4.0 <= refusal.retry_after_s <= 9.0
+    assert queue.waiting == 0
+
+
+def test_refused_callers_come_back_at_different_times() -> None:
+    queue = _queue()
+    for n in range(2):
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=8_000))
+    times = []
+    for n in range(8):
+        for d in queue.submit(0.0, _ask(f"x{n}", 0.0)):
+            assert isinstance(d, slot_queue.Refusal)
+            times.append(round(d.retry_after_s, 3))
+    assert len(set(times)) == 8
+
+
+def test_nobody_is_refused_while_a_slot_is_free() -> None:
+    queue = _queue(decodes=3)
+    for n in range(6):
+        decisions = queue.submit(0.0, _ask(f"r{n}", 0.0, late=n % 2 == 1))
+        assert not _refused(decisions)
+
+
+def test_memory_binds_before_the_slots() -> None:
+    queue = _queue(kv_tokens=16_000)
+    assert _granted(queue.submit(0.0, _ask("a", 0.0))) == ["a"]
+    assert _granted(queue.submit(0.0, _ask("b", 0.0))) == []
+    queue.release("a")
+    assert _granted(queue.pump(0.1)) == ["b"]
+
+
+def test_one_that_needs_all_the_memory_is_not_passed_for_ever() -> None:
+    queue = _queue(kv_tokens=20_000)
+    queue.submit(0.0, _ask("a", 0.0, prompt=8_000, expected=1_000))
+    queue.submit(0.0, _ask("big", 0.0, prompt=12_000, expected=3_000))
+    decisions = queue.submit(0.1, _ask("small", 0.1, prompt=1_000))
+    assert _granted(decisions) == ["small"]
+    queue.release("small")
+    decisions = queue.submit(0.5, _ask("other", 0.5, prompt=1_000))
+    assert _granted(decisions) == []
+
+
+def test_lost_worker_gets_nothing_for_a_while() -> None:
+    queue = _queue(decodes=2)
+    queue.lost(0.0, "d0")
+    queue.lost(0.0, "p1")
+    for n in range(2):
+        for d in queue.submit(0.0, _ask(f"r{n}", 0.0)):
+            assert isinstance(d, slot_queue.Grant)
+            assert (d.decode, d.prefill) == ("d1", "p2")
+    later = slot_queue.LOST_PAUSE_S + 0.1
+    grants = queue.submit(later, _ask("late", later))
+    assert isinstance(grants[0], slot_queue.Grant)
+    assert grants[0].decode == "d0"
+
+
+def test_without_workers_it_is_refused() -> None:
+    queue = slot_queue.SlotQueue()
+    decisions = queue.submit(0.0, _ask("a", 0.0))
+    assert _refused(decisions) == ["a"]
+
+
+def test_hosts_lists_free_what_was_lost_and_restore_what_is_unknown() -> None:
+    queue = _queue()
+    queue.submit(0.0, _ask("a", 0.0, host="h1"))
+    queue.submit(0.0, _ask("b", 0.0, host="h2"))
+    queue.confirm(0.5, "h1", [])
+    assert queue.held == 2
+    queue.confirm(1.5, "h1", [])
+    assert queue.held == 1
+    fresh = _queue()
+    item = slot_queue.Held("c", "h1", "d0", "", 5_000, 4_000, 1.0, 2.0)
+    fresh.confirm(2.0, "h1", [item])
+    assert fresh.held == 1
+    fresh.pump(2.0 + slot_queue.HOLDER_LIFE_S + 0.1)
+    assert fresh.held == 0
+
+
+def test_peak_of_memory_counts_growth_until_each_end() -> None:
+    runs = [(2.0, 100, 0.0), (1.0, 100, 0.0)]
+    assert slot_queue.peak_tokens(runs, 0.01) == 400.0
+    assert slot_queue.peak_tokens([(2.0, 100, 0.0)], 0.01) == 300.0
