A connection to the decode worker precedes the prefill; late ones by forecast

Late streams were let in by queue position alone and turned away 0.6 s later when streams in time passed them. Change: the runner holds a connection to the decode worker before it has the prompt read; a lost worker pauses 0.5 s, doubled; late ones wait only where the forecast of free slots, less the rate of arrivals, has room; callers that come back are ranked by their first attempt; whoever is passed for want of memory keeps a slot (found by a test: it was refused after being passed). Ruled out: lapsed handles (3 of 26), slow prefill.

--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -225,6 +225,7 @@
     prompt_tokens: int
     expected_tokens: int
     priority: int
+    waited_s: float
     in_time_s: float
     patience_s: float
     avoid: tuple[str, ...]
@@ -239,6 +240,7 @@
       state: "granted", "refused" or "queued".
       prefill: Prefill worker of a grant; "" where decode reads the prompt.
       decode: Decode worker of a grant.
+      prefill_s: Time until the prompt is expected to be read.
       retry_after_s: When a refused caller shall come back.
       reason: Why it is refused.
     """
@@ -247,6 +249,7 @@
     state: str
     prefill: str = ""
     decode: str = ""
+    prefill_s: float = 0.0
     retry_after_s: float = 0.0
     reason: str = ""
 
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -26,6 +26,7 @@
         *,
         wire: caller_request.CallerWire,
         service: str,
+        waited_s: float = 0.0,
     ) -> None:
         self._board = board
         self._wire = wire
@@ -38,6 +39,7 @@
         if patience_s is not None:
             limit_s = min(limit_s, patience_s - ANSWER_MARGIN_S)
         self.deadline = incoming.arrived + limit_s
+        self.waited_s = waited_s
         self.tries: list[str] = []
 
     @property
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -22,6 +22,7 @@
 from nutmegscale import membership
 from nutmegscale import membership_controller
 from nutmegscale import mesh
+from nutmegscale import patience
 from nutmegscale import periodic
 from nutmegscale import plain_runner
 from nutmegscale import request_context
@@ -175,6 +176,7 @@
         self._streams = stream_runner.StreamRunner(
             self.board, pool, wires.servers, self.slots, self._budgets
         )
+        self._patience = patience.PatienceNorm()
         self._live: set[http_ingress.Incoming] = set()
         self._joining: defer.Deferred[Any] | None = None
         self._drain_began = 0.0
@@ -261,6 +263,7 @@
             route,
             wire=self._wires.callers,
             service=service,
+            waited_s=self._patience.waited_s(route.name, request.patience_s),
         )
         self._run(context)
 
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -39,6 +39,7 @@
       prompt_tokens: Length of the prompt.
       expected_tokens: Expected length of the answer.
       priority: Rank, 0 first.
+      waited_s: How long its caller had waited before it came here.
       in_time_by: Time until which its first event is on time.
       give_up_at: Time after which a first event reaches nobody.
       avoid: Ids of workers that must not be used.
@@ -50,6 +51,7 @@
     prompt_tokens: int
     expected_tokens: int
     priority: int
+    waited_s: float
     in_time_by: float
     give_up_at: float
     avoid: tuple[str, ...] = ()
@@ -151,6 +153,7 @@
             want.prompt_tokens,
             want.expected_tokens,
             want.priority,
+            want.waited_s,
             want.in_time_by - now,
             want.give_up_at - now,
             want.avoid,
@@ -266,7 +269,7 @@
                 prompt_tokens=ask.prompt_tokens,
                 expected_tokens=ask.expected_tokens,
                 priority=ask.priority,
-                asked_at=now,
+                asked_at=now - ask.waited_s,
                 in_time_by=now + ask.in_time_s,
                 give_up_at=now + ask.patience_s,
                 avoid=ask.avoid,
@@ -357,6 +360,7 @@
             "granted",
             prefill=decision.prefill,
             decode=decision.decode,
+            prefill_s=decision.prefill_s,
         )
     return messages.SlotReply(
         decision.exchange,
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -5,6 +5,8 @@
 slots that nothing else needs.
 """
 
+from collections import deque
+import math
 from typing import NamedTuple
 
 from nutmegscale import backend
@@ -20,8 +22,8 @@
 # Part of an engine's memory that is planned with: answers may be longer
 # than their callers guess.
 MEMORY_FRACTION = 0.95
-# Free slots that late requests leave to those that can be in time.
-LATE_RESERVE = 3
+# Part of the slots that late requests leave to those that can be in time.
+LATE_RESERVE = 1 / 12
 # Longest time for which smaller requests pass one that finds no room, s.
 PASSING_S = 0.25
 # Holders that weren't confirmed for so long are given up, seconds.
@@ -29,9 +31,17 @@
 # A holder younger than that may be missing from its host's list, seconds.
 CONFIRM_GRACE_S = 1.0
 MIN_RETRY_AFTER_S = 0.2
+NO_WORKER_RETRY_AFTER_S = 1.0
 # Step between the times at which refused callers come back, seconds.
 RETRY_SPREAD_S = 0.1
-LOST_PAUSE_S = 2.0
+# Pause of a worker that can't be reached, seconds, doubled each time.
+LOST_PAUSE_S = 0.5
+MAX_LOST_PAUSE_S = 4.0
+# Arrivals of so long are counted for the rate of those to come, seconds.
+RATE_WINDOW_S = 1.0
+# How much later than in time a forecast may be before a stream counts as
+# late: answers differ in length from what is expected, seconds.
+FORECAST_SLACK_S = 0.1
 
 
 class Ask(NamedTuple):
@@ -43,7 +53,7 @@
       prompt_tokens: Length of the prompt.
       expected_tokens: Expected length of the answer.
       priority: Rank, 0 first.
-      asked_at: When it was first asked.
+      asked_at: When its caller sent it first, to a host of the system.
       in_time_by: Time until which its first event is on time.
       give_up_at: Time after which a first event reaches nobody.
       avoid: Ids of decode workers that must not be used.
@@ -76,12 +86,21 @@
 
 
 class Grant(NamedTuple):
-    """Where a stream runs; `prefill` is "" where decode reads the prompt."""
+    """Where a stream runs.
+
+    Attributes:
+      exchange: The stream.
+      host: Host that serves it.
+      prefill: Prefill worker; "" where the decode worker reads the prompt.
+      decode: Decode worker.
+      prefill_s: Time until the prompt is expected to be read.
+    """
 
     exchange: str
     host: str
     prefill: str
     decode: str
+    prefill_s: float = 0.0
 
 
 class Refusal(NamedTuple):
@@ -106,6 +125,8 @@
         self._waiting: dict[str, Ask] = {}
         self._held: dict[str, Held] = {}
         self._lost_until: dict[str, float] = {}
+        self._losses: dict[str, int] = {}
+        self._arrivals: deque[float] = deque()
         self._prefill_s: dict[str, float] = {}
         self._token_s: dict[str, float] = {}
         self._refused = 0
@@ -141,6 +162,8 @@
         known = self._waiting.get(ask.exchange)
         if known is not None:
             ask = ask._replace(asked_at=known.asked_at)
+        else:
+            self._arrivals.append(now)
         self._waiting[ask.exchange] = ask
         return self.pump(now)
 
@@ -154,6 +177,8 @@
         held = self._held.get(exchange)
         if held is None or not held.prefill:
             return
+        if prefill_s > 0.0:
+            self._losses.pop(held.prefill, None)
         if prefill_s > 0.0 and held.prompt_tokens:
             sample = prefill_s / held.prompt_tokens
             _learn(self._prefill_s, held.prefill, sample, START_PREFILL_S)
@@ -162,11 +187,17 @@
     def ran(self, decode: str, tokens: int, run_s: float) -> None:
         """Note how long a whole run took."""
         if tokens > 0:
+            self._losses.pop(decode, None)
             _learn(self._token_s, decode, run_s / tokens, START_TOKEN_S)
 
     def lost(self, now: float, worker: str) -> None:
-        """Note that a worker can't be reached."""
-        self._lost_until[worker] = now + LOST_PAUSE_S
+        """Note that a worker can't be reached; several at once count once."""
+        if self._is_lost(now, worker):
+            return
+        losses = self._losses.get(worker, 0)
+        self._losses[worker] = losses + 1
+        pause_s = min(MAX_LOST_PAUSE_S, LOST_PAUSE_S * 2.0**losses)
+        self._lost_until[worker] = now + pause_s
 
     def confirm(self, now: float, host: str, held: list[Held]) -> None:
         """Replace what is known of a host's slots by its own list."""
@@ -191,16 +222,21 @@
         self._expire(now)
         decisions: list[Decision] = []
         in_time, late = self._sort(now)
-        blocked = False
+        passed = 0
         for ask in in_time:
-            grant = None if blocked else self._place(now, ask)
+            # Whoever is passed keeps a slot for when there is memory for it.
+            if self._free_slots(now) <= passed:
+                break
+            grant = self._place(now, ask)
             if grant is not None:
                 decisions.append(grant)
             elif now - ask.asked_at > PASSING_S:
-                blocked = True
+                break
+            else:
+                passed += 1
         still_waiting = any(a.exchange in self._waiting for a in in_time)
         for ask in late:
-            spare = self._free_slots(now) - LATE_RESERVE
+            spare = self._free_slots(now) - self._late_reserve
             if still_waiting or spare <= 0:
                 break
             grant = self._place(now, ask)
@@ -222,14 +258,21 @@
         return FIRST_EVENT_OVERHEAD_S + min(waits)
 
     def _sort(self, now: float) -> tuple[list[Ask], list[Ask]]:
+        """Divide those that wait by whether they can still be in time."""
         ordered = sorted(
             self._waiting.values(), key=lambda a: (a.priority, a.asked_at)
         )
+        times = self._slot_times(now)
         in_time: list[Ask] = []
         late: list[Ask] = []
         for ask in ordered:
-            first_at = now + self.first_event_s(now, ask)
-            (in_time if first_at <= ask.in_time_by else late).append(ask)
+            position = len(in_time)
+            start = times[position] if position < len(times) else now
+            first_at = start + self.first_event_s(now, ask)
+            slack_s = FORECAST_SLACK_S if start > now else 0.0
+            is_in_time = first_at <= ask.in_time_by + slack_s
+            (in_time if is_in_time else late).append(ask)
+        late.sort(key=lambda a: a.asked_at)
         return in_time, late
 
     def _place(self, now: float, ask: Ask) -> Grant | None:
@@ -248,7 +291,8 @@
             now,
             now,
         )
-        return Grant(ask.exchange, ask.host, prefill, decode)
+        prefill_s = self._lane_s(prefill) if prefill else 0.0
+        return Grant(ask.exchange, ask.host, prefill, decode, prefill_s)
 
     def _is_lost(self, now: float, worker: str) -> bool:
         return self._lost_until.get(worker, 0.0) > now
@@ -286,6 +330,11 @@
         limit = self._kv_tokens * MEMORY_FRACTION
         return peak_tokens(runs, token_s) <= limit or len(runs) == 1
 
+    @property
+    def _late_reserve(self) -> int:
+        slots = sum(worker.slots for worker in self._decodes.values())
+        return math.ceil(slots * LATE_RESERVE)
+
     def _free_slots(self, now: float) -> int:
         return sum(
             max(0, worker.slots - len(self._runs(name)))
@@ -310,24 +359,52 @@
         if not self._waiting:
             return []
         in_time, late = self._sort(now)
-        starts = self._slot_times(now)
+        times = self._slot_times(now)
+        late_times = self._late_times(now, times, len(in_time))
         decisions: list[Decision] = []
-        position = 0
-        for ask in in_time + late:
-            start = starts[position] if position < len(starts) else None
-            need_s = self.first_event_s(now, ask)
-            if start is not None and start + need_s <= ask.give_up_at:
-                position += 1
+        for ask, start in _pair_starts(in_time, times):
+            if start is None or not self._is_worth_waiting(now, ask, start):
+                decisions.append(self._refusal(now, ask, times))
+        has_free = bool(times) and times[0] <= now
+        for ask, start in _pair_starts(late, late_times):
+            if start is None and has_free and now <= ask.give_up_at:
                 continue
-            del self._waiting[ask.exchange]
-            drained_at = starts[-1] if start is None and starts else start
-            decisions.append(self._refusal(now, ask, drained_at))
+            if start is None or not self._is_worth_waiting(now, ask, start):
+                decisions.append(self._refusal(now, ask, times))
         return decisions
 
-    def _refusal(self, now: float, ask: Ask, free_at: float | None) -> Refusal:
+    def _is_worth_waiting(self, now: float, ask: Ask, start: float) -> bool:
+        return start + self.first_event_s(now, ask) <= ask.give_up_at
+
+    def _late_times(
+        self, now: float, times: list[float], in_time: int
+    ) -> list[float]:
+        """Return when slots are free that nothing in time will need.
+
+        Args:
+          now: Monotonic time in seconds.
+          times: When each slot is free, sorted.
+          in_time: Number of streams that wait and can be in time.
+        """
+        rate = self._arrival_rate(now)
+        found: list[float] = []
+        for index, time in enumerate(times):
+            needed = in_time + self._late_reserve + rate * (time - now)
+            if index + 1 - needed >= len(found) + 1:
+                found.append(time)
+        return found
+
+    def _arrival_rate(self, now: float) -> float:
+        """Return the streams that came in each second of late."""
+        while self._arrivals and self._arrivals[0] <= now - RATE_WINDOW_S:
+            self._arrivals.popleft()
+        return len(self._arrivals) / RATE_WINDOW_S
+
+    def _refusal(self, now: float, ask: Ask, times: list[float]) -> Refusal:
+        del self._waiting[ask.exchange]
         self._refused += 1
-        reason = "no_decode_worker" if free_at is None else "no_slot_in_time"
-        wait_s = 1.0 if free_at is None else max(0.0, free_at - now)
+        reason = "no_slot_in_time" if times else "no_decode_worker"
+        wait_s = times[-1] - now if times else NO_WORKER_RETRY_AFTER_S
         wait_s += RETRY_SPREAD_S * (self._refused % 8)
         return Refusal(
             ask.exchange, ask.host, max(MIN_RETRY_AFTER_S, wait_s), reason
@@ -354,6 +431,15 @@
                 del self._held[held.exchange]
 
 
+def _pair_starts(
+    asks: list[Ask], times: list[float]
+) -> list[tuple[Ask, float | None]]:
+    """Pair each stream with its start, None where there is none."""
+    starts: list[float | None] = [*times]
+    starts += [None] * (len(asks) - len(times))
+    return list(zip(asks, starts, strict=False))
+
+
 def _learn(
     table: dict[str, float], name: str, sample: float, start: float
 ) -> None:
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -20,9 +20,10 @@
 MIN_PATIENCE_S = 2.0
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_MARGIN_S = 0.2
-# Longest wait for a prefill, in multiples of the time that the prompt takes
-# an idle worker, and at least, seconds.
-PREFILL_TIMEOUT_S = 1.5
+# Longest wait for a prefill: a multiple of the planner's forecast, which a
+# slow worker of the users' sheets exceeds by 1.3, and a pause beside it, s.
+PREFILL_TIMEOUT_FACTOR = 3.0
+PREFILL_TIMEOUT_S = 0.4
 FREE_TIMEOUT_S = 1.0
 MAX_OFFERS = 3
 MAX_HANDLE_BYTES = 65_536
@@ -86,7 +87,8 @@
             prompt_tokens=request.prompt_tokens,
             expected_tokens=request.expected_tokens,
             priority=route.priority,
-            in_time_by=arrived + route.objective_s,
+            waited_s=context.waited_s,
+            in_time_by=arrived - context.waited_s + route.objective_s,
             give_up_at=min(
                 arrived + patience_s - PATIENCE_MARGIN_S, context.deadline
             ),
@@ -111,11 +113,14 @@
         if offer and not self._budgets[context.service].take(self._board.now()):
             context.refuse("retry_budget_spent", 1.0)
             return True
-        source = None
-        if prefill is not None and not prefill.is_draining:
-            source = await self._prefill(context, run, prefill)
+        source: caller_request.KvHandle | None = None
+        line: upstream.Line | None = None
         try:
-            await self._decode(context, run, decode, source)
+            # A prompt that is read for a worker out of reach is read in vain.
+            line = await self._pool.reserve(decode.address)
+            if prefill is not None and not prefill.is_draining:
+                source = await self._prefill(context, run, prefill, grant)
+            await self._decode(context, run, decode, source, line)
             return True
         except errors.RejectedError as exc:
             context.log("decode_rejected", decode=decode.id, why=str(exc))
@@ -126,9 +131,10 @@
             return False
         except errors.TransportError as exc:
             run.runs += 1
-            self._board.loads.failed(self._board.now(), decode)
             return self._broke_off(context, run, decode, exc)
         finally:
+            if line is not None:
+                line.give_back()
             if source is not None and not run.took_source:
                 periodic.spawn(self._free(source))
 
@@ -148,6 +154,8 @@
             why=str(exc),
             last_event=run.last_event.decode("latin-1"),
         )
+        if not is_late:
+            self._tell_lost(context, run, decode)
         if run.may_go_on(context.route) and not is_late:
             run.avoid.append(decode.id)
             return False
@@ -163,13 +171,15 @@
         context: request_context.RequestContext,
         run: "_Run",
         worker: backend.Backend,
+        grant: messages.SlotReply,
     ) -> caller_request.KvHandle | None:
         """Have the prompt read; None if the decode worker must do so."""
         request = self._wire.prefill(context.request, worker, context.left_s)
         began = self._board.now()
         call: upstream.Call | None = None
         took_s = 0.0
-        timeout_s = min(PREFILL_TIMEOUT_S, max(0.0, context.left_s))
+        timeout_s = PREFILL_TIMEOUT_S + PREFILL_TIMEOUT_FACTOR * grant.prefill_s
+        timeout_s = min(timeout_s, max(0.0, context.left_s))
         try:
             call = await self._pool.call(worker.address, request)
             head = await call.head(timeout_s)
@@ -190,9 +200,7 @@
                 why=str(exc),
             )
             if not isinstance(exc, errors.RejectedError):
-                self._slots.tell(
-                    context.service, run.exchange, "lost", worker=worker.id
-                )
+                self._tell_lost(context, run, worker)
             return None
         finally:
             if call is not None:
@@ -211,6 +219,7 @@
         run: "_Run",
         worker: backend.Backend,
         source: caller_request.KvHandle | None,
+        line: upstream.Line,
     ) -> None:
         loads = self._board.loads
         last_event = run.last_event or context.request.last_event
@@ -226,7 +235,7 @@
         call: upstream.Call | None = None
         run.began = self._board.now()
         try:
-            call = await self._pool.call(worker.address, request)
+            call = await self._pool.call(worker.address, request, line=line)
             head = await call.head(max(0.0, context.left_s))
             verdict = self._wire.verdict(head)
             if verdict.is_misdirected:
@@ -285,11 +294,19 @@
         exc: Exception,
     ) -> None:
         context.log("decode_unreachable", decode=worker.id, why=str(exc))
+        self._tell_lost(context, run, worker)
+        run.avoid.append(worker.id)
+
+    def _tell_lost(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        worker: backend.Backend,
+    ) -> None:
         self._board.loads.failed(self._board.now(), worker)
         self._slots.tell(
             context.service, run.exchange, "lost", worker=worker.id
         )
-        run.avoid.append(worker.id)
 
     async def _free(self, handle: caller_request.KvHandle) -> None:
         """Free a KV cache that no run took."""
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -15,7 +15,7 @@
 from nutmegscale import http_message
 from nutmegscale import tcp_options
 
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.25
 # Idle life of a kept connection whose server states none, seconds: well
 # below the shortest idle timeout in common use, 5 s.
 IDLE_LIFE_S = 3.0
@@ -339,6 +339,27 @@
             self.transport.resumeProducing()
 
 
+class Line:
+    """A connection that is reserved for one request."""
+
+    def __init__(self, pool: "UpstreamPool", connection: _Connection) -> None:
+        self._pool = pool
+        self._connection: _Connection | None = connection
+
+    def take(self) -> _Connection | None:
+        """Return the connection, once; None if it was lost meanwhile."""
+        connection, self._connection = self._connection, None
+        if connection is None or not connection.is_usable:
+            return None
+        return connection
+
+    def give_back(self) -> None:
+        """Keep the connection for others, unless it was taken."""
+        connection = self.take()
+        if connection is not None:
+            self._pool.keep(connection, IDLE_LIFE_S)
+
+
 def _runs_to_close(head: http_message.ResponseHead) -> bool:
     has_length = head.get(b"content-length") is not None
     is_chunked = head.get(b"transfer-encoding") is not None
@@ -380,14 +401,14 @@
         return endpoint.connect(factory)
 
     async def call(
-        self, address: str, request: Request, *, fresh: bool = False
+        self, address: str, request: Request, *, line: "Line | None" = None
     ) -> Call:
         """Send a request to a server.
 
         Args:
           address: IP and port of the server.
           request: The request.
-          fresh: Whether it must go on a new connection.
+          line: A connection to the server that was reserved for it.
 
         Returns:
           The call; its answer is still to come.
@@ -395,13 +416,22 @@
         Raises:
           errors.ConnectError: Nothing was sent.
         """
-        connection = None if fresh else self._take(address)
+        connection = line.take() if line else None
         if connection is None:
-            connection = await self._open(address)
+            connection = self._take(address) or await self._open(address)
         call = Call(connection, self._clock)
         connection.send(call, request)
         return call
 
+    async def reserve(self, address: str) -> "Line":
+        """Reserve a connection, to be sure of it before other work is done.
+
+        Raises:
+          errors.ConnectError: None can be had.
+        """
+        connection = self._take(address) or await self._open(address)
+        return Line(self, connection)
+
     def _take(self, address: str) -> _Connection | None:
         idle = self._idle.get(address, [])
         now = self._clock.seconds()
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -11,10 +11,12 @@
     return backend.Backend(name, 1, "m", f"{name}:1", "z", slots, False, stage)
 
 
-def _queue(decodes: int = 1, kv_tokens: int = 100_000) -> slot_queue.SlotQueue:
+def _queue(
+    decodes: int = 1, kv_tokens: int = 100_000, slots: int = 2
+) -> slot_queue.SlotQueue:
     queue = slot_queue.SlotQueue()
     workers = [_worker("p1", "prefill"), _worker("p2", "prefill")]
-    workers += [_worker(f"d{n}", "decode") for n in range(decodes)]
+    workers += [_worker(f"d{n}", "decode", slots) for n in range(decodes)]
     queue.set_workers(tuple(workers), kv_tokens=kv_tokens)
     return queue
 
@@ -53,7 +55,8 @@
 def test_slots_are_never_given_twice() -> None:
     queue = _queue(decodes=2)
     for n in range(6):
-        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=2_000))
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=500))
+        queue.prefilled(f"r{n}", 0.1)
     assert queue.held == 4
     again = queue.submit(0.1, _ask("r0", 0.1))
     assert _granted(again) == ["r0"]
@@ -76,7 +79,8 @@
 def test_what_can_be_in_time_goes_before_what_is_late() -> None:
     queue = _queue(decodes=4)
     for n in range(8):
-        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=1_000))
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=500))
+        queue.prefilled(f"r{n}", 0.1)
     queue.submit(0.0, _ask("late", 0.0, late=True))
     queue.submit(0.1, _ask("early", 0.1))
     queue.release("r0")
@@ -88,8 +92,9 @@
     queue = _queue(decodes=4)
     decisions = queue.submit(0.0, _ask("late", 0.0, late=True))
     assert _granted(decisions) == ["late"]
-    for n in range(4):
+    for n in range(6):
         queue.submit(0.0, _ask(f"r{n}", 0.0))
+        queue.prefilled(f"r{n}", 0.1)
     assert _granted(queue.submit(0.0, _ask("more", 0.0, late=True))) == []
 
 
@@ -143,11 +148,13 @@
 
 
 def test_one_that_needs_all_the_memory_is_not_passed_for_ever() -> None:
-    queue = _queue(kv_tokens=20_000)
+    queue = _queue(kv_tokens=20_000, slots=3)
     queue.submit(0.0, _ask("a", 0.0, prompt=8_000, expected=1_000))
+    queue.prefilled("a", 0.1)
     queue.submit(0.0, _ask("big", 0.0, prompt=12_000, expected=3_000))
     decisions = queue.submit(0.1, _ask("small", 0.1, prompt=1_000))
     assert _granted(decisions) == ["small"]
+    queue.prefilled("small", 0.02)
     queue.release("small")
     decisions = queue.submit(0.5, _ask("other", 0.5, prompt=1_000))
     assert _granted(decisions) == []
@@ -193,3 +200,23 @@
     runs = [(2.0, 100, 0.0), (1.0, 100, 0.0)]
     assert slot_queue.peak_tokens(runs, 0.01) == 400.0
     assert slot_queue.peak_tokens([(2.0, 100, 0.0)], 0.01) == 300.0
+
+
+def test_a_late_one_that_would_take_the_place_of_others_is_refused() -> None:
+    queue = _queue(decodes=4)
+    for n in range(8):
+        queue.submit(n / 10, _ask(f"r{n}", n / 10, expected=3_000))
+    decisions = queue.submit(0.8, _ask("late", 0.8, late=True))
+    assert _refused(decisions) == ["late"]
+
+
+def test_those_that_come_back_go_before_later_ones() -> None:
+    queue = _queue(decodes=6)
+    for n in range(12):
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=1_000))
+    back = _ask("back", 3.0, late=True)._replace(asked_at=0.5)
+    queue.submit(3.0, _ask("new", 3.0, late=True)._replace(asked_at=2.0))
+    queue.submit(3.0, back)
+    for n in range(3):
+        queue.release(f"r{n}")
+    assert _granted(queue.pump(3.1)) == ["back", "new"]
