Unreachable servers are tried one request at a time; budget for arrivals only

Cause: in a failure domain that is cut off each request waited for two connections of 0.25 s, and connections that failed were taken from the retry budget though nothing arrives by them. Stage moves wait 3 s for a worker that may be back, need a gain of a quarter, and keep prefill capacity in reserve.

--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -36,20 +36,23 @@
     async def run(self, context: request_context.RequestContext) -> None:
         """Answer a request."""
         runs = 0
+        arrivals = 0
         for offer in range(MAX_OFFERS):
             server = self._choose(context)
             if server is None or context.left_s < MIN_LEFT_S:
                 break
-            if offer and not self._take_repeat(context):
+            if arrivals and not self._take_repeat(context):
                 break
             context.tries.append(server.id)
             try:
                 head, body = await self._offer(context, server)
             except (errors.ConnectError, errors.RejectedError) as exc:
+                arrivals += isinstance(exc, errors.RejectedError)
                 context.log("server_rejected", server=server.id, why=str(exc))
                 continue
             except errors.TransportError as exc:
                 runs += 1
+                arrivals += 1
                 context.log(
                     "server_failed",
                     server=server.id,
@@ -61,6 +64,7 @@
                 self._fail_broken(context, exc)
                 return
             runs += 1
+            arrivals += 1
             if head.status >= 500 and self._may_repeat(context, runs):
                 last = (head, body)
                 if self._has_other(context) and offer + 1 < MAX_OFFERS:
@@ -120,7 +124,10 @@
             loads.worked(server)
         except errors.ResponseTimeoutError:
             raise
-        except (errors.ConnectError, errors.TransportError):
+        except errors.ConnectError:
+            loads.unreachable(self._board.now(), server)
+            raise
+        except errors.TransportError:
             loads.failed(self._board.now(), server)
             raise
         finally:
--- a/nutmegscale/server_loads.py
+++ b/nutmegscale/server_loads.py
@@ -20,6 +20,8 @@
         self.own_at_load = 0
         self.faults = 0
         self.paused_until = 0.0
+        self.unreachable_until = 0.0
+        self.is_tried = False
 
 
 class ServerLoads:
@@ -46,8 +48,10 @@
         return self._record(server).outstanding
 
     def sent(self, server: backend.Backend) -> None:
-        """Note a request that was sent to a server."""
-        self._record(server).outstanding += 1
+        """Note a request that is sent to a server."""
+        record = self._record(server)
+        record.outstanding += 1
+        record.is_tried = bool(record.unreachable_until)
 
     def ended(self, server: backend.Backend) -> None:
         """Note that such a request is over."""
@@ -71,6 +75,15 @@
         record = self._record(server)
         record.faults = 0
         record.paused_until = 0.0
+        record.unreachable_until = 0.0
+        record.is_tried = False
+
+    def unreachable(self, now: float, server: backend.Backend) -> None:
+        """Note that no connection to a server could be made."""
+        self.failed(now, server)
+        record = self._record(server)
+        record.unreachable_until = record.paused_until
+        record.is_tried = False
 
     def failed(self, now: float, server: backend.Backend) -> None:
         """Note a broken connection or a missing answer."""
@@ -100,9 +113,13 @@
           avoid: Ids of servers that must not be chosen.
 
         Returns:
-          The choice; None if every candidate is to be avoided.
+          The choice; None if none can be reached or all are to be avoided.
         """
-        candidates = [s for s in servers if s.id not in avoid]
+        candidates = [
+            s
+            for s in servers
+            if s.id not in avoid and self._may_be_reached(now, s)
+        ]
         sound = [s for s in candidates if not self.is_paused(now, s)]
         best: backend.Backend | None = None
         best_key = (0.0, False, 0.0)
@@ -116,6 +133,13 @@
                 best, best_key = server, key
         return best
 
+    def _may_be_reached(self, now: float, server: backend.Backend) -> bool:
+        """Whether to try a server; one request at a time after a failure."""
+        record = self._record(server)
+        if not record.unreachable_until:
+            return True
+        return record.unreachable_until <= now and not record.is_tried
+
     def _work(self, now: float, server: backend.Backend) -> float:
         record = self._record(server)
         work = float(record.outstanding)
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -84,7 +84,20 @@
 
 
 class Held(NamedTuple):
-    """A slot that a stream holds."""
+    """A slot that a stream holds.
+
+    Attributes:
+      exchange: The stream.
+      host: Host that serves it.
+      decode: Decode worker.
+      prefill: Prefill worker while it reads the prompt, else "".
+      prompt_tokens: Length of the prompt.
+      expected_tokens: Expected length of the answer.
+      since: When the slot was given.
+      confirmed: When its host last listed it.
+      lane_tokens: Prompt tokens that the prefill worker was to read until
+        the end of this prompt, when the slot was given.
+    """
 
     exchange: str
     host: str
@@ -94,6 +107,7 @@
     expected_tokens: int
     since: float
     confirmed: float
+    lane_tokens: int = 0
 
 
 class Grant(NamedTuple):
@@ -203,8 +217,8 @@
             return
         if prefill_s > 0.0:
             self._losses.pop(held.prefill, None)
-        if prefill_s > 0.0 and held.prompt_tokens:
-            sample = prefill_s / held.prompt_tokens
+        if prefill_s > 0.0 and held.lane_tokens:
+            sample = prefill_s / held.lane_tokens
             _learn(self._prefill_s, held.prefill, sample, START_PREFILL_S)
         self._held[exchange] = held._replace(prefill="")
 
@@ -336,6 +350,7 @@
             ask.expected_tokens,
             now,
             now,
+            self._lane_tokens(lane) + ask.prompt_tokens if lane else 0,
         )
         return Grant(ask.exchange, ask.host, lane or "", decode, prefill_s)
 
@@ -406,12 +421,14 @@
 
     def _lane_s(self, prefill: str) -> float:
         """Return how long the prompts ahead take at a prefill worker."""
-        tokens = sum(
+        return self._lane_tokens(prefill) * self._prefill_speed(prefill)
+
+    def _lane_tokens(self, prefill: str) -> int:
+        return sum(
             held.prompt_tokens
             for held in self._held.values()
             if held.prefill == prefill
         )
-        return tokens * self._prefill_speed(prefill)
 
     def _refuse(self, now: float) -> list[Decision]:
         """Refuse what gets no slot before nobody waits for it any more."""
--- a/nutmegscale/stage_controller.py
+++ b/nutmegscale/stage_controller.py
@@ -20,10 +20,9 @@
 # Entries of a service must have stood still for so long, seconds: workers
 # that start or leave one after the other are waited for.
 SETTLED_S = 1.0
-# A worker that went without leave may have crashed and be back: crashes of
-# the users' sheets last up to 5 s, and an entry lapses 3.6 s after the last
-# heartbeat.
-RETURN_S = 10.0
+# A worker that went without leave may be back: crashes of the users' sheets
+# last up to 5 s, and an entry lapses 3.6 s after the last heartbeat.
+RETURN_S = 3.0
 LEASE_LIFE_S = 6.0
 ACCEPTED = (200, 202)
 
--- a/nutmegscale/stage_plan.py
+++ b/nutmegscale/stage_plan.py
@@ -6,9 +6,11 @@
 from nutmegscale import backend
 
 # Gain in requests a second below which no worker is moved: an order keeps a
-# worker away for seconds, and bursts need prefill workers in reserve. From
-# two to one of five gains 1.09, from two to one of four 1.47.
+# worker away for seconds.
 MIN_GAIN = 1.25
+# Prefill capacity kept above that of decode: the wait for a prefill worker
+# comes out of the time to the first event, and bursts are twice the mean.
+PREFILL_HEADROOM = 1.5
 
 
 class StageCosts(NamedTuple):
@@ -25,7 +27,8 @@
 
 def rate(prefills: int, decodes: int, costs: StageCosts) -> float:
     """Return the requests a second that workers carry."""
-    return min(prefills / costs.prefill_s, decodes / costs.decode_s)
+    prefill_rate = prefills / (costs.prefill_s * PREFILL_HEADROOM)
+    return min(prefill_rate, decodes / costs.decode_s)
 
 
 def best_prefills(workers: int, costs: StageCosts) -> int:
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -156,6 +156,7 @@
             last_event=run.last_event.decode("latin-1"),
         )
         if not is_late:
+            self._board.loads.failed(self._board.now(), decode)
             self._tell_lost(context, run, decode)
         if run.may_go_on(context.route) and not is_late:
             run.avoid.append(decode.id)
@@ -201,6 +202,8 @@
                 error=type(exc).__name__,
                 why=str(exc),
             )
+            if isinstance(exc, errors.ConnectError):
+                self._board.loads.unreachable(self._board.now(), worker)
             if not isinstance(exc, errors.RejectedError):
                 self._tell_lost(context, run, worker)
             return None
@@ -308,6 +311,7 @@
         exc: Exception,
     ) -> None:
         context.log("decode_unreachable", decode=worker.id, why=str(exc))
+        self._board.loads.unreachable(self._board.now(), worker)
         self._tell_lost(context, run, worker)
         run.avoid.append(worker.id)
 
@@ -317,7 +321,6 @@
         run: "_Run",
         worker: backend.Backend,
     ) -> None:
-        self._board.loads.failed(self._board.now(), worker)
         self._slots.tell(
             context.service, run.exchange, "lost", worker=worker.id
         )
