Hosts that reach no server of a service aren't ready; cut domains plan near first

Cause: while a failure domain was cut off, its balancer kept sending callers to hosts that reached no server of a service, and streams planned without the planner went to workers beyond the cut. The stand-in takes stage orders; a test shows that none is given without the lease.

--- /dev/null
+++ b/nutmegscale/reach_controller.py
@@ -0,0 +1,66 @@
+"""Whether this host reaches the servers that its callers need."""
+
+from nutmegscale import backend
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import periodic
+from nutmegscale import routing_board
+from nutmegscale import upstream
+
+# Period of the look, and of one connection to find out, seconds.
+PERIOD_S = 0.5
+
+
+class ReachController:
+    """Writes `RoutingBoard.cut_off_services`.
+
+    A host that reaches no server of a service says that it isn't ready, so
+    that new callers go to hosts that do. It finds out by connections of its
+    own when that is over, since few requests come to it then.
+    """
+
+    def __init__(
+        self, board: routing_board.RoutingBoard, pool: upstream.UpstreamPool
+    ) -> None:
+        self._board = board
+        self._pool = pool
+        self._period = periodic.Periodic(board.clock, PERIOD_S, self._work)
+
+    def start(self) -> None:
+        """Start to look."""
+        self._period.start()
+
+    def stop(self) -> None:
+        """Stop."""
+        self._period.stop()
+
+    async def _work(self) -> None:
+        config = self._board.config
+        if config is None:
+            return
+        cut_off = set()
+        for service in config.services:
+            servers = [
+                server
+                for server in self._board.backends.usable(service)
+                if server.stage != "prefill"
+            ]
+            unreachable = [
+                s for s in servers if self._board.loads.is_unreachable(s)
+            ]
+            if servers and len(unreachable) == len(servers):
+                cut_off.add(service)
+                for server in unreachable:
+                    periodic.spawn(self._try(server))
+        if cut_off != self._board.cut_off_services:
+            self._board.cut_off_services = frozenset(cut_off)
+            logs.get().warning("reach_changed", cut_off=",".join(cut_off))
+
+    async def _try(self, server: backend.Backend) -> None:
+        try:
+            line = await self._pool.reserve(server.address)
+        except errors.ConnectError:
+            # Still out of reach, as the board says already.
+            return
+        line.give_back()
+        self._board.loads.worked(server)
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -26,6 +26,7 @@
 from nutmegscale import patience
 from nutmegscale import periodic
 from nutmegscale import plain_runner
+from nutmegscale import reach_controller
 from nutmegscale import request_context
 from nutmegscale import retry_share
 from nutmegscale import routes
@@ -185,6 +186,7 @@
         self._streams = stream_runner.StreamRunner(
             self.board, pool, wires.servers, self.slots, self._budgets
         )
+        self._reach = reach_controller.ReachController(self.board, pool)
         self._patience = patience.PatienceNorm()
         self._live: set[http_ingress.Incoming] = set()
         self._joining: defer.Deferred[Any] | None = None
@@ -207,12 +209,14 @@
         self.members.start()
         self.slots.start()
         self.stages.start()
+        self._reach.start()
         self._joining = periodic.spawn(self._rows.join())
 
     def stop(self) -> None:
         """Stop every part at once."""
         if self._joining is not None:
             self._joining.cancel()
+        self._reach.stop()
         self.stages.stop()
         self.slots.stop()
         self.members.stop()
--- a/nutmegscale/server_loads.py
+++ b/nutmegscale/server_loads.py
@@ -85,6 +85,10 @@
         record.unreachable_until = record.paused_until
         record.is_tried = False
 
+    def is_unreachable(self, server: backend.Backend) -> bool:
+        """Whether the last connection to a server couldn't be made."""
+        return bool(self._record(server).unreachable_until)
+
     def failed(self, now: float, server: backend.Backend) -> None:
         """Note a broken connection or a missing answer."""
         record = self._record(server)
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -9,6 +9,7 @@
 
 from twisted.internet import defer
 
+from nutmegscale import backend
 from nutmegscale import errors
 from nutmegscale import logs
 from nutmegscale import mesh
@@ -205,26 +206,27 @@
             await periodic.sleep(self._board.clock, ALONE_POLL_S)
 
     def _take_alone(self, now: float, want: Want) -> messages.SlotReply | None:
+        """Choose workers for a stream by what this host alone knows.
+
+        Workers of the own failure domain go first: a planner that is silent
+        is often on the other side of a cut.
+        """
         workers = self._board.backends.usable(want.service)
-        loads = self._board.loads
-        hosts = max(1, len(self._board.membership.alive()))
-        avoid = frozenset(want.avoid)
-        decodes = tuple(
-            w
-            for w in workers
-            if w.stage != "prefill" and loads.outstanding(w) <= w.slots // hosts
-        )
-        decode = loads.choose(
-            now, decodes, self._board.failure_domain, avoid=avoid
-        )
+        own = self._board.failure_domain
+        near = [w for w in workers if w.failure_domain == own]
+        far = [w for w in workers if w.failure_domain != own]
+        hosts = self._board.membership.alive()
+        peers = self._board.membership.alive([own])
+        decode = self._choose_alone(now, want, near, "decode", len(peers))
+        if decode is None:
+            decode = self._choose_alone(now, want, far, "decode", len(hosts))
         if decode is None:
             return None
-        prefills = tuple(w for w in workers if w.stage == "prefill")
-        prefill = None
+        prefill: backend.Backend | None = None
         if not want.reads_itself:
-            prefill = loads.choose(
-                now, prefills, self._board.failure_domain, avoid=avoid
-            )
+            prefill = self._choose_alone(now, want, near, "prefill", 1)
+            if prefill is None and decode.failure_domain != own:
+                prefill = self._choose_alone(now, want, far, "prefill", 1)
         return messages.SlotReply(
             want.exchange,
             "granted",
@@ -232,6 +234,29 @@
             decode=decode.id,
         )
 
+    def _choose_alone(
+        self,
+        now: float,
+        want: Want,
+        workers: list[backend.Backend],
+        stage: str,
+        sharers: int,
+    ) -> backend.Backend | None:
+        """Choose a worker of a stage on which this host's share has room."""
+        loads = self._board.loads
+        share = [
+            w
+            for w in workers
+            if w.stage == stage
+            and loads.outstanding(w) < max(1, w.slots // max(1, sharers))
+        ]
+        return loads.choose(
+            now,
+            tuple(share),
+            self._board.failure_domain,
+            avoid=frozenset(want.avoid),
+        )
+
     def tell(
         self,
         service: str,
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -178,6 +178,8 @@
         """Have the prompt read; None if the decode worker must do so."""
         request = self._wire.prefill(context.request, worker, context.left_s)
         began = self._board.now()
+        loads = self._board.loads
+        loads.sent(worker)
         call: upstream.Call | None = None
         took_s = 0.0
         timeout_s = PREFILL_TIMEOUT_S + PREFILL_TIMEOUT_FACTOR * grant.prefill_s
@@ -193,6 +195,7 @@
                 raise errors.RejectedError(f"prefill gave {head.status}")
             handle = self._wire.read_handle(body)
             took_s = self._board.now() - began
+            loads.worked(worker)
             run.prefill, run.prefill_s = worker.id, took_s
             return caller_request.KvHandle(worker.address, handle)
         except (errors.TransportError, errors.RejectedError) as exc:
@@ -203,11 +206,12 @@
                 why=str(exc),
             )
             if isinstance(exc, errors.ConnectError):
-                self._board.loads.unreachable(self._board.now(), worker)
+                loads.unreachable(self._board.now(), worker)
             if not isinstance(exc, errors.RejectedError):
                 self._tell_lost(context, run, worker)
             return None
         finally:
+            loads.ended(worker)
             if call is not None:
                 call.abort()
             self._slots.tell(
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -8,7 +8,7 @@
 from twisted.python import failure
 
 DELAY_S = 0.001
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.25
 
 
 class MemoryTransport:
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -16,6 +16,7 @@
 HANDLE_LIFE_S = 0.5
 PREFILL_S = 0.1
 EVENT_S = 0.05
+SWITCH_S = 1.0
 
 
 class PlatformWorker:
@@ -36,6 +37,8 @@
       loses_handles: Whether handles lapse at once.
       ran: Request ids that it ran, in order.
       seen: Heads of all requests that reached it.
+      orders: Bodies of the orders that it took.
+      on_stage: Called after its stage changed.
       cancelled: Request ids whose connection closed while they ran.
     """
 
@@ -60,6 +63,8 @@
         self.cancelled: list[str] = []
         self.handles: dict[str, float] = {}
         self.freed: list[str] = []
+        self.orders: list[dict[str, Any]] = []
+        self.on_stage: Callable[[], None] = lambda: None
         self._running = 0
         self._prefills = 0
         self.sources: dict[str, PlatformWorker] = {}
@@ -82,6 +87,8 @@
             return
         if head.get(b"target-instance") != self.id.encode():
             request.respond(421, [(b"Instance-Id", self.id.encode())], b"")
+        elif head.target == b"/nutmegscale/order":
+            self._take_order(request)
         elif self.is_full or self._running >= self.slots:
             self._reject(request)
         elif self.stage == "":
@@ -93,6 +100,17 @@
         else:
             self._decode(request)
 
+    def _take_order(self, request: http_ingress.Incoming) -> None:
+        order = json.loads(request.body)
+        self.orders.append(order)
+
+        def _switch() -> None:
+            self.stage = order["stage"]
+            self.on_stage()
+
+        self._clock.callLater(SWITCH_S, _switch)
+        request.respond(202, [], b"")
+
     def _reject(self, request: http_ingress.Incoming) -> None:
         request.respond(503, [(b"Not-Executed", b"1"), self._load()], b"")
 
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -143,6 +143,7 @@
         made = platform_worker.PlatformWorker(
             self.clock, name, stage=stage, slots=slots
         )
+        made.on_stage = lambda: self.write_entry(name, born=born)
         address = f"{name}:{len(self.addresses) + 1000}"
         self.addresses[name] = address
         self.workers[name] = made
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -32,7 +32,11 @@
     assert reply.is_whole
     assert reply.body.count(b"\n\n") == 3
     decode = [w for w in ("d1", "d2") if world.workers[w].ran]
-    prefill = [w for w in ("p1", "p2") if world.workers[w].seen]
+    prefill = [
+        w
+        for w in ("p1", "p2")
+        if any(h.get(b"stage") for h in world.workers[w].seen)
+    ]
     assert (len(decode), len(prefill)) == (1, 1)
     source = world.workers[decode[0]].seen[-1].get(b"kv-source") or b""
     assert source.decode().startswith(world.addresses[prefill[0]])
@@ -283,3 +287,51 @@
     world.run(4.0)
     assert busy.replies[0].is_whole
     assert drained.called
+
+
+def test_host_that_reaches_no_server_says_so_until_it_does() -> None:
+    world = _world()
+    board = world.hosts[0].router.board
+    assert board.is_ready
+    for name in ("w1", "w2"):
+        world.net.silent.add(world.addresses[name])
+    replies = [world.ask("confirm", 0.7) for _ in range(2)]
+    assert [r.status for r in replies] == [503, 503]
+    world.run(0.6)
+    assert not board.is_ready
+    for _ in range(2):
+        world.send("confirm")
+    assert world.ask("confirm", 0.05).status == 503
+    world.net.silent.clear()
+    world.run(1.5)
+    assert board.is_ready
+    assert world.ask("confirm", 0.5).status == 200
+
+
+def test_prefill_worker_is_ordered_to_decode_where_that_is_scarce() -> None:
+    world = router_world.World(hosts=3)
+    world.configure()
+    for name in ("p1", "p2"):
+        world.add_worker(name, stage="prefill")
+    world.add_worker("d1", stage="decode")
+    world.start(6.0)
+    orders = world.workers["p1"].orders + world.workers["p2"].orders
+    assert [order["stage"] for order in orders] == ["decode"]
+    assert orders[0]["fencingToken"] == 1
+    assert orders[0]["holder"] in [h.router.board.host for h in world.hosts]
+    stages = [w.stage for w in world.workers.values()]
+    assert sorted(stages) == ["decode", "decode", "prefill"]
+    reply = world.ask("brief")
+    assert (reply.status, reply.is_whole) == (200, True)
+
+
+def test_no_order_is_given_without_the_lease() -> None:
+    world = router_world.World()
+    world.configure()
+    for name in ("p1", "p2"):
+        world.add_worker(name, stage="prefill")
+    world.add_worker("d1", stage="decode")
+    world.start(0.5)
+    world.store.is_down = True
+    world.run(6.0)
+    assert not world.workers["p1"].orders + world.workers["p2"].orders
