Logs that never wait and are bounded; explain; metrics on their address

The daemon on the platform writes key=value lines to standard output: a non-blocking sink with a bounded buffer, at most 100 lines a second beside those of failures, and a line that says how many were left out. Counters and histograms by OpenTelemetry on port 9464.

--- a/nutmegscale/cli.py
+++ b/nutmegscale/cli.py
@@ -16,6 +16,7 @@
 from nutmegscale import config
 from nutmegscale import errors
 from nutmegscale import folder
+from nutmegscale import log_commands
 from nutmegscale import operator_client
 from nutmegscale import timeline
 
@@ -249,6 +250,8 @@
 
 def show_timeline(asked: argparse.Namespace) -> int:
     """Show the merged time line of the hosts, causes first."""
+    if asked.log:
+        return log_commands.show_timeline(asked)
     path = "/v1/timeline"
     if asked.request:
         path += f"?request={asked.request}"
@@ -338,6 +341,17 @@
     command.add_argument("--request", metavar="EXCHANGE", default="")
     command.add_argument("--last", type=float, default=0.0, metavar="SECONDS")
     command.add_argument("--limit", type=int, default=200, metavar="N")
+    command.add_argument(
+        "--log",
+        nargs="+",
+        metavar="FILE",
+        help="read the events from the hosts' logs instead",
+    )
+    command = _add_command(
+        commands, "explain", log_commands.explain, with_hosts=False
+    )
+    command.add_argument("request", metavar="REQUEST-ID")
+    command.add_argument("logs", nargs="+", metavar="LOGFILE")
     _add_command(commands, "drain", drain)
     return parser
 
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -34,6 +34,10 @@
         super().__init__(f"{place}{where}{message}")
 
 
+class LogError(NutmegscaleError):
+    """A log file can't be read."""
+
+
 class TransportError(NutmegscaleError):
     """A request to another process got no complete answer."""
 
--- /dev/null
+++ b/nutmegscale/log_commands.py
@@ -0,0 +1,68 @@
+"""Commands that read the logs of hosts."""
+
+import argparse
+from collections.abc import Iterable
+import json
+import sys
+
+from nutmegscale import errors
+from nutmegscale import explanation
+from nutmegscale import log_lines
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+def explain(asked: argparse.Namespace) -> int:
+    """Put the log lines of one request into one time line, with a verdict."""
+    lines = _read(asked.logs)
+    found = explanation.explain(log_lines.of_request(lines, asked.request))
+    if asked.json:
+        verdict = {
+            "verdict": found.verdict,
+            "lines": [line._asdict() for line in found.lines],
+        }
+        _write(json.dumps(verdict, ensure_ascii=False, sort_keys=True))
+    else:
+        _print_lines(found.lines)
+        _write(f"verdict: {found.verdict}")
+    return EXIT_OK if found.lines else EXIT_FAILED
+
+
+def show_timeline(asked: argparse.Namespace) -> int:
+    """Show the events of several logs in order of time."""
+    if asked.request:
+        lines = log_lines.of_request(_read(asked.log), asked.request)
+    else:
+        parsed = (log_lines.parse(text) for text in _read(asked.log))
+        lines = [line for line in parsed if line is not None]
+        lines.sort(key=lambda line: line.timestamp)
+    lines = lines[-asked.limit :]
+    if asked.json:
+        for line in lines:
+            _write(json.dumps(line._asdict(), ensure_ascii=False))
+    else:
+        _print_lines(lines)
+    return EXIT_OK
+
+
+def _read(names: Iterable[str]) -> list[str]:
+    lines: list[str] = []
+    for name in names:
+        try:
+            with open(name, encoding="utf-8", errors="replace") as file:
+                lines += file.readlines()
+        except OSError as exc:
+            raise errors.LogError(f"can't read the log: {exc}") from exc
+    return lines
+
+
+def _print_lines(lines: Iterable[log_lines.LogLine]) -> None:
+    for line in lines:
+        words = " ".join(f"{k}={v}" for k, v in line.fields.items() if v)
+        request = f" {line.request}" if line.request else ""
+        _write(f"{line.timestamp} {line.host} {line.event}{request} {words}")
+
+
+def _write(text: str) -> None:
+    sys.stdout.write(text + "\n")
--- /dev/null
+++ b/nutmegscale/log_lines.py
@@ -0,0 +1,75 @@
+"""Log lines read back: key=value pairs, merged over hosts."""
+
+from collections.abc import Iterable
+import re
+from typing import NamedTuple
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_FIRST_KEYS = ("timestamp", "level", "event", "host", "request")
+
+
+class LogLine(NamedTuple):
+    """One line of a log.
+
+    Attributes:
+      timestamp: Wall clock of the host, as written.
+      host: Host that wrote it.
+      level: Its level.
+      event: What happened.
+      request: Request that it is about, or "".
+      fields: All other pairs, in their order.
+    """
+
+    timestamp: str
+    host: str
+    level: str
+    event: str
+    request: str
+    fields: dict[str, str]
+
+    def get(self, key: str) -> str:
+        """Return a field, or ""."""
+        return self.fields.get(key, "")
+
+
+def parse(text: str) -> LogLine | None:
+    """Read a line, whatever stands before its first pair.
+
+    Returns:
+      The line, or None if it isn't one of the daemon's.
+    """
+    pairs = {key: _unquote(value) for key, value in _PAIR.findall(text)}
+    if "event" not in pairs:
+        return None
+    rest = {k: v for k, v in pairs.items() if k not in _FIRST_KEYS}
+    return LogLine(
+        timestamp=pairs.get("timestamp", ""),
+        host=pairs.get("host", ""),
+        level=pairs.get("level", ""),
+        event=pairs["event"],
+        request=pairs.get("request", ""),
+        fields=rest,
+    )
+
+
+def _unquote(value: str) -> str:
+    if len(value) >= 2 and value.startswith('"'):
+        return re.sub(r"\\(.)", r"\1", value[1:-1])
+    return value
+
+
+def of_request(lines: Iterable[str], request: str) -> list[LogLine]:
+    """Return the lines about a request, and its runs, in order of time.
+
+    Args:
+      lines: Lines of all hosts, in any order.
+      request: Id of the request. Its runs are named ID.NUMBER.
+    """
+    found = []
+    for text in lines:
+        if request not in text:
+            continue
+        line = parse(text)
+        if line is not None and line.request.partition(".")[0] == request:
+            found.append(line)
+    return sorted(found, key=lambda line: line.timestamp)
--- /dev/null
+++ b/nutmegscale/log_sink.py
@@ -0,0 +1,121 @@
+"""Where log lines go: written without waiting, and bounded in number."""
+
+from collections import deque
+from collections.abc import Callable
+import os
+from typing import Any
+
+import structlog
+
+# Lines a second beside those of failures; a host of the users' sheets writes
+# about 15 at its usual load.
+MAX_LINES_S = 100
+# Bytes that wait for a reader before lines are left out.
+MAX_WAITING_BYTES = 1 << 20
+FAILURE_EVENTS = frozenset({"request_failed", "log_lines_left_out"})
+FAILURE_LEVELS = frozenset({"warning", "error", "critical"})
+
+
+class LogSink:
+    """Writes lines to a file descriptor and never waits for its reader."""
+
+    def __init__(
+        self,
+        descriptor: int,
+        *,
+        write: Callable[[int, bytes], int] = os.write,
+        max_waiting_bytes: int = MAX_WAITING_BYTES,
+    ) -> None:
+        self._descriptor = descriptor
+        self._write = write
+        self._max_waiting_bytes = max_waiting_bytes
+        self._waiting: deque[bytes] = deque()
+        self._waiting_bytes = 0
+        self._left_out = 0
+
+    @property
+    def left_out(self) -> int:
+        """Lines that were left out since the last one that was written."""
+        return self._left_out
+
+    def write(self, text: str) -> int:
+        """Write a line, or keep it until the reader reads on."""
+        data = text.encode("utf-8", "backslashreplace")
+        if self._waiting_bytes + len(data) > self._max_waiting_bytes:
+            self._left_out += 1
+        else:
+            self._waiting.append(data)
+            self._waiting_bytes += len(data)
+        self.flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Write as much as the reader takes."""
+        while self._waiting:
+            data = self._waiting[0]
+            try:
+                done = self._write(self._descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the log any more; there is no place to say so.
+                self._waiting.clear()
+                self._waiting_bytes = 0
+                return
+            self._waiting_bytes -= done
+            if done < len(data):
+                self._waiting[0] = data[done:]
+                return
+            self._waiting.popleft()
+            if self._left_out and not self._waiting:
+                self._say_left_out()
+
+    def _say_left_out(self) -> None:
+        count, self._left_out = self._left_out, 0
+        self.write(f"level=warning event=log_lines_left_out count={count}\n")
+
+
+class LineLimit:
+    """Processor of structlog that leaves out lines beyond a rate.
+
+    Lines of failures are always written.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        *,
+        max_lines_s: int = MAX_LINES_S,
+        say: Callable[[int], None] = lambda count: None,
+    ) -> None:
+        self._clock = clock
+        self._max_lines_s = max_lines_s
+        self._say = say
+        self._second = 0
+        self._lines = 0
+        self._left_out = 0
+
+    def __call__(
+        self, logger: Any, method: str, event: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        """Pass a line on, or raise `structlog.DropEvent`."""
+        self._start_second(int(self._clock()))
+        is_failure = (
+            event.get("event") in FAILURE_EVENTS
+            or event.get("level", method) in FAILURE_LEVELS
+        )
+        if is_failure:
+            return event
+        if self._lines >= self._max_lines_s:
+            self._left_out += 1
+            raise structlog.DropEvent
+        self._lines += 1
+        return event
+
+    def _start_second(self, second: int) -> None:
+        if second == self._second:
+            return
+        self._second, self._lines = second, 0
+        count, self._left_out = self._left_out, 0
+        if count:
+            self._say(count)
--- a/nutmegscale/logs.py
+++ b/nutmegscale/logs.py
@@ -1,10 +1,15 @@
 """Structured logs: one line of key=value pairs for each event."""
 
-import sys
+import os
+import time
 from typing import Any
 
 import structlog
 
+from nutmegscale import log_sink
+
+STANDARD_OUTPUT = 1
+STANDARD_ERROR = 2
 SECRET_KEYS = frozenset({"authorization", "key", "mesh_key", "operator_token"})
 
 
@@ -16,19 +21,34 @@
     return event
 
 
-def configure(host: str) -> None:
-    """Send every log event to standard error as key=value pairs."""
+def configure(host: str, *, descriptor: int = STANDARD_ERROR) -> None:
+    """Send log events to a file descriptor as key=value pairs.
+
+    The descriptor is set not to block, so that a reader that stops reading
+    doesn't stop the process.
+
+    Args:
+      host: Name of this host, on each line.
+      descriptor: Standard output or standard error.
+    """
+    os.set_blocking(descriptor, False)
+    sink: Any = log_sink.LogSink(descriptor)
+    limit = log_sink.LineLimit(
+        time.monotonic,
+        say=lambda count: get().warning("log_lines_left_out", count=count),
+    )
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
+            limit,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             _drop_secrets,
             structlog.processors.LogfmtRenderer(
                 key_order=["timestamp", "level", "event"], bool_as_flag=False
             ),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(sink),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(host=host)
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -48,12 +48,14 @@
                 head, body = await self._offer(context, server)
             except (errors.ConnectError, errors.RejectedError) as exc:
                 arrivals += isinstance(exc, errors.RejectedError)
-                context.log("server_rejected", server=server.id, why=str(exc))
+                context.trouble(
+                    "server_rejected", server=server.id, why=str(exc)
+                )
                 continue
             except errors.TransportError as exc:
                 runs += 1
                 arrivals += 1
-                context.log(
+                context.trouble(
                     "server_failed",
                     server=server.id,
                     error=type(exc).__name__,
@@ -68,7 +70,7 @@
             if head.status >= 500 and self._may_repeat(context, runs):
                 last = (head, body)
                 if self._has_other(context) and offer + 1 < MAX_OFFERS:
-                    context.log(
+                    context.trouble(
                         "server_failed", server=server.id, status=head.status
                     )
                     continue
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -10,6 +10,8 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 LISTEN_BACKLOG = 512
+# Port of the metrics, as deploy/system.toml states it.
+METRICS_PORT = 9464
 
 
 class PlatformDaemon:
@@ -22,6 +24,8 @@
         from nutmegscale import nng_transport  # noqa: PLC0415
         from nutmegscale import ready_site  # noqa: PLC0415
         from nutmegscale import router  # noqa: PLC0415
+        from nutmegscale import router_metrics  # noqa: PLC0415
+        from nutmegscale import scrape_site  # noqa: PLC0415
         from nutmegscale import upstream  # noqa: PLC0415
         from nutmegscale.platform import desired_state  # noqa: PLC0415
         from nutmegscale.platform import ingress  # noqa: PLC0415
@@ -34,6 +38,7 @@
         clock = daemon.MonotonicClock(reactor)
         peer_address = f"tcp://{found.ip}:{found.peer_port}"
         self._transport = nng_transport.NngTransport(loop, peer_address)
+        metrics, scrape = router_metrics.make_prometheus()
         pool = upstream.UpstreamPool(reactor, clock)
         self._router = router.Router(
             router.HostFacts(
@@ -58,6 +63,7 @@
                 decode_entry=worker_entries.decode,
                 entry_table=worker_entries.TABLE,
             ),
+            metrics=metrics,
         )
         board = self._router.board
         self._callers = http_ingress.IngressFactory(
@@ -68,6 +74,9 @@
             ready_site.ReadySite(lambda: board.is_ready),
             lambda: board.limits,
         )
+        self._scrapes = http_ingress.IngressFactory(
+            clock, scrape_site.ScrapeSite(scrape), lambda: board.limits
+        )
         self._is_stopping = False
 
     def start(self) -> None:
@@ -75,6 +84,7 @@
         found = self._settings
         self._transport.start(self._router.mesh.receive)
         self._listen(found.ready_port, self._ready, found.ready_ip)
+        self._listen(METRICS_PORT, self._scrapes, found.ip)
         self._listen(found.caller_port, self._callers, found.caller_ip)
         self._router.start()
 
@@ -116,7 +126,7 @@
     except errors.SettingsError as exc:
         sys.stderr.write(f"nutmegscaled: {exc}\n")
         sys.exit(EXIT_USAGE)
-    logs.configure(found.host)
+    logs.configure(found.host, descriptor=logs.STANDARD_OUTPUT)
     reactor, loop = daemon.install_reactor()
     running = PlatformDaemon(reactor, loop, found)
     try:
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -65,6 +65,7 @@
             self.incoming.abort()
         else:
             self.incoming.respond(failure.status, headers, body)
+        self._board.metrics.ended(self.route.kind, failure.type)
         self.log(
             "request_failed",
             status=failure.status,
@@ -83,7 +84,20 @@
         """Pass on a server's whole answer."""
         headers = self._wire.answer_headers(head)
         self.incoming.respond(head.status, headers, body)
-        self.log("request_answered", status=head.status)
+        self.answered(head.status)
+        took_s = self._board.now() - self.incoming.arrived
+        self._board.metrics.answered(self.route.kind, took_s)
+
+    def answered(self, status: int, **inputs: Any) -> None:
+        """Note that a whole answer of a server was passed on."""
+        result = "answered" if status < 400 else "server_failed"
+        self._board.metrics.ended(self.route.kind, result)
+        self.log("request_answered", status=status, **inputs)
+
+    def trouble(self, event: str, **inputs: Any) -> None:
+        """Note an event that the request may get over."""
+        self._board.metrics.trouble(event)
+        self.log(event, **inputs)
 
     def log(self, event: str, **inputs: Any) -> None:
         """Write the line of a decision about this request."""
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -29,6 +29,7 @@
 from nutmegscale import reach_controller
 from nutmegscale import request_context
 from nutmegscale import retry_share
+from nutmegscale import router_metrics
 from nutmegscale import routes
 from nutmegscale import routing_board
 from nutmegscale import routing_controller
@@ -109,6 +110,7 @@
         pool: upstream.UpstreamPool,
         transport: mesh.Transport,
         wires: Wires,
+        metrics: router_metrics.RouterMetrics | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self._rng = rng or random.Random()
@@ -122,7 +124,11 @@
             rng=self._rng,
         )
         self.board = routing_board.RoutingBoard(
-            facts.host, facts.failure_domain, clock, view=view
+            facts.host,
+            facts.failure_domain,
+            clock,
+            view=view,
+            metrics=metrics,
         )
         self._sealer = envelope.Sealer(
             facts.host, self._rng.randbytes(32), self._rng.getrandbits(63)
--- /dev/null
+++ b/nutmegscale/router_metrics.py
@@ -0,0 +1,74 @@
+"""Metrics of a router, by OpenTelemetry."""
+
+from typing import Any
+
+FIRST_EVENT_BOUNDS_S = (0.1, 0.2, 0.3, 0.45, 0.6, 0.9, 1.5, 3.0)
+ANSWER_BOUNDS_S = (0.02, 0.05, 0.1, 0.15, 0.2, 0.4, 0.8, 1.5)
+SLOT_BOUNDS_S = (0.01, 0.05, 0.1, 0.3, 0.6, 0.9, 1.5, 3.0)
+
+
+class RouterMetrics:
+    """Counters and histograms of one host; labels have few values."""
+
+    def __init__(self, meter: Any) -> None:
+        self._requests = meter.create_counter(
+            "nutmegscale_router_requests",
+            description="requests by kind of route and result",
+        )
+        self._troubles = meter.create_counter(
+            "nutmegscale_router_troubles",
+            description="events that a request got over or failed by",
+        )
+        self._first_event = meter.create_histogram(
+            "nutmegscale_router_first_event_seconds",
+            explicit_bucket_boundaries_advisory=FIRST_EVENT_BOUNDS_S,
+        )
+        self._slot = meter.create_histogram(
+            "nutmegscale_router_slot_wait_seconds",
+            explicit_bucket_boundaries_advisory=SLOT_BOUNDS_S,
+        )
+        self._answer = meter.create_histogram(
+            "nutmegscale_router_answer_seconds",
+            explicit_bucket_boundaries_advisory=ANSWER_BOUNDS_S,
+        )
+
+    def ended(self, kind: str, result: str) -> None:
+        """Count a request by the kind of its route and how it ended."""
+        self._requests.add(1, {"kind": kind, "result": result})
+
+    def trouble(self, event: str) -> None:
+        """Count an event that a request got over or failed by."""
+        self._troubles.add(1, {"event": event})
+
+    def answered(self, kind: str, seconds: float) -> None:
+        """Record the time of a whole plain answer."""
+        self._answer.record(seconds, {"kind": kind})
+
+    def streamed(self, slot_s: float, first_event_s: float) -> None:
+        """Record the waits of a whole stream."""
+        self._slot.record(slot_s)
+        self._first_event.record(first_event_s)
+
+
+def make_disabled() -> RouterMetrics:
+    """Make metrics that record nothing, for embedding and tests."""
+    from opentelemetry import metrics  # noqa: PLC0415
+
+    return RouterMetrics(metrics.NoOpMeterProvider().get_meter("nutmegscale"))
+
+
+def make_prometheus() -> tuple[RouterMetrics, Any]:
+    """Make metrics with the text for scrapes.
+
+    Returns:
+      The metrics, and a function that returns the scrape as bytes.
+    """
+    from opentelemetry.exporter import prometheus  # noqa: PLC0415
+    from opentelemetry.sdk import metrics as sdk  # noqa: PLC0415
+    import prometheus_client  # noqa: PLC0415
+
+    provider = sdk.MeterProvider([prometheus.PrometheusMetricReader()])
+    return (
+        RouterMetrics(provider.get_meter("nutmegscale")),
+        lambda: prometheus_client.generate_latest(prometheus_client.REGISTRY),
+    )
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -8,6 +8,7 @@
 from nutmegscale import backend
 from nutmegscale import http_ingress
 from nutmegscale import membership
+from nutmegscale import router_metrics
 from nutmegscale import routes
 from nutmegscale import server_loads
 from nutmegscale import timeline
@@ -20,6 +21,7 @@
       host: Name of this host; never written.
       failure_domain: Where it stands; never written.
       clock: Source of monotonic time and timers; never written.
+      metrics: Metrics; every part adds to them.
       timeline: Events; every part adds to it.
       membership: View of the hosts; membership controller.
       config: Routing configuration in force or None; routing controller.
@@ -40,10 +42,12 @@
         *,
         view: membership.Membership,
         loads: server_loads.ServerLoads | None = None,
+        metrics: router_metrics.RouterMetrics | None = None,
     ) -> None:
         self.host = host
         self.failure_domain = failure_domain
         self.clock = clock
+        self.metrics = metrics or router_metrics.make_disabled()
         self.timeline = timeline.Timeline(host)
         self.membership = view
         self.config: routes.RoutingConfig | None = None
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -318,17 +318,42 @@
         for decision in decisions:
             if decision.exchange == ask.exchange:
                 answer = _reply(decision)
+                self._log(decision)
             else:
                 self._deliver(decision)
         return answer
 
     def _deliver(self, decision: slot_queue.Decision) -> None:
         reply = _reply(decision)
+        self._log(decision)
         if decision.host == self._board.host:
             self._receive_reply(decision.host, reply)
         else:
             self._mesh.send(decision.host, reply)
 
+    def _log(self, decision: slot_queue.Decision) -> None:
+        """Write what this host decided as a planner."""
+        if isinstance(decision, slot_queue.Grant):
+            logs.get().info(
+                "slot_given",
+                request=decision.exchange,
+                asker=decision.host,
+                decode=decision.decode,
+                prefill=decision.prefill,
+                expected_prefill_ms=round(decision.prefill_s * 1000, 1),
+            )
+        else:
+            logs.get().info(
+                "slot_refused",
+                request=decision.exchange,
+                asker=decision.host,
+                reason=decision.reason,
+                retry_after_s=round(decision.retry_after_s, 3),
+                waiting=decision.waiting,
+                held=decision.held,
+                rate=decision.rate,
+            )
+
     def _receive_reply(self, sender: str, reply: messages.SlotReply) -> None:
         waiter = self._waiters.get(reply.exchange)
         if waiter is not None and not waiter.called:
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -129,12 +129,25 @@
 
 
 class Refusal(NamedTuple):
-    """A stream that gets no slot in time."""
+    """A stream that gets no slot in time.
+
+    Attributes:
+      exchange: The stream.
+      host: Host that serves it.
+      retry_after_s: When its caller shall come back.
+      reason: Why it is refused.
+      waiting: Number of streams that waited then.
+      held: Number of slots that were held then.
+      rate: Streams that came in each second of late.
+    """
 
     exchange: str
     host: str
     retry_after_s: float
     reason: str
+    waiting: int = 0
+    held: int = 0
+    rate: float = 0.0
 
 
 Decision = Grant | Refusal
@@ -483,7 +496,13 @@
         wait_s = times[-1] - now if times else NO_WORKER_RETRY_AFTER_S
         wait_s += RETRY_SPREAD_S * (self._refused % 8)
         return Refusal(
-            ask.exchange, ask.host, max(MIN_RETRY_AFTER_S, wait_s), reason
+            ask.exchange,
+            ask.host,
+            max(MIN_RETRY_AFTER_S, wait_s),
+            reason,
+            waiting=len(self._waiting),
+            held=len(self._held),
+            rate=self._arrival_rate(now),
         )
 
     def _slot_times(self, now: float) -> list[float]:
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -109,7 +109,7 @@
         prefill = self._board.backends.get(grant.prefill)
         if decode is None or decode.is_draining:
             run.avoid.append(grant.decode)
-            context.log("grant_outdated", decode=grant.decode)
+            context.trouble("grant_outdated", decode=grant.decode)
             return False
         if offer and not self._budgets[context.service].take(self._board.now()):
             context.refuse("retry_budget_spent", 1.0)
@@ -124,7 +124,7 @@
             await self._decode(context, run, decode, source, line)
             return True
         except errors.RejectedError as exc:
-            context.log("decode_rejected", decode=decode.id, why=str(exc))
+            context.trouble("decode_rejected", decode=decode.id, why=str(exc))
             run.rejected(decode.id, had_source=source is not None)
             return False
         except errors.ConnectError as exc:
@@ -148,7 +148,7 @@
     ) -> bool:
         """Handle a run that ended early; False if it may go on elsewhere."""
         is_late = isinstance(exc, errors.ResponseTimeoutError)
-        context.log(
+        context.trouble(
             "stream_broke",
             decode=decode.id,
             error=type(exc).__name__,
@@ -199,7 +199,7 @@
             run.prefill, run.prefill_s = worker.id, took_s
             return caller_request.KvHandle(worker.address, handle)
         except (errors.TransportError, errors.RejectedError) as exc:
-            context.log(
+            context.trouble(
                 "prefill_failed",
                 prefill=worker.id,
                 error=type(exc).__name__,
@@ -294,9 +294,11 @@
         run.ended = self._board.now()
         run.is_whole = True
         incoming.finish()
-        context.log(
-            "request_answered",
-            status=head.status,
+        self._board.metrics.streamed(
+            run.granted - incoming.arrived, run.first_event - incoming.arrived
+        )
+        context.answered(
+            head.status,
             events=run.events,
             prompt_tokens=context.request.prompt_tokens,
             waited_ms=_ms(context.waited_s),
@@ -314,7 +316,7 @@
         worker: backend.Backend,
         exc: Exception,
     ) -> None:
-        context.log("decode_unreachable", decode=worker.id, why=str(exc))
+        context.trouble("decode_unreachable", decode=worker.id, why=str(exc))
         self._board.loads.unreachable(self._board.now(), worker)
         self._tell_lost(context, run, worker)
         run.avoid.append(worker.id)
