--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -14,6 +14,21 @@
 METRICS_PORT = 9464
 
 
+def _facts(found: Any, peer_address: str) -> Any:
+    """Return what the router must know of the settings."""
+    from nutmegscale import router  # noqa: PLC0415
+
+    return router.HostFacts(
+        host=found.host,
+        failure_domain=found.failure_domain,
+        peer_address=peer_address,
+        grace_s=found.grace_s,
+        retry_ratio=found.retry_ratio,
+        retry_extra=found.retry_extra,
+        retry_window_s=found.retry_window_s,
+    )
+
+
 class PlatformDaemon:
     """Ports and signals around the router of one host."""
 
@@ -41,15 +56,7 @@
         metrics, scrape = router_metrics.make_prometheus()
         pool = upstream.UpstreamPool(reactor, clock)
         self._router = router.Router(
-            router.HostFacts(
-                host=found.host,
-                failure_domain=found.failure_domain,
-                peer_address=peer_address,
-                grace_s=found.grace_s,
-                retry_ratio=found.retry_ratio,
-                retry_extra=found.retry_extra,
-                retry_window_s=found.retry_window_s,
-            ),
+            _facts(found, peer_address),
             clock,
             store=store_client.StoreClient(pool, found.store_address),
             pool=pool,
@@ -100,6 +107,31 @@
         """Start a graceful shutdown."""
         self._reactor.callFromThread(self.shut_down)
 
+    def on_changed_settings(self, number: int, frame: Any) -> None:
+        """Read the settings file again."""
+        self._reactor.callFromThread(self.reload)
+
+    def reload(self) -> None:
+        """Take over the settings that may change while a host runs."""
+        from nutmegscale import errors  # noqa: PLC0415
+        from nutmegscale import logs  # noqa: PLC0415
+        from nutmegscale.platform import settings  # noqa: PLC0415
+
+        try:
+            found = settings.load()
+        except errors.SettingsError as exc:
+            logs.get().error("settings_rejected", message=str(exc))
+            return
+        changed = [
+            name
+            for name, value in found._asdict().items()
+            if value != getattr(self._settings, name)
+        ]
+        self._settings = found
+        peer_address = f"tcp://{found.ip}:{found.peer_port}"
+        self._router.take_facts(_facts(found, peer_address))
+        logs.get().info("settings_reloaded", changed=",".join(changed))
+
     def shut_down(self) -> None:
         """Drain, then stop."""
         from nutmegscale import periodic  # noqa: PLC0415
@@ -148,7 +180,7 @@
         sys.exit(EXIT_FAILED)
     signal.signal(signal.SIGTERM, running.on_signal)
     signal.signal(signal.SIGINT, running.on_signal)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGHUP, running.on_changed_settings)
     logs.get().info("started", caller_port=found.caller_port)
     reactor.run(installSignalHandlers=False)
     logs.get().info("stopped")
--- a/nutmegscale/retry_share.py
+++ b/nutmegscale/retry_share.py
@@ -29,6 +29,12 @@
         """Set how many hosts share the budget."""
         self._hosts = max(1, hosts)
 
+    def set_limits(
+        self, *, ratio: float, extra: float, window_s: float
+    ) -> None:
+        """Take over changed limits; what was counted stays."""
+        self._ratio, self._extra, self._window_s = ratio, extra, window_s
+
     def note_request(self, now: float) -> None:
         """Note a caller's request for the service."""
         self._requests.append(now)
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -208,6 +208,16 @@
         """Number of requests that are being answered."""
         return len(self._live)
 
+    def take_facts(self, facts: HostFacts) -> None:
+        """Take over changed limits; addresses stay until a new start."""
+        self._facts = facts
+        for budget in self._budgets.values():
+            budget.set_limits(
+                ratio=facts.retry_ratio,
+                extra=facts.retry_extra,
+                window_s=facts.retry_window_s,
+            )
+
     def start(self) -> None:
         """Start every part."""
         for follower in self._followers:
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -27,7 +27,8 @@
 FREE_TIMEOUT_S = 1.0
 MAX_OFFERS = 3
 MAX_HANDLE_BYTES = 65_536
-MIN_LEFT_S = 0.05
+# When a caller comes back whose repeat the budget didn't allow, seconds.
+NO_BUDGET_RETRY_AFTER_S = 1.0
 
 
 class StreamRunner:
@@ -50,13 +51,13 @@
     async def run(self, context: request_context.RequestContext) -> None:
         """Answer a request."""
         run = _Run(context)
-        for offer in range(MAX_OFFERS):
+        for _ in range(MAX_OFFERS):
             grant = await self._slots.acquire(self._want(context, run))
             if grant.state != "granted":
                 self._give_up(context, run, grant)
                 return
             try:
-                if await self._run_granted(context, run, grant, offer):
+                if await self._run_granted(context, run, grant):
                     return
             finally:
                 self._slots.tell(
@@ -101,7 +102,6 @@
         context: request_context.RequestContext,
         run: "_Run",
         grant: messages.SlotReply,
-        offer: int,
     ) -> bool:
         """Use a slot; False if the request may be offered once more."""
         run.granted = self._board.now()
@@ -111,19 +111,22 @@
             run.avoid.append(grant.decode)
             context.trouble("grant_outdated", decode=grant.decode)
             return False
-        if offer and not self._budgets[context.service].take(self._board.now()):
-            context.refuse("retry_budget_spent", 1.0)
+        if run.arrivals and not self._take_repeat(context):
+            self._give_up_repeat(context, run)
             return True
         source: caller_request.KvHandle | None = None
         line: upstream.Line | None = None
         try:
             # A prompt that is read for a worker out of reach is read in vain.
             line = await self._pool.reserve(decode.address)
-            if prefill is not None and not prefill.is_draining:
+            may_prefill = not run.prefills or self._take_repeat(context)
+            if prefill is not None and not prefill.is_draining and may_prefill:
+                run.prefills += 1
                 source = await self._prefill(context, run, prefill, grant)
             await self._decode(context, run, decode, source, line)
             return True
         except errors.RejectedError as exc:
+            run.arrivals += 1
             context.trouble("decode_rejected", decode=decode.id, why=str(exc))
             run.rejected(decode.id, had_source=source is not None)
             return False
@@ -132,6 +135,7 @@
             return False
         except errors.TransportError as exc:
             run.runs += 1
+            run.arrivals += 1
             return self._broke_off(context, run, decode, exc)
         finally:
             if line is not None:
@@ -139,6 +143,20 @@
             if source is not None and not run.took_source:
                 periodic.spawn(self._free(source))
 
+    def _take_repeat(self, context: request_context.RequestContext) -> bool:
+        return self._budgets[context.service].take(self._board.now())
+
+    def _give_up_repeat(
+        self, context: request_context.RequestContext, run: "_Run"
+    ) -> None:
+        """End a request whose repeat the budget doesn't allow."""
+        if run.runs:
+            context.fail(
+                errors.Failure(502, "run_lost", "the run broke", "maybe_run")
+            )
+        else:
+            context.refuse("retry_budget_spent", NO_BUDGET_RETRY_AFTER_S)
+
     def _broke_off(
         self,
         context: request_context.RequestContext,
@@ -374,6 +392,8 @@
         self.reads_itself = False
         self.took_source = False
         self.runs = 0
+        self.arrivals = 0
+        self.prefills = 0
         self.events = 0
         self.last_event = b""
         self.granted = 0.0
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -69,6 +69,11 @@
         self._prefills = 0
         self.sources: dict[str, PlatformWorker] = {}
 
+    @property
+    def running(self) -> int:
+        """Number of slots that are taken."""
+        return self._running
+
     def factory(self) -> protocol.Factory:
         """Make the factory of its connections."""
         return http_ingress.IngressFactory(
@@ -182,7 +187,11 @@
         wait_s = 2 * PREFILL_S
         if source is not None:
             address, _, name = source.decode().rpartition("/")
-            until = self.sources[address].handles.pop(name, 0.0)
+            until = (
+                self.sources[address].handles.pop(name, 0.0)
+                if address in self.sources
+                else 0.0
+            )
             if until <= self._clock.seconds():
                 self._reject(request)
                 return
--- /dev/null
+++ b/standins/raw_caller.py
@@ -0,0 +1,62 @@
+"""Connection of a caller that keeps whatever it gets."""
+
+from typing import Any
+
+import httptools
+from twisted.internet import protocol
+
+
+class Reply:
+    """What a caller got so far."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b""
+        self.is_whole = False
+        self.is_closed = False
+
+
+class Caller(protocol.Protocol):
+    """One connection of a caller."""
+
+    transport: Any
+
+    def __init__(self) -> None:
+        self.replies: list[Reply] = []
+        self._parser = httptools.HttpResponseParser(self)
+        self.raw = b""
+        self.is_closed = False
+        self.is_closed_unread = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what came in."""
+        self.raw += data
+        self._parser.feed_data(data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header; see httptools."""
+        self.replies[-1].headers[name.lower()] = value
+
+    def on_message_begin(self) -> None:
+        """Start a reply; see httptools."""
+        self.replies.append(Reply())
+
+    def on_headers_complete(self) -> None:
+        """Note the status; see httptools."""
+        self.replies[-1].status = self._parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of the body; see httptools."""
+        self.replies[-1].body += body
+
+    def on_message_complete(self) -> None:
+        """Note the end; see httptools."""
+        self.replies[-1].is_whole = True
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Note that the host closed."""
+        self.is_closed = True
+        self.is_closed_unread = not self.replies
+        for reply in self.replies:
+            reply.is_closed = True
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -4,7 +4,6 @@
 from typing import Any
 from typing import NamedTuple
 
-import httptools
 from twisted.internet import protocol
 from twisted.internet import task
 
@@ -19,6 +18,7 @@
 from standins import memory_net
 from standins import platform_rows
 from standins import platform_worker
+from standins import raw_caller
 from standins import row_table
 
 STEP_S = 0.005
@@ -35,60 +35,6 @@
 )
 
 
-class Reply:
-    """What a caller got so far."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.headers: dict[bytes, bytes] = {}
-        self.body = b""
-        self.is_whole = False
-        self.is_closed = False
-
-
-class Caller(protocol.Protocol):
-    """One connection of a caller."""
-
-    transport: Any
-
-    def __init__(self) -> None:
-        self.replies: list[Reply] = []
-        self._parser = httptools.HttpResponseParser(self)
-        self.raw = b""
-        self.is_closed_unread = False
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Parse what came in."""
-        self.raw += data
-        self._parser.feed_data(data)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take in a header; see httptools."""
-        self.replies[-1].headers[name.lower()] = value
-
-    def on_message_begin(self) -> None:
-        """Start a reply; see httptools."""
-        self.replies.append(Reply())
-
-    def on_headers_complete(self) -> None:
-        """Note the status; see httptools."""
-        self.replies[-1].status = self._parser.get_status_code()
-
-    def on_body(self, body: bytes) -> None:
-        """Take in a part of the body; see httptools."""
-        self.replies[-1].body += body
-
-    def on_message_complete(self) -> None:
-        """Note the end; see httptools."""
-        self.replies[-1].is_whole = True
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Note that the host closed."""
-        self.is_closed_unread = not self.replies
-        for reply in self.replies:
-            reply.is_closed = True
-
-
 class Host(NamedTuple):
     """A host and its port for callers."""
 
@@ -196,10 +142,10 @@
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
 
-    def caller(self, host: int = 0) -> Caller:
+    def caller(self, host: int = 0) -> raw_caller.Caller:
         """Open a caller's connection to a host."""
-        factory = protocol.Factory.forProtocol(Caller)
-        found: list[Caller] = []
+        factory = protocol.Factory.forProtocol(raw_caller.Caller)
+        found: list[raw_caller.Caller] = []
         connected = self.net.connect(self.hosts[host].address, factory)
         connected.addCallback(found.append)
         self.run(0.01)
@@ -210,12 +156,12 @@
         route: str,
         *,
         host: int = 0,
-        on: Caller | None = None,
+        on: raw_caller.Caller | None = None,
         method: str = "POST",
         body: bytes = b"hello",
         patience_ms: int = 14_000,
         **headers: str,
-    ) -> Caller:
+    ) -> raw_caller.Caller:
         """Send a request and return its connection; the answer comes later."""
         caller = on or self.caller(host)
         self._number += 1
@@ -235,8 +181,10 @@
         caller.transport.write(head + body)
         return caller
 
-    def ask(self, route: str, seconds: float = 2.0, **more: Any) -> Reply:
+    def ask(
+        self, route: str, seconds: float = 2.0, **more: Any
+    ) -> raw_caller.Reply:
         """Send a request, let time pass and return what the caller got."""
         caller = self.send(route, **more)
         self.run(seconds)
-        return caller.replies[-1] if caller.replies else Reply()
+        return caller.replies[-1] if caller.replies else raw_caller.Reply()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -4,6 +4,7 @@
 from twisted.internet import protocol
 
 from nutmegscale import periodic
+from standins import raw_caller
 from standins import router_world
 
 
@@ -308,8 +309,8 @@
         world = _world()
         drained = _drain(world)
         world.run(start_s)
-        caller = protocol.Factory.forProtocol(router_world.Caller)
-        found: list[router_world.Caller] = []
+        caller = protocol.Factory.forProtocol(raw_caller.Caller)
+        found: list[raw_caller.Caller] = []
         connected = world.net.connect(world.hosts[0].address, caller)
         connected.addCallbacks(found.append, lambda failure: None)
         world.run(0.01)
--- /dev/null
+++ b/tools/soak_world.py
@@ -0,0 +1,242 @@
+"""The soak's deployment: daemons as processes, stand-ins behind proxies."""
+
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+from typing import Any
+
+import msgspec
+
+from nutmegscale import http_ingress
+from nutmegscale.platform import desired_state
+from nutmegscale.platform import worker_entries
+from standins import fault_proxy
+from standins import platform_rows
+from standins import platform_worker
+from standins import row_table
+from standins import store_site
+
+# Each host has a loopback address of its own, 127.NET.0.x; ports are the same
+# on all, so that soaks with different nets run beside each other.
+FRONT_PORT = 18_144
+READY_PORT = 18_140
+PEER_PORT = 17_660
+GRACE_S = 8
+SETTINGS = """
+nodeName = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+internalPorts = [{peer}, {peer_end}]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[bounds]
+graceS = {grace}
+drainMs = 2000
+retryBudgetRatio = 0.2
+budgetExtra = 56
+budgetWindowS = 10
+[platform]
+address = "{store}"
+"""
+
+
+class Host:
+    """One daemon and the proxy between it and the store."""
+
+    def __init__(
+        self, number: int, zone: str, folder: pathlib.Path, net: int
+    ) -> None:
+        self.name = f"host-{number}"
+        self.ip = f"127.{net}.0.{number + 10}"
+        self.zone = zone
+        self.settings = folder / f"{self.name}.toml"
+        self.log = folder / f"{self.name}.log"
+        self.process: subprocess.Popen[bytes] | None = None
+        self.store_proxy: Any = None
+
+    def start(self) -> None:
+        """Start the daemon."""
+        environment = {
+            **os.environ,
+            "NUTMEGSCALE_SETTINGS": str(self.settings),
+        }
+        with open(self.log, "ab") as out:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "nutmegscale.platform_daemon"],
+                env=environment,
+                stdout=out,
+                stderr=out,
+            )
+
+    def signal(self, number: int) -> None:
+        """Signal the daemon, if it runs."""
+        if self.is_running:
+            assert self.process is not None
+            self.process.send_signal(number)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the daemon runs."""
+        return self.process is not None and self.process.poll() is None
+
+
+class Worker:
+    """One incarnation of a backend server behind its proxy."""
+
+    def __init__(
+        self, worker: platform_worker.PlatformWorker, proxy: Any
+    ) -> None:
+        self.worker = worker
+        self.proxy = proxy
+        self.address = ""
+        self.ports: list[Any] = []
+        self.draining_since: float | None = None
+
+
+class SoakWorld:
+    """All parts; closes what it started."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        folder: pathlib.Path,
+        hosts: int,
+        rng: random.Random,
+        *,
+        net: int = 1,
+    ) -> None:
+        self.reactor = reactor
+        self.rng = rng
+        self.store = row_table.RowTable(reactor)
+        self.version = 1
+        self.workers: dict[str, Worker] = {}
+        self.gone: list[Worker] = []
+        self.hosts = [
+            Host(n, ("maadi", "giza")[n % 2], folder, net) for n in range(hosts)
+        ]
+        self._born = 1
+        for host in self.hosts:
+            self._add_store(host)
+            host.settings.write_text(
+                SETTINGS.format(
+                    name=host.name,
+                    ip=host.ip,
+                    zone=host.zone,
+                    peer=PEER_PORT,
+                    peer_end=PEER_PORT + 15,
+                    front=FRONT_PORT,
+                    ready=READY_PORT,
+                    grace=GRACE_S,
+                    store=host.store_proxy.address,
+                ),
+                encoding="utf-8",
+            )
+        self.configure()
+        for name, stage in (
+            ("p1", "prefill"),
+            ("p2", "prefill"),
+            ("d1", "decode"),
+            ("d2", "decode"),
+            ("d3", "decode"),
+            ("w1", ""),
+            ("w2", ""),
+            ("w3", ""),
+        ):
+            self.add_worker(name, stage)
+
+    def start(self) -> None:
+        """Start all daemons."""
+        for host in self.hosts:
+            host.start()
+
+    def stop(self) -> None:
+        """Kill the daemons that this soak started."""
+        for host in self.hosts:
+            host.signal(signal.SIGCONT)
+            host.signal(signal.SIGKILL)
+            if host.process is not None:
+                host.process.wait()
+
+    def _listen(self, factory: Any) -> Any:
+        return self.reactor.listenTCP(0, factory, interface="127.0.0.1")
+
+    def _proxy(self, factory: Any) -> tuple[Any, list[Any]]:
+        port = self._listen(factory)
+        proxy: Any = fault_proxy.FaultProxy(
+            self.reactor, "127.0.0.1", port.getHost().port
+        )
+        outer = self._listen(proxy)
+        proxy.address = f"127.0.0.1:{outer.getHost().port}"
+        return proxy, [port, outer]
+
+    def _add_store(self, host: Host) -> None:
+        site = store_site.StoreSite(self.store, host.name)
+        factory = http_ingress.IngressFactory(
+            self.reactor, site, http_ingress.Limits
+        )
+        host.store_proxy, _ = self._proxy(factory)
+
+    def configure(self, extra_routes: int = 0) -> None:
+        """Write the next configuration, with routes beside the usual ones."""
+        state = msgspec.json.decode(platform_rows.config_row(self.version))
+        template = state["routes"][3]
+        for number in range(extra_routes):
+            name = f"extra-{number}"
+            state["routes"].append(
+                {**template, "name": name, "pathPrefix": f"/{name}/"}
+            )
+        self.store.put(
+            desired_state.TABLE,
+            desired_state.KEY,
+            msgspec.json.encode(state),
+        )
+        self.version += 1
+
+    def add_worker(self, name: str, stage: str) -> None:
+        """Start a backend server, or start it again under its name."""
+        self._born += 1
+        made = platform_worker.PlatformWorker(
+            self.reactor, name, stage=stage, slots=6
+        )
+        made.events = self.rng.choice((8, 20, 40))
+        proxy, ports = self._proxy(made.factory())
+        worker = Worker(made, proxy)
+        worker.address, worker.ports = proxy.address, ports
+        self.workers[name] = worker
+        made.on_stage = lambda: self.write_entry(name)
+        sources = {w.address: w.worker for w in self.workers.values()}
+        for other in self.workers.values():
+            other.worker.sources = sources
+        self.write_entry(name)
+
+    def write_entry(self, name: str, *, state: str = "ready") -> None:
+        """Write the entry of a backend server."""
+        worker = self.workers[name]
+        stage = worker.worker.stage
+        row = platform_rows.entry_row(
+            platform_rows.MODEL if stage else platform_rows.PAGES,
+            worker.address,
+            stage=stage,
+            slots=worker.worker.slots,
+            state=state,
+            born=self._born,
+        )
+        self.store.put(worker_entries.TABLE, name, row)
+
+    def crash_worker(self, name: str) -> None:
+        """End a backend server without leave."""
+        worker = self.workers[name]
+        for port in worker.ports:
+            port.stopListening()
+        worker.proxy.reset_all()
+        self.gone.append(worker)
+
+    def remove_worker(self, name: str) -> None:
+        """End a backend server that has left."""
+        self.crash_worker(name)
+        del self.workers[name]
+        self.store.remove(worker_entries.TABLE, name)
