A new planner waits for the hosts' lists; a refused KV cache is offered again

Lists go out when the membership changes, a new planner waits 0.15 s for them, and a KV cache that a full worker refused is offered to another while it lives. The test fails on the code before.

--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -28,6 +28,9 @@
 # Period of the planner's own look at its queue, seconds.
 PUMP_PERIOD_S = 0.05
 LIST_PERIOD_S = 0.5
+# How long a new planner waits for the hosts' lists before it gives out slots,
+# seconds: a look at the membership, and the way of the lists.
+TAKE_OVER_S = 0.15
 # Pause between two looks for a slot while no planner answers, seconds.
 ALONE_POLL_S = 0.05
 
@@ -82,7 +85,7 @@
         self._desk_states: dict[str, tuple[int, int]] = {}
         self._waiters: dict[str, defer.Deferred[messages.SlotReply]] = {}
         self._own: dict[str, _Own] = {}
-        self._planners: dict[str, str] = {}
+        self._lists_version = 0
         self._pumps = periodic.Periodic(board.clock, PUMP_PERIOD_S, self._pump)
         self._lists = periodic.Periodic(
             board.clock, LIST_PERIOD_S, self._send_lists
@@ -283,6 +286,10 @@
         desk = self._desks.get(service)
         if desk is None:
             desk = self._desks[service] = slot_queue.SlotQueue()
+            # The hosts' lists of what they hold are on their way.
+            has_peers = len(self._board.membership.alive()) > 1
+            if has_peers:
+                desk.open_at(self._board.now() + TAKE_OVER_S)
         config = self._board.config
         version = config.version if config else 0
         state = (self._board.backends.version, version)
@@ -387,14 +394,28 @@
         for decision in self._desk(service).pump(now):
             self._deliver(decision)
 
+    def _drop_desks(self) -> None:
+        """Forget the slots of services that another host plans for now."""
+        for service in list(self._desks):
+            is_own = self.planner_of(service) == self._board.host
+            if not is_own and not self._desks[service].waiting:
+                del self._desks[service]
+                self._desk_states.pop(service, None)
+
     async def _pump(self) -> None:
         now = self._board.now()
+        version = self._board.membership.version
+        if version != self._lists_version:
+            # Another host may plan now: it must know what is held at once.
+            self._lists_version = version
+            await self._send_lists()
         for service, desk in list(self._desks.items()):
             if desk.waiting:
                 self._pump_desk(service, now)
 
     async def _send_lists(self) -> None:
         """Tell each planner what this host holds."""
+        self._drop_desks()
         now = self._board.now()
         by_service: dict[str, list[tuple[str, str, int, int, float]]] = {}
         for exchange, own in self._own.items():
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -174,6 +174,7 @@
         self._prompt_tokens = START_PROMPT_TOKENS
         self._expected_tokens = START_EXPECTED_TOKENS
         self._refused = 0
+        self._opens_at = 0.0
 
     @property
     def waiting(self) -> int:
@@ -185,6 +186,10 @@
         """Number of slots that are held."""
         return len(self._held)
 
+    def open_at(self, time: float) -> None:
+        """Give out no slots before a time."""
+        self._opens_at = time
+
     def set_workers(
         self, workers: tuple[backend.Backend, ...], *, kv_tokens: int
     ) -> None:
@@ -293,6 +298,8 @@
         """
         self._expire(now)
         decisions: list[Decision] = []
+        if now < self._opens_at:
+            return decisions
         in_time, late = self._sort(now)
         passed = 0
         for ask in in_time:
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -26,6 +26,9 @@
 PREFILL_TIMEOUT_S = 0.4
 FREE_TIMEOUT_S = 1.0
 MAX_OFFERS = 3
+# How long a KV cache is offered to a second decode worker, seconds: engines
+# keep it for 0.5 s (users' sheets), and the way there takes some.
+HANDLE_LIFE_S = 0.35
 MAX_HANDLE_BYTES = 65_536
 # When a caller comes back whose repeat the budget didn't allow, seconds.
 NO_BUDGET_RETRY_AFTER_S = 1.0
@@ -114,13 +117,13 @@
         if run.arrivals and not self._take_repeat(context):
             self._give_up_repeat(context, run)
             return True
-        source: caller_request.KvHandle | None = None
+        source = self._kept_source(context, run, grant)
         line: upstream.Line | None = None
         try:
             # A prompt that is read for a worker out of reach is read in vain.
             line = await self._pool.reserve(decode.address)
-            may_prefill = not run.prefills or self._take_repeat(context)
-            if prefill is not None and not prefill.is_draining and may_prefill:
+            if source is None and self._may_prefill(context, run, prefill):
+                assert prefill is not None
                 run.prefills += 1
                 source = await self._prefill(context, run, prefill, grant)
             await self._decode(context, run, decode, source, line)
@@ -140,9 +143,38 @@
         finally:
             if line is not None:
                 line.give_back()
-            if source is not None and not run.took_source:
+            is_kept = run.keep_source(source, self._board.now())
+            if source is not None and not run.took_source and not is_kept:
                 periodic.spawn(self._free(source))
 
+    def _kept_source(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        grant: messages.SlotReply,
+    ) -> caller_request.KvHandle | None:
+        """Return the KV cache of an earlier offer if it still lives."""
+        source = run.take_source(self._board.now())
+        if source is not None and grant.prefill:
+            self._slots.tell(
+                context.service,
+                run.exchange,
+                "prefilled",
+                worker=grant.prefill,
+            )
+        return source
+
+    def _may_prefill(
+        self,
+        context: request_context.RequestContext,
+        run: "_Run",
+        prefill: backend.Backend | None,
+    ) -> bool:
+        if prefill is None or prefill.is_draining:
+            return False
+        # The first prefill of a request is no repeat; further ones are.
+        return not run.prefills or self._take_repeat(context)
+
     def _take_repeat(self, context: request_context.RequestContext) -> bool:
         return self._budgets[context.service].take(self._board.now())
 
@@ -215,6 +247,7 @@
             took_s = self._board.now() - began
             loads.worked(worker)
             run.prefill, run.prefill_s = worker.id, took_s
+            run.handle_until = self._board.now() + HANDLE_LIFE_S
             return caller_request.KvHandle(worker.address, handle)
         except (errors.TransportError, errors.RejectedError) as exc:
             context.trouble(
@@ -399,6 +432,9 @@
         self.granted = 0.0
         self.prefill = ""
         self.prefill_s = 0.0
+        self.handle_until = 0.0
+        self._source: caller_request.KvHandle | None = None
+        self._is_rejected = False
         self.first_event = 0.0
         self.longest_gap_s = 0.0
         self._last_event_at = 0.0
@@ -433,6 +469,21 @@
             return True
         return route.is_resumable and self.runs < route.max_attempts
 
+    def keep_source(
+        self, source: caller_request.KvHandle | None, now: float
+    ) -> bool:
+        """Keep a KV cache for the next offer, if a full worker refused it."""
+        is_rejected, self._is_rejected = self._is_rejected, False
+        if source is None or not is_rejected or now >= self.handle_until:
+            return False
+        self._source = source
+        return True
+
+    def take_source(self, now: float) -> caller_request.KvHandle | None:
+        """Return the KV cache that was kept, while it lives."""
+        source, self._source = self._source, None
+        return source if now < self.handle_until else None
+
     def rejected(self, decode: str, *, had_source: bool) -> None:
         """Note that a worker didn't take the run."""
         load = self.load
@@ -441,4 +492,5 @@
             # The KV cache is gone, not the room for it.
             self.reads_itself = True
         else:
+            self._is_rejected = True
             self.avoid.append(decode)
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -53,7 +53,8 @@
 
     def close_later(self, near: "_Near") -> None:
         """Close a connection once what is on its way has gone through."""
-        self._reactor.callLater(self.delay_s, near.transport.loseConnection)
+        left_s = max(self.delay_s, near.next_at - self._reactor.seconds())
+        self._reactor.callLater(left_s, near.transport.loseConnection)
 
     def carry(self, end: "_End | None", data: bytes, *, inward: bool) -> None:
         """Pass bytes on, late or not at all."""
@@ -61,7 +62,11 @@
             if end is not None:
                 end.is_lost = True
             return
-        self._reactor.callLater(self.delay_s, _write, end, data)
+        if end is not None:
+            # Bytes stay in order when the delay gets shorter.
+            now = self._reactor.seconds()
+            end.next_at = max(now + self.delay_s, end.next_at)
+            self._reactor.callLater(end.next_at - now, _write, end, data)
 
 
 class _End(protocol.Protocol):
@@ -69,6 +74,7 @@
 
     transport: Any
     is_lost = False
+    next_at = 0.0
 
     def drop(self) -> None:
         """Close this end."""
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -371,3 +371,42 @@
     world.store.is_down = True
     world.run(6.0)
     assert not world.workers["p1"].orders + world.workers["p2"].orders
+
+
+def test_slots_aren_t_given_twice_when_the_planner_stops() -> None:
+    # Seen on the bench: all-stopped-in-turn, 48 runs refused by full workers.
+    world = _world(hosts=3)
+    for name in ("d1", "d2"):
+        world.workers[name].events = 60
+    before = [world.send("brief", host=n % 3) for n in range(7)]
+    world.run(1.0)
+    planner = world.hosts[0].router.slots.planner_of("notes-model")
+    stopped = next(h for h in world.hosts if h.router.board.host == planner)
+    stopped.callers.is_draining = True
+    periodic.spawn(
+        stopped.router.drain(
+            stopped.callers.connections,
+            stopped.callers.close_idle,
+            lambda: None,
+        )
+    )
+    world.run(0.05)
+    others = [n for n, h in enumerate(world.hosts) if h is not stopped]
+    after = [world.send("brief", host=others[n % 2]) for n in range(6)]
+    world.run(4.5)
+    assert all(c.replies for c in before + after)
+    for name in ("d1", "d2"):
+        assert len(world.workers[name].seen) == len(world.workers[name].ran)
+
+
+def test_kv_cache_refused_by_a_full_worker_is_offered_to_another() -> None:
+    world = _world()
+    world.workers["d1"].is_full = True
+    replies = [world.ask("brief", 1.0) for _ in range(3)]
+    assert [r.status for r in replies] == [200] * 3
+    prefills = sum(
+        bool(h.get(b"stage"))
+        for w in ("p1", "p2")
+        for h in world.workers[w].seen
+    )
+    assert prefills == 3
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -220,3 +220,13 @@
     for n in range(3):
         queue.release(f"r{n}")
     assert _granted(queue.pump(3.1)) == ["back", "new"]
+
+
+def test_new_planner_waits_for_the_lists_of_the_hosts() -> None:
+    queue = _queue()
+    queue.open_at(0.2)
+    assert queue.submit(0.0, _ask("a", 0.0)) == []
+    item = slot_queue.Held("b", "h1", "d0", "", 5_000, 500, 0.0, 0.1)
+    queue.confirm(0.1, "h1", [item])
+    assert _granted(queue.pump(0.2)) == ["a"]
+    assert _granted(queue.submit(0.3, _ask("c", 0.3))) == []
