One planner at a time: hosts announce themselves, planners ask for lists

Hosts now announce that they have joined and hear who is away; an ask at a host that doesn't plan is sent on; a new planner asks all hosts, leaving ones too, for what they hold; streams that wait leave with the planner; tokens and times are averaged apart.

--- a/nutmegscale/host_rows.py
+++ b/nutmegscale/host_rows.py
@@ -38,12 +38,14 @@
         *,
         rng: random.Random,
         on_key: Callable[[bytes], None],
+        on_joined: Callable[[], None],
     ) -> None:
         self._board = board
         self._store = store
         self._address = address
         self._rng = rng
         self._on_key = on_key
+        self._on_joined = on_joined
         self._has_key = False
 
     async def join(self) -> None:
@@ -73,6 +75,7 @@
         found = await self._store.read_table(HOST_TABLE)
         for row_found in found.rows:
             self._learn(row_found)
+        self._on_joined()
         logs.get().info("joined", hosts=len(found.rows))
 
     async def _shared_key(self) -> bytes:
--- a/nutmegscale/membership.py
+++ b/nutmegscale/membership.py
@@ -201,6 +201,14 @@
         if incarnation > own.incarnation:
             self._set(own._replace(incarnation=incarnation))
 
+    def announce(self) -> list[Outgoing]:
+        """Say to all that this host has joined, with its incarnation."""
+        news = (self._news_of(self._members[self._host]),)
+        message = Ack(0, self._host, self._greeting(), news)
+        told = [h for h in self._members if h != self._host]
+        self._rng.shuffle(told)
+        return [Outgoing(h, message) for h in told[:FAREWELLS]]
+
     def leave(self, now: float) -> list[Outgoing]:
         """Say that this host is leaving and takes no more state.
 
@@ -245,9 +253,11 @@
         self, now: float, sender: str, message: Probe | Ack
     ) -> list[Outgoing]:
         """Take in a message and return the answers."""
-        self._hear(now, sender, message.greeting)
+        has_joined = self._hear(now, sender, message.greeting)
         for news in message.news:
             self._apply(now, news)
+        if has_joined:
+            return [Outgoing(sender, self._absences())]
         if isinstance(message, Ack):
             return self._receive_ack(now, message)
         if message.target == self._host:
@@ -260,11 +270,32 @@
         own = self._members[self._host]
         return Greeting(own.incarnation, int(own.state), self.revision)
 
-    def _hear(self, now: float, sender: str, greeting: Greeting) -> None:
-        """Believe what a known sender says of itself."""
+    def _absences(self) -> Ack:
+        """Tell a host that has just joined who isn't there.
+
+        It knows the others from a list that still names those.
+        """
+        news = tuple(
+            self._news_of(member)
+            for member in self._members.values()
+            if member.host == self._host or member.state != State.ALIVE
+        )
+        return Ack(0, self._host, self._greeting(), news)
+
+    def _hear(self, now: float, sender: str, greeting: Greeting) -> bool:
+        """Believe what a known sender says of itself.
+
+        Returns:
+          Whether it has just joined with a new incarnation.
+        """
         known = self._members.get(sender)
         if known is None or sender == self._host:
-            return
+            return False
+        has_joined = (
+            greeting.state == State.ALIVE
+            and greeting.incarnation > known.incarnation
+            and known.state != State.ALIVE
+        )
         if greeting.incarnation > known.incarnation:
             self._set(
                 known._replace(
@@ -273,6 +304,7 @@
                     since=now,
                 )
             )
+        return has_joined
 
     def _relay(self, now: float, message: Probe) -> list[Outgoing]:
         probe = self._probe(now, message.target, indirect=True)
--- a/nutmegscale/membership_controller.py
+++ b/nutmegscale/membership_controller.py
@@ -62,6 +62,10 @@
         """Stop to probe."""
         self._ticks.stop()
 
+    def announce(self) -> None:
+        """Tell every known host that this one has joined."""
+        self._send(self._board.membership.announce())
+
     def leave(self) -> None:
         """Tell every known host that this one is leaving."""
         self._send(self._board.membership.leave(self._board.now()))
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -237,7 +237,9 @@
 
     Attributes:
       exchange: The stream.
-      state: "granted", "refused" or "queued".
+      state: "granted", "refused", "queued", or "moved" if another host plans
+        for the service.
+      planner: The other host, where it moved.
       prefill: Prefill worker of a grant; "" where decode reads the prompt.
       decode: Decode worker of a grant.
       prefill_s: Time until the prompt is expected to be read.
@@ -252,6 +254,7 @@
     prefill_s: float = 0.0
     retry_after_s: float = 0.0
     reason: str = ""
+    planner: str = ""
 
 
 class SlotNews(NamedTuple):
@@ -288,6 +291,12 @@
     held: tuple[tuple[str, str, int, int, float], ...]
 
 
+class SlotListRequest(NamedTuple):
+    """A host that begins to plan for a service asks what the others hold."""
+
+    service: str
+
+
 class RoutingRequest(NamedTuple):
     """Question for the routing configuration, if later than a version."""
 
@@ -337,6 +346,7 @@
     SlotReply,
     SlotNews,
     SlotList,
+    SlotListRequest,
     RoutingRequest,
     RoutingReply,
     BackendLeft,
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -177,6 +177,7 @@
             facts.peer_address,
             rng=self._rng,
             on_key=self._sealer.set_key,
+            on_joined=self.members.announce,
         )
         self.slots = slot_controller.SlotController(self.board, self.mesh)
         self.stages = stage_controller.StageController(
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -12,6 +12,7 @@
 from nutmegscale import backend
 from nutmegscale import errors
 from nutmegscale import logs
+from nutmegscale import membership
 from nutmegscale import mesh
 from nutmegscale import messages
 from nutmegscale import periodic
@@ -29,8 +30,11 @@
 PUMP_PERIOD_S = 0.05
 LIST_PERIOD_S = 0.5
 # How long a new planner waits for the hosts' lists before it gives out slots,
-# seconds: a look at the membership, and the way of the lists.
-TAKE_OVER_S = 0.15
+# seconds: some trips between failure domains, and what a slow host takes.
+TAKE_OVER_S = 0.1
+# How long the word of a host that another one plans is believed, seconds: a
+# few periods of the membership's probes.
+MOVED_LIFE_S = 2.0
 # Pause between two looks for a slot while no planner answers, seconds.
 ALONE_POLL_S = 0.05
 
@@ -73,6 +77,13 @@
     since: float
 
 
+class _Waiter(NamedTuple):
+    """A stream that waits for the decision of a planner."""
+
+    planner: str
+    decision: "defer.Deferred[messages.SlotReply]"
+
+
 class SlotController:
     """Asks for slots, and gives them out where this host is the planner."""
 
@@ -83,9 +94,10 @@
         self._mesh = link
         self._desks: dict[str, slot_queue.SlotQueue] = {}
         self._desk_states: dict[str, tuple[int, int]] = {}
-        self._waiters: dict[str, defer.Deferred[messages.SlotReply]] = {}
+        self._waiters: dict[str, _Waiter] = {}
         self._own: dict[str, _Own] = {}
         self._lists_version = 0
+        self._moved: dict[str, tuple[str, float]] = {}
         self._pumps = periodic.Periodic(board.clock, PUMP_PERIOD_S, self._pump)
         self._lists = periodic.Periodic(
             board.clock, LIST_PERIOD_S, self._send_lists
@@ -94,6 +106,7 @@
         link.on(messages.SlotReply, self._receive_reply)
         link.on(messages.SlotNews, self._receive_news)
         link.on(messages.SlotList, self._receive_list)
+        link.on(messages.SlotListRequest, self._receive_list_request)
 
     def start(self) -> None:
         """Start to plan and to tell the planners what this host holds."""
@@ -106,7 +119,14 @@
         self._lists.stop()
 
     def planner_of(self, service: str) -> str:
-        """Return the host that plans for a service, as seen from here."""
+        """Return the host that plans for a service, as seen from here.
+
+        What the host that was held for the planner has just said goes before
+        the own view: a host that has just started knows little of the others.
+        """
+        moved = self._moved.get(service)
+        if moved is not None and self._board.now() < moved[1]:
+            return moved[0]
         alive = self._board.membership.alive()
         return rendezvous.best(service.encode(), alive) or self._board.host
 
@@ -153,15 +173,31 @@
                         message=str(exc),
                     )
                     return await self._plan_alone(want)
+                if reply.state == "moved":
+                    self._note_moved(want, planner, reply.planner)
+                    continue
                 if reply.state != "queued":
                     return reply
-                decided = await self._wait_decision(want.exchange)
+                decided = await self._wait_decision(want.exchange, planner)
                 if decided is not None:
                     return decided
         except defer.CancelledError:
             self.tell(want.service, want.exchange, "ended")
             raise
 
+    def _note_moved(self, want: Want, planner: str, other: str) -> None:
+        """Follow to another planner, or use the own view if that fails."""
+        moved = self._moved.get(want.service)
+        logs.get().info(
+            "planner_moved", request=want.exchange, planner=planner, to=other
+        )
+        is_loop = moved is not None and moved[0] == planner
+        until = self._board.now() + MOVED_LIFE_S
+        self._moved[want.service] = (
+            self._board.host if is_loop else other,
+            until,
+        )
+
     async def _ask(self, planner: str, want: Want) -> messages.SlotReply:
         now = self._board.now()
         ask = messages.SlotAsk(
@@ -180,10 +216,12 @@
             planner, ask, messages.SlotReply, timeout_s=ASK_TIMEOUT_S
         )
 
-    async def _wait_decision(self, exchange: str) -> messages.SlotReply | None:
+    async def _wait_decision(
+        self, exchange: str, planner: str
+    ) -> messages.SlotReply | None:
         """Wait for a decision of the planner, None when it is time to ask."""
         waiter: defer.Deferred[messages.SlotReply] = defer.Deferred()
-        self._waiters[exchange] = waiter
+        self._waiters[exchange] = _Waiter(planner, waiter)
         waiter.addTimeout(ASK_AGAIN_S, self._board.clock)
         try:
             return await waiter
@@ -286,10 +324,7 @@
         desk = self._desks.get(service)
         if desk is None:
             desk = self._desks[service] = slot_queue.SlotQueue()
-            # The hosts' lists of what they hold are on their way.
-            has_peers = len(self._board.membership.alive()) > 1
-            if has_peers:
-                desk.open_at(self._board.now() + TAKE_OVER_S)
+            self._ask_for_lists(service, desk)
         config = self._board.config
         version = config.version if config else 0
         state = (self._board.backends.version, version)
@@ -302,10 +337,51 @@
             )
         return desk
 
+    def _ask_for_lists(self, service: str, desk: slot_queue.SlotQueue) -> None:
+        """Ask all hosts what they hold, those that are leaving included.
+
+        Hosts whose view differs would send their lists to another planner.
+        """
+        others = [
+            member.host
+            for member in self._board.membership.members()
+            if member.host != self._board.host
+            and member.state != membership.State.DEAD
+        ]
+        for host in others:
+            self._mesh.send(host, messages.SlotListRequest(service))
+        if others:
+            desk.open_at(self._board.now() + TAKE_OVER_S)
+
+    def _receive_list_request(
+        self, sender: str, request: messages.SlotListRequest
+    ) -> None:
+        self._mesh.send(sender, self._list_of(request.service))
+
+    def _list_of(self, service: str) -> messages.SlotList:
+        now = self._board.now()
+        return messages.SlotList(
+            service,
+            tuple(
+                (
+                    exchange,
+                    own.decode,
+                    own.prompt_tokens,
+                    own.expected_tokens,
+                    now - own.since,
+                )
+                for exchange, own in self._own.items()
+                if own.service == service
+            ),
+        )
+
     def _receive_ask(
         self, sender: str, ask: messages.SlotAsk
     ) -> messages.SlotReply:
         now = self._board.now()
+        planner = self.planner_of(ask.service)
+        if planner != self._board.host and sender != self._board.host:
+            return messages.SlotReply(ask.exchange, "moved", planner=planner)
         decisions = self._desk(ask.service).submit(
             now,
             slot_queue.Ask(
@@ -362,9 +438,12 @@
             )
 
     def _receive_reply(self, sender: str, reply: messages.SlotReply) -> None:
-        waiter = self._waiters.get(reply.exchange)
-        if waiter is not None and not waiter.called:
-            waiter.callback(reply)
+        waiting = self._waiters.get(reply.exchange)
+        if waiting is None or waiting.planner != sender:
+            # Of a host that planned before; the slot lapses there.
+            return
+        if not waiting.decision.called:
+            waiting.decision.callback(reply)
 
     def _receive_news(self, sender: str, news: messages.SlotNews) -> None:
         desk = self._desks.get(news.service)
@@ -381,6 +460,9 @@
             self._pump_desk(news.service, now)
 
     def _receive_list(self, sender: str, message: messages.SlotList) -> None:
+        is_planner = self.planner_of(message.service) == self._board.host
+        if message.service not in self._desks and not is_planner:
+            return
         now = self._board.now()
         held = [
             slot_queue.Held(
@@ -397,8 +479,8 @@
     def _drop_desks(self) -> None:
         """Forget the slots of services that another host plans for now."""
         for service in list(self._desks):
-            is_own = self.planner_of(service) == self._board.host
-            if not is_own and not self._desks[service].waiting:
+            if self.planner_of(service) != self._board.host:
+                # Those that wait here ask the other host within a moment.
                 del self._desks[service]
                 self._desk_states.pop(service, None)
 
@@ -409,6 +491,7 @@
             # Another host may plan now: it must know what is held at once.
             self._lists_version = version
             await self._send_lists()
+        self._drop_desks()
         for service, desk in list(self._desks.items()):
             if desk.waiting:
                 self._pump_desk(service, now)
@@ -416,25 +499,12 @@
     async def _send_lists(self) -> None:
         """Tell each planner what this host holds."""
         self._drop_desks()
-        now = self._board.now()
-        by_service: dict[str, list[tuple[str, str, int, int, float]]] = {}
-        for exchange, own in self._own.items():
-            by_service.setdefault(own.service, []).append(
-                (
-                    exchange,
-                    own.decode,
-                    own.prompt_tokens,
-                    own.expected_tokens,
-                    now - own.since,
-                )
-            )
-        for service, held in by_service.items():
-            message = messages.SlotList(service, tuple(held))
+        for service in {own.service for own in self._own.values()}:
             planner = self.planner_of(service)
             if planner == self._board.host:
-                self._receive_list(planner, message)
+                self._receive_list(planner, self._list_of(service))
             else:
-                self._mesh.send(planner, message)
+                self._mesh.send(planner, self._list_of(service))
 
 
 def _reply(decision: slot_queue.Decision) -> messages.SlotReply:
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -58,6 +58,28 @@
 FORECAST_SLACK_S = 0.1
 
 
+class Speed:
+    """Time that a worker takes for a token, from what it took of late.
+
+    Tokens and times are averaged apart, since single answers are often much
+    longer or shorter than expected.
+    """
+
+    def __init__(self, token_s: float) -> None:
+        self._tokens = START_EXPECTED_TOKENS
+        self._took_s = START_EXPECTED_TOKENS * token_s
+
+    @property
+    def token_s(self) -> float:
+        """Time of one token, seconds."""
+        return self._took_s / self._tokens
+
+    def learn(self, tokens: int, took_s: float) -> None:
+        """Take in the time that some tokens took."""
+        self._tokens += SMOOTHING * (tokens - self._tokens)
+        self._took_s += SMOOTHING * (took_s - self._took_s)
+
+
 class Ask(NamedTuple):
     """A stream that wants a slot; times are the queue's own clock.
 
@@ -169,8 +191,8 @@
         self._losses: dict[str, int] = {}
         self._reading_until: dict[str, float] = {}
         self._arrivals: deque[float] = deque()
-        self._prefill_s: dict[str, float] = {}
-        self._token_s: dict[str, float] = {}
+        self._prefill_s: dict[str, Speed] = {}
+        self._token_s: dict[str, Speed] = {}
         self._prompt_tokens = START_PROMPT_TOKENS
         self._expected_tokens = START_EXPECTED_TOKENS
         self._refused = 0
@@ -239,8 +261,10 @@
         if prefill_s > 0.0:
             self._losses.pop(held.prefill, None)
         if prefill_s > 0.0 and held.lane_tokens:
-            sample = prefill_s / held.lane_tokens
-            _learn(self._prefill_s, held.prefill, sample, START_PREFILL_S)
+            speed = self._prefill_s.setdefault(
+                held.prefill, Speed(START_PREFILL_S)
+            )
+            speed.learn(held.lane_tokens, prefill_s)
         # Its run begins now, and its memory grows from now on.
         self._held[exchange] = held._replace(prefill="", since=now)
 
@@ -248,7 +272,8 @@
         """Note how long a whole run took."""
         if tokens > 0:
             self._losses.pop(decode, None)
-            _learn(self._token_s, decode, run_s / tokens, START_TOKEN_S)
+            speed = self._token_s.setdefault(decode, Speed(START_TOKEN_S))
+            speed.learn(tokens, run_s)
 
     def lost(self, now: float, worker: str) -> None:
         """Note that a worker can't be reached; several at once count once."""
@@ -420,7 +445,7 @@
 
     def _fits(self, now: float, ask: Ask, decode: str) -> bool:
         """Whether the memory holds all runs, each to its expected end."""
-        token_s = self._token_s.get(decode, START_TOKEN_S)
+        token_s = self._token_speed(decode)
         run_s = ask.expected_tokens * LENGTH_MARGIN * token_s
         runs = [(now + run_s, ask.prompt_tokens, now)]
         for held in self._runs(decode):
@@ -443,7 +468,12 @@
         )
 
     def _prefill_speed(self, prefill: str) -> float:
-        return self._prefill_s.get(prefill, START_PREFILL_S)
+        known = self._prefill_s.get(prefill)
+        return known.token_s if known else START_PREFILL_S
+
+    def _token_speed(self, decode: str) -> float:
+        known = self._token_s.get(decode)
+        return known.token_s if known else START_TOKEN_S
 
     def _lane_s(self, prefill: str) -> float:
         """Return how long the prompts ahead take at a prefill worker."""
@@ -524,7 +554,7 @@
         for name, worker in self._decodes.items():
             if self.is_lost(now, name):
                 continue
-            token_s = self._token_s.get(name, START_TOKEN_S)
+            token_s = self._token_speed(name)
             runs = self._runs(name)
             times += [now] * max(0, worker.slots - len(runs))
             for held in runs:
@@ -548,15 +578,10 @@
     return list(zip(asks, starts, strict=False))
 
 
-def _mean(table: dict[str, float], start: float) -> float:
-    return sum(table.values()) / len(table) if table else start
-
-
-def _learn(
-    table: dict[str, float], name: str, sample: float, start: float
-) -> None:
-    known = table.get(name, start)
-    table[name] = known + SMOOTHING * (sample - known)
+def _mean(table: dict[str, Speed], start: float) -> float:
+    if not table:
+        return start
+    return sum(speed.token_s for speed in table.values()) / len(table)
 
 
 def peak_tokens(runs: list[tuple[float, int, float]], token_s: float) -> float:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -137,3 +137,28 @@
         world.run(20.0)
         rates.append(world.sent / count / 20.0)
     assert rates[1] < rates[0] * 1.1
+
+
+def test_host_that_joins_again_is_known_at_once_and_hears_who_is_away() -> None:
+    hosts = {
+        name: membership.Membership(name, "z", f"a-{name}", period_s=0.8)
+        for name in ("a", "b", "c")
+    }
+    for own in hosts.values():
+        for other in hosts:
+            if other != own.host:
+                own.learn(0.0, other, "z", f"a-{other}")
+    for leaver in ("b", "c"):
+        for out in hosts[leaver].leave(0.1):
+            hosts[out.host].receive(0.1, leaver, out.message)
+    assert hosts["a"].alive() == ["a"]
+    again = membership.Membership("b", "z", "a-b", period_s=0.8)
+    for other in ("a", "c"):
+        again.learn(1.0, other, "z", f"a-{other}")
+    again.restart(50)
+    for out in again.announce():
+        if out.host == "a":
+            for answer in hosts["a"].receive(1.0, "b", out.message):
+                again.receive(1.0, "a", answer.message)
+    assert hosts["a"].alive() == ["a", "b"]
+    assert again.alive() == ["a", "b"]
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -410,3 +410,19 @@
         for h in world.workers[w].seen
     )
     assert prefills == 3
+
+
+def test_host_that_holds_a_leaving_one_for_the_planner_is_sent_on() -> None:
+    # Seen on the bench: all-stopped-in-turn, hosts that had just started
+    # asked a host that was shutting down, beside the new planner.
+    world = _world(hosts=3)
+    slots = world.hosts[0].router.slots
+    planner = slots.planner_of("notes-model")
+    stopped = next(h for h in world.hosts if h.router.board.host == planner)
+    asker = next(h for h in world.hosts if h is not stopped)
+    stopped.router.board.membership.leave(world.clock.seconds())
+    stopped.router.board.is_draining = True
+    assert asker.router.slots.planner_of("notes-model") == planner
+    reply = world.ask("brief", host=world.hosts.index(asker))
+    assert (reply.status, reply.is_whole) == (200, True)
+    assert asker.router.slots.planner_of("notes-model") != planner
