--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -16,6 +16,9 @@
         " share of the slots was taken"
     ),
     "no_server": "refused: no server of the service could take it",
+    "too_little_time": (
+        "refused: too little of the caller's time was left to ask a server"
+    ),
     "no_config": "refused: this host had no configuration yet",
     "host_is_leaving": "refused: this host was shutting down",
     "retry_budget_spent": "refused: the budget for repeats was spent",
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -155,6 +155,7 @@
                 errors.Failure(502, "no_other_server", "failed", "maybe_run")
             )
         elif context.left_s < MIN_LEFT_S:
-            context.fail(errors.Failure(504, "timeout", "too late", "not_run"))
+            # Nothing was sent: the caller may still ask for it anew.
+            context.refuse("too_little_time", REJECTED_RETRY_AFTER_S)
         else:
             context.refuse("no_server", REJECTED_RETRY_AFTER_S)
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -1,5 +1,6 @@
 """Proxy on the loopback that harms the connections through it."""
 
+from collections import deque
 from typing import Any
 
 from twisted.internet import endpoints
@@ -66,15 +67,25 @@
             # Bytes stay in order when the delay gets shorter.
             now = self._reactor.seconds()
             end.next_at = max(now + self.delay_s, end.next_at)
-            self._reactor.callLater(end.next_at - now, _write, end, data)
+            end.queue.append(data)
+            self._reactor.callLater(end.next_at - now, end.write_next)
 
 
 class _End(protocol.Protocol):
     """One end of a connection; once it lost bytes it passes on no more."""
 
     transport: Any
-    is_lost = False
-    next_at = 0.0
+
+    def __init__(self) -> None:
+        self.is_lost = False
+        self.next_at = 0.0
+        self.queue: deque[bytes] = deque()
+
+    def write_next(self) -> None:
+        """Write the oldest bytes; timers of one moment run in any order."""
+        data = self.queue.popleft()
+        if self.transport is not None and not self.is_lost:
+            self.transport.write(data)
 
     def drop(self) -> None:
         """Close this end."""
@@ -82,15 +93,11 @@
             self.transport.abortConnection()
 
 
-def _write(end: "_End | None", data: bytes) -> None:
-    if end is not None and end.transport is not None and not end.is_lost:
-        end.transport.write(data)
-
-
 class _Near(_End):
     """The end of the side that connects."""
 
     def __init__(self, proxy: FaultProxy) -> None:
+        super().__init__()
         self.proxy = proxy
         self.far: _Far | None = None
         self._early: list[bytes] = []
@@ -123,6 +130,7 @@
     """The end of the target."""
 
     def __init__(self, near: _Near) -> None:
+        super().__init__()
         self._near = near
 
     def connectionMade(self) -> None:  # noqa: N802
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -426,3 +426,12 @@
     reply = world.ask("brief", host=world.hosts.index(asker))
     assert (reply.status, reply.is_whole) == (200, True)
     assert asker.router.slots.planner_of("notes-model") != planner
+
+
+def test_caller_with_no_time_left_is_told_that_nothing_ran() -> None:
+    # Seen in an incident of the second site: 504 for calls never sent, which
+    # callers of calls that may not be repeated can't send again.
+    world = _world()
+    reply = world.ask("confirm", 0.2, patience_ms=40)
+    assert reply.status == 503
+    assert not world.workers["w1"].seen + world.workers["w2"].seen
