Hosts tell each other which servers leave

Ruled out: the feed (other hosts knew in time) and the retry (the host sent it at first). Two hosts, by rendezvous hashing on the server's name, now tell all others; a server's next incarnation isn't affected. The test on virtual time failed before.

--- a/nutmegscale/backend.py
+++ b/nutmegscale/backend.py
@@ -80,6 +80,17 @@
         self._changed()
         return True
 
+    def mark_leaving(self, backend_id: str, incarnation: int) -> bool:
+        """Use a server no more, as another host was told; True if news."""
+        entry = self._entries.get(backend_id)
+        if entry is None or entry.is_draining:
+            return False
+        if entry.incarnation != incarnation:
+            return False
+        self._entries[backend_id] = entry._replace(is_draining=True)
+        self._changed()
+        return True
+
     def vanished_after(self, service: str, since: float) -> int:
         """Count the servers whose entries went without leave after a time."""
         return sum(
--- a/nutmegscale/backend_controller.py
+++ b/nutmegscale/backend_controller.py
@@ -6,7 +6,9 @@
 from nutmegscale import errors
 from nutmegscale import logs
 from nutmegscale import mesh
+from nutmegscale import messages
 from nutmegscale import periodic
+from nutmegscale import rendezvous
 from nutmegscale import routing_board
 from nutmegscale import row_store
 
@@ -14,6 +16,8 @@
 # An entry that vanishes within this time after the store was away may have
 # lapsed only, seconds.
 AFTER_OUTAGE_S = 1.0
+# Hosts that tell the others of a server that leaves.
+SPEAKERS = 2
 
 
 class BackendController:
@@ -28,6 +32,7 @@
         self._board = board
         self._mesh = link
         self._decode = decode
+        link.on(messages.BackendLeft, self._receive_left)
         self._outage_ended = -AFTER_OUTAGE_S
         self._is_out = False
         self._expiry = periodic.Periodic(
@@ -79,6 +84,8 @@
                 stage=entry.stage,
                 version=row.version,
             )
+            if entry.is_draining:
+                self._tell_left(entry)
             self._forget_gone()
 
     def _remove(self, backend_id: str) -> None:
@@ -86,12 +93,37 @@
         lapse_until = 0.0
         if now - self._outage_ended < AFTER_OUTAGE_S:
             lapse_until = now + backend.LAPSE_GRACE_S
+        known = self._board.backends.get(backend_id)
         if self._board.backends.remove(
             backend_id, now=now, lapse_until=lapse_until
         ):
             logs.get().info("backend_gone", backend=backend_id)
+            if known is not None and not known.is_draining:
+                self._tell_left(known)
             self._forget_gone()
 
+    def _tell_left(self, entry: backend.Backend) -> None:
+        """Tell the other hosts, whose way to the store may have gone silent.
+
+        Two hosts do it for each server, so that the messages grow with the
+        number of hosts and not with its square.
+        """
+        alive = self._board.membership.alive()
+        speakers = rendezvous.rank(entry.id.encode(), alive)[:SPEAKERS]
+        if self._board.host not in speakers:
+            return
+        message = messages.BackendLeft(entry.id, entry.incarnation)
+        for host in alive:
+            if host != self._board.host:
+                self._mesh.send(host, message)
+
+    def _receive_left(self, sender: str, message: messages.BackendLeft) -> None:
+        backends = self._board.backends
+        if backends.mark_leaving(message.backend, message.incarnation):
+            logs.get().info(
+                "backend_left", backend=message.backend, told_by=sender
+            )
+
     def _forget_gone(self) -> None:
         self._board.loads.keep_only(self._board.backends.all())
 
--- a/standins/row_table.py
+++ b/standins/row_table.py
@@ -13,6 +13,7 @@
 
 ANSWER_S = 0.004
 ANSWER_TIMEOUT_S = 1.5
+SILENCE_S = 20.0
 
 
 class RowTable:
@@ -21,6 +22,7 @@
     Attributes:
       is_down: Whether it answers nobody.
       refused: Hosts that it turns away.
+      silent: Hosts whose open connections have gone silent.
       loses_answers: Whether writes are done and not answered.
       oldest: Version before which changes are forgotten.
       calls: Number of calls, refused ones included.
@@ -30,6 +32,7 @@
         self.clock = clock
         self.is_down = False
         self.refused: set[str] = set()
+        self.silent: set[str] = set()
         self.loses_answers = False
         self.oldest = 0
         self.calls = 0
@@ -140,6 +143,9 @@
                 await waiting
             except (defer.TimeoutError, TimeoutError):
                 continue
+            if self._host in self._store.silent:
+                await periodic.sleep(self._store.clock, SILENCE_S)
+                raise errors.StoreError("no answer in time")
             if self._store.is_down or self._host in self._store.refused:
                 raise errors.StoreError("connection lost")
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -435,3 +435,18 @@
     reply = world.ask("confirm", 0.2, patience_ms=40)
     assert reply.status == 503
     assert not world.workers["w1"].seen + world.workers["w2"].seen
+
+
+def test_host_with_a_silent_way_to_the_store_hears_who_leaves() -> None:
+    # Seed 2 of the soak: a host kept sending to a server that was leaving,
+    # since its connection to the store had gone silent.
+    for silent in ("host-0", "host-1", "host-2"):
+        for name in ("w1", "w2", "d1"):
+            world = _world(hosts=3)
+            world.store.silent = {silent}
+            world.write_entry(name, state="draining")
+            world.run(0.5)
+            for host in world.hosts:
+                entry = host.router.board.backends.get(name)
+                assert entry is not None
+                assert entry.is_draining, (silent, host.router.board.host)
