Bodies that are being read are bounded over all connections

A host of 128 MB could be filled by forty bodies of the largest size. Above 32 MB a request is refused as not run, with a time to come back; a test on it. Requests that can't be read have their log line.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -20,6 +20,10 @@
 # How long the rest of a refused request is read and thrown away, seconds,
 # so that the caller gets the answer before the connection is reset.
 LINGER_S = 1.0
+# Bodies that all connections together may hold while they are read, a quarter
+# of the smallest host's memory (128 MB on the users' grown sheets).
+MAX_READING_BYTES = 32 << 20
+BUSY_RETRY_AFTER_S = 1.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -147,19 +151,24 @@
         self._request: Incoming | None = None
         self._is_closing = False
         self._is_discarding = False
+        self._body_bytes = 0
         self._reset_message()
 
     def _reset_message(self) -> None:
+        self._drop_body()
         self._target = b""
         self._headers: list[http_message.Header] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
         self._head_bytes = 0
         self._has_head = False
         self._is_complete = False
         self._has_extra = False
         self._refusal = 0
 
+    def _drop_body(self) -> None:
+        self._site.reading_bytes -= self._body_bytes
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or answered."""
@@ -175,6 +184,7 @@
         """Give up what the caller waited for."""
         self._site.connections.discard(self)
         self._cancel_timer()
+        self._drop_body()
         request, self._request = self._request, None
         if request is not None:
             request.lost()
@@ -248,6 +258,10 @@
         if self._is_complete:
             return
         self._body_bytes += len(body)
+        self._site.reading_bytes += len(body)
+        if self._site.reading_bytes > MAX_READING_BYTES:
+            self._refusal = self._refusal or 503
+            return
         if self._body_bytes > self._site.limits().max_body_bytes:
             self._refusal = self._refusal or 413
             return
@@ -281,7 +295,11 @@
         self._site.on_refused(status)
         self._is_closing = True
         headers = [(b"Content-Length", b"0")]
+        if status == 503:
+            wait = b"%.3f" % BUSY_RETRY_AFTER_S
+            headers.append((b"Retry-After", wait))
         self.send_head(status, headers)
+        self._drop_body()
         self._close_gently()
 
     def send_head(
@@ -359,6 +377,7 @@
         self.limits = limits
         self.on_refused = on_refused
         self.is_draining = False
+        self.reading_bytes = 0
         self.connections: set[IngressConnection] = set()
 
     def now(self) -> float:
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -14,6 +14,13 @@
 METRICS_PORT = 9464
 
 
+def _log_refused(status: int) -> None:
+    """Write the line of a request that couldn't be read."""
+    from nutmegscale import logs  # noqa: PLC0415
+
+    logs.get().info("request_unreadable", status=status)
+
+
 def _facts(found: Any, peer_address: str) -> Any:
     """Return what the router must know of the settings."""
     from nutmegscale import router  # noqa: PLC0415
@@ -74,7 +81,10 @@
         )
         board = self._router.board
         self._callers = http_ingress.IngressFactory(
-            clock, self._router, lambda: board.limits
+            clock,
+            self._router,
+            lambda: board.limits,
+            on_refused=_log_refused,
         )
         self._ready = http_ingress.IngressFactory(
             clock,
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -205,3 +205,21 @@
     other = _Bench()
     other.factory.close_idle()
     assert other.transport.is_half_closed
+
+
+def test_bodies_of_all_connections_together_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(http_ingress, "MAX_READING_BYTES", 25)
+    bench = _Bench()
+    bench.receive(POST + b"Content-Length: 20\r\n\r\n" + b"x" * 15)
+    other = _Bench()
+    other.connection = bench.factory.buildProtocol(None)
+    connection: Any = other.connection
+    connection.makeConnection(other.transport)
+    answer = other.receive(POST + b"Content-Length: 20\r\n\r\n" + b"x" * 15)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"Retry-After: 1.000" in other.transport.value()
+    bench.receive(b"x" * 5)
+    assert [r.body for r in bench.site.requests] == [b"x" * 20]
+    assert bench.factory.reading_bytes == 0
