Content that crashes its servers is stopped at the second one, on all hosts

The quarantine of the product's own interface now serves the platform's path: when a server breaks off and takes no new connection, what ran on it is suspect on all hosts; content in two crashes is refused as not run. Calls without a body aren't watched, as they share a path with many. Tests over three hosts, plain and stream; a broken connection alone makes no suspect.

--- a/nutmegscale/backend.py
+++ b/nutmegscale/backend.py
@@ -81,11 +81,14 @@
         return True
 
     def mark_leaving(self, backend_id: str, incarnation: int) -> bool:
-        """Use a server no more, as another host was told; True if news."""
+        """Use a server no more, as another host was told; True if news.
+
+        A later incarnation that leaves means that an earlier one is gone.
+        """
         entry = self._entries.get(backend_id)
         if entry is None or entry.is_draining:
             return False
-        if entry.incarnation != incarnation:
+        if entry.incarnation > incarnation:
             return False
         self._entries[backend_id] = entry._replace(is_draining=True)
         self._changed()
--- /dev/null
+++ b/nutmegscale/crash_watch.py
@@ -0,0 +1,113 @@
+"""Requests that crash the servers which run them, known to all hosts."""
+
+import hashlib
+
+from nutmegscale import backend
+from nutmegscale import caller_request
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import mesh
+from nutmegscale import messages
+from nutmegscale import periodic
+from nutmegscale import quarantine
+from nutmegscale import routing_board
+from nutmegscale import upstream
+
+DIGEST_BYTES = 16
+# Pause before the look whether a server that broke off is still there, s.
+LOOK_AFTER_S = 0.05
+
+
+class CrashWatch:
+    """Suspects content whose server went down while it ran.
+
+    Only content with a body is watched: calls without one share a path with
+    many others, and a crash of their server says nothing of them.
+    """
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        link: mesh.Mesh,
+        pool: upstream.UpstreamPool,
+    ) -> None:
+        self._board = board
+        self._mesh = link
+        self._pool = pool
+        self._quarantine = quarantine.Quarantine()
+        self._looks: dict[str, list[bytes]] = {}
+        self._crashes = 0
+        link.on(messages.Suspicion, self._receive)
+
+    def is_quarantined(self, request: caller_request.CallerRequest) -> bool:
+        """Whether a request must not run again."""
+        print_ = fingerprint(request)
+        now = self._board.now()
+        return bool(print_) and self._quarantine.is_quarantined(now, print_)
+
+    def worked(self, request: caller_request.CallerRequest) -> None:
+        """Note that a request was run to its end."""
+        self._quarantine.clear(fingerprint(request))
+
+    def broke(
+        self, request: caller_request.CallerRequest, server: backend.Backend
+    ) -> None:
+        """Note that a server broke off while it ran a request."""
+        print_ = fingerprint(request)
+        if not print_:
+            return
+        waiting = self._looks.get(server.key)
+        if waiting is not None:
+            waiting.append(print_)
+            return
+        self._looks[server.key] = [print_]
+        periodic.spawn(self._look(server))
+
+    async def _look(self, server: backend.Backend) -> None:
+        """Suspect what ran on a server if it takes no connections now."""
+        await periodic.sleep(self._board.clock, LOOK_AFTER_S)
+        try:
+            line = await self._pool.reserve(server.address, fresh=True)
+        except errors.ConnectError:
+            is_down = True
+        else:
+            line.give_back()
+            is_down = False
+        prints = self._looks.pop(server.key)
+        if is_down:
+            self._suspect(prints, server)
+
+    def _suspect(self, prints: list[bytes], server: backend.Backend) -> None:
+        self._crashes += 1
+        crash = f"{self._board.host}/{self._crashes}"
+        logs.get().warning(
+            "server_crashed", backend=server.id, suspects=len(prints)
+        )
+        for print_ in prints:
+            message = messages.Suspicion(print_, server.id, crash)
+            self._receive(self._board.host, message)
+            for host in self._board.membership.alive():
+                if host != self._board.host:
+                    self._mesh.send(host, message)
+
+    def _receive(self, sender: str, message: messages.Suspicion) -> None:
+        now = self._board.now()
+        self._quarantine.suspect(now, message.fingerprint, message.crash)
+        if self._quarantine.is_quarantined(now, message.fingerprint):
+            logs.get().warning(
+                "content_quarantined",
+                fingerprint=message.fingerprint.hex(),
+                backend=message.worker,
+                told_by=sender,
+            )
+
+
+def fingerprint(request: caller_request.CallerRequest) -> bytes:
+    """Return the digest of a request's content, b"" if it has no body."""
+    if not request.body:
+        return b""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (request.host.encode("latin-1"), request.head.target):
+        digest.update(part + b"\0")
+    digest.update(request.body)
+    return digest.digest()
--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -19,6 +19,7 @@
     "too_little_time": (
         "refused: too little of the caller's time was left to ask a server"
     ),
+    "quarantined": "refused: the same content crashed two servers",
     "no_config": "refused: this host had no configuration yet",
     "host_is_leaving": "refused: this host was shutting down",
     "retry_budget_spent": "refused: the budget for repeats was spent",
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -2,6 +2,7 @@
 
 from nutmegscale import backend
 from nutmegscale import caller_request
+from nutmegscale import crash_watch
 from nutmegscale import errors
 from nutmegscale import http_message
 from nutmegscale import request_context
@@ -26,12 +27,14 @@
         board: routing_board.RoutingBoard,
         pool: upstream.UpstreamPool,
         wire: caller_request.ServerWire,
-        budgets: "dict[str, retry_share.RetryShare]",
+        budgets: dict[str, retry_share.RetryShare],
+        crashes: crash_watch.CrashWatch,
     ) -> None:
         self._board = board
         self._pool = pool
         self._wire = wire
         self._budgets = budgets
+        self._crashes = crashes
 
     async def run(self, context: request_context.RequestContext) -> None:
         """Answer a request."""
@@ -55,6 +58,8 @@
             except errors.TransportError as exc:
                 runs += 1
                 arrivals += 1
+                if not isinstance(exc, errors.ResponseTimeoutError):
+                    self._crashes.broke(context.request, server)
                 context.trouble(
                     "server_failed",
                     server=server.id,
@@ -75,6 +80,7 @@
                     )
                     continue
                 head, body = last
+            self._crashes.worked(context.request)
             context.answer(head, body)
             return
         self._end_without_answer(context, runs)
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -15,6 +15,7 @@
 from nutmegscale import backend
 from nutmegscale import backend_controller
 from nutmegscale import caller_request
+from nutmegscale import crash_watch
 from nutmegscale import envelope
 from nutmegscale import errors
 from nutmegscale import host_rows
@@ -44,6 +45,9 @@
 PROBE_PERIOD_S = 0.8
 # How long a host that just began, or lost its workers, is told to wait, s.
 NOT_READY_RETRY_AFTER_S = 0.5
+# When to come back with content that crashed two servers: it won't run before
+# its quarantine ends, seconds.
+QUARANTINED_RETRY_AFTER_S = 3_600.0
 # After SIGTERM the balancer takes up to two questions, a second apart, to
 # send new connections elsewhere; until then they are answered.
 LEAVE_S = 2.2
@@ -188,11 +192,17 @@
             lease_rows.LeaseRows(store),
         )
         self._budgets: dict[str, retry_share.RetryShare] = {}
+        self.crashes = crash_watch.CrashWatch(self.board, self.mesh, pool)
         self._plain = plain_runner.PlainRunner(
-            self.board, pool, wires.servers, self._budgets
+            self.board, pool, wires.servers, self._budgets, self.crashes
         )
         self._streams = stream_runner.StreamRunner(
-            self.board, pool, wires.servers, self.slots, self._budgets
+            self.board,
+            pool,
+            wires.servers,
+            self.slots,
+            self._budgets,
+            self.crashes,
         )
         self._reach = reach_controller.ReachController(self.board, pool)
         self._patience = patience.PatienceNorm()
@@ -300,6 +310,14 @@
         if is_leaving and route.kind == "stream":
             self._refuse(incoming, request, "host_is_leaving")
             return
+        if self.crashes.is_quarantined(request):
+            self._refuse(
+                incoming,
+                request,
+                "quarantined",
+                retry_after_s=QUARANTINED_RETRY_AFTER_S,
+            )
+            return
         context = request_context.RequestContext(
             board,
             incoming,
@@ -385,10 +403,10 @@
         incoming: http_ingress.Incoming,
         request: caller_request.CallerRequest,
         kind: str,
+        *,
+        retry_after_s: float = NOT_READY_RETRY_AFTER_S,
     ) -> None:
-        failure = errors.Failure(
-            503, kind, "not run", "not_run", NOT_READY_RETRY_AFTER_S
-        )
+        failure = errors.Failure(503, kind, "not run", "not_run", retry_after_s)
         headers = self._wires.callers.failure_headers(failure)
         incoming.respond(503, headers, b"")
         logs.get().info(
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -2,6 +2,7 @@
 
 from nutmegscale import backend
 from nutmegscale import caller_request
+from nutmegscale import crash_watch
 from nutmegscale import errors
 from nutmegscale import event_stream
 from nutmegscale import http_message
@@ -43,13 +44,15 @@
         pool: upstream.UpstreamPool,
         wire: caller_request.ServerWire,
         slots: slot_controller.SlotController,
-        budgets: "dict[str, retry_share.RetryShare]",
+        budgets: dict[str, retry_share.RetryShare],
+        crashes: crash_watch.CrashWatch,
     ) -> None:
         self._board = board
         self._pool = pool
         self._wire = wire
         self._slots = slots
         self._budgets = budgets
+        self._crashes = crashes
 
     async def run(self, context: request_context.RequestContext) -> None:
         """Answer a request."""
@@ -206,6 +209,7 @@
             last_event=run.last_event.decode("latin-1"),
         )
         if not is_late:
+            self._crashes.broke(context.request, decode)
             self._board.loads.failed(self._board.now(), decode)
             self._tell_lost(context, run, decode)
         if run.may_go_on(context.route) and not is_late:
@@ -344,6 +348,7 @@
             raise errors.TransportError("ended within an event")
         run.ended = self._board.now()
         run.is_whole = True
+        self._crashes.worked(context.request)
         incoming.finish()
         self._board.metrics.streamed(
             run.granted - incoming.arrived, run.first_event - incoming.arrived
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -423,13 +423,19 @@
         connection.send(call, request)
         return call
 
-    async def reserve(self, address: str) -> "Line":
+    async def reserve(self, address: str, *, fresh: bool = False) -> "Line":
         """Reserve a connection, to be sure of it before other work is done.
 
+        Args:
+          address: IP and port of the server.
+          fresh: Whether it must be a new one.
+
         Raises:
           errors.ConnectError: None can be had.
         """
-        connection = self._take(address) or await self._open(address)
+        connection = None if fresh else self._take(address)
+        if connection is None:
+            connection = await self._open(address)
         return Line(self, connection)
 
     def _take(self, address: str) -> _Connection | None:
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -93,9 +93,9 @@
         """Take connections at an address."""
         self._listeners[address] = factory
 
-    def close(self, address: str) -> None:
-        """Take no more connections at an address."""
-        self._listeners.pop(address, None)
+    def close(self, address: str) -> Any:
+        """Take no more connections at an address; returns its factory."""
+        return self._listeners.pop(address, None)
 
     def connect(self, address: str, factory: Any) -> "defer.Deferred[Any]":
         """Connect; it fails at once or, where all is silent, after a while."""
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -35,6 +35,8 @@
       extra: Bytes to send behind a plain answer.
       breaks_after: Events after which a stream breaks off, or None.
       loses_handles: Whether handles lapse at once.
+      poison: Body that crashes it when it runs, or b"".
+      on_crash: Called when that happens.
       ran: Request ids that it ran, in order.
       seen: Heads of all requests that reached it.
       orders: Bodies of the orders that it took.
@@ -58,6 +60,8 @@
         self.extra = b""
         self.breaks_after: int | None = None
         self.loses_handles = False
+        self.poison = b""
+        self.on_crash: Callable[[], None] = lambda: None
         self.ran: list[str] = []
         self.seen: list[http_message.RequestHead] = []
         self.cancelled: list[str] = []
@@ -127,6 +131,8 @@
         name = _id(request)
         self.ran.append(name)
         self._running += 1
+        if self.poison and request.body == self.poison:
+            self._clock.callLater(0, self.on_crash)
         is_over = False
 
         def _end() -> None:
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -103,6 +103,14 @@
         self.write_entry(name, born=born)
         return made
 
+    def crash_worker(self, name: str, seconds: float) -> None:
+        """Take a backend server down; it is back after a time."""
+        address = self.addresses[name]
+        factory = self.net.close(address)
+        for connection in list(factory.connections):
+            connection.transport.abortConnection()
+        self.clock.callLater(seconds, self.net.listen, address, factory)
+
     def write_entry(self, name: str, **changes: Any) -> None:
         """Write the entry of a backend server."""
         worker = self.workers[name]
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -93,6 +93,7 @@
         self.worker = worker
         self.proxy = proxy
         self.address = ""
+        self.born = 0
         self.ports: list[Any] = []
         self.draining_since: float | None = None
 
@@ -206,6 +207,7 @@
         proxy, ports = self._proxy(made.factory())
         worker = Worker(made, proxy)
         worker.address, worker.ports = proxy.address, ports
+        worker.born = self._born
         self.workers[name] = worker
         made.on_stage = lambda: self.write_entry(name)
         sources = {w.address: w.worker for w in self.workers.values()}
@@ -223,7 +225,7 @@
             stage=stage,
             slots=worker.worker.slots,
             state=state,
-            born=self._born,
+            born=worker.born,
         )
         self.store.put(worker_entries.TABLE, name, row)
 
