--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -9,7 +9,7 @@
 from nutmegscale import backend
 from nutmegscale import errors
 from nutmegscale import http_message
-from nutmegscale import upstream
+from nutmegscale import upstream_call
 
 
 class CallerRequest(NamedTuple):
@@ -107,13 +107,13 @@
 
     def plain(
         self, request: CallerRequest, server: backend.Backend, left_s: float
-    ) -> upstream.Request:
+    ) -> upstream_call.Request:
         """Encode a call of a plain service."""
         ...
 
     def prefill(
         self, request: CallerRequest, server: backend.Backend, left_s: float
-    ) -> upstream.Request:
+    ) -> upstream_call.Request:
         """Encode a call that only has the prompt read."""
         ...
 
@@ -125,17 +125,17 @@
         *,
         source: KvHandle | None,
         last_event: bytes,
-    ) -> upstream.Request:
+    ) -> upstream_call.Request:
         """Encode a run, from a KV cache or with the prompt read on the way."""
         ...
 
-    def free(self, handle: KvHandle) -> upstream.Request:
+    def free(self, handle: KvHandle) -> upstream_call.Request:
         """Encode a call that frees a KV cache."""
         ...
 
     def set_stage(
         self, server: backend.Backend, stage: str, *, holder: str, fence: int
-    ) -> upstream.Request:
+    ) -> upstream_call.Request:
         """Encode an order to take another stage.
 
         Args:
--- a/nutmegscale/lease.py
+++ b/nutmegscale/lease.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from nutmegscale import errors
+from nutmegscale import logs
 from nutmegscale import platform_service
 
 LIFE_S = 6.0
@@ -91,9 +92,9 @@
         try:
             row = await self._table.read(self._key)
             await self._renew_or_take(row, began)
-        except errors.PlatformUnavailableError:
+        except errors.PlatformUnavailableError as exc:
             # A renewal whose answer was lost doesn't lengthen our time.
-            pass
+            logs.get().info("lease_not_renewed", key=self._key, why=str(exc))
         return self.fence
 
     async def _renew_or_take(
@@ -138,8 +139,9 @@
                 await self._table.write(
                     self._key, row.version, msgspec.msgpack.encode(freed)
                 )
-        except errors.PlatformUnavailableError:
-            pass
+        except errors.PlatformUnavailableError as exc:
+            # It lapses by itself.
+            logs.get().info("lease_not_returned", key=self._key, why=str(exc))
 
 
 def _decode(row: platform_service.Row | None) -> LeaseRow:
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -9,6 +9,7 @@
 from nutmegscale import retry_share
 from nutmegscale import routing_board
 from nutmegscale import upstream
+from nutmegscale import upstream_call
 
 # Longest answer of a plain service that is kept whole before it is passed
 # on, so that one that breaks off can be sent for again.
@@ -115,7 +116,7 @@
         loads = self._board.loads
         request = self._wire.plain(context.request, server, context.left_s)
         loads.sent(server)
-        call: upstream.Call | None = None
+        call: upstream_call.Call | None = None
         try:
             call = await self._pool.call(server.address, request)
             head = await call.head(context.left_s)
--- a/nutmegscale/platform/store_client.py
+++ b/nutmegscale/platform/store_client.py
@@ -11,6 +11,7 @@
 from nutmegscale import http_message
 from nutmegscale import row_store
 from nutmegscale import upstream
+from nutmegscale import upstream_call
 
 # Longest wait for an answer beside the wait that was asked for, seconds; a
 # slow store takes up to 62 times its usual 4 ms, several calls in a row.
@@ -116,7 +117,7 @@
     async def _call(
         self, head: http_message.RequestHead, body: bytes, wait_s: float
     ) -> tuple[int, bytes]:
-        request = upstream.Request(head, body, b"")
+        request = upstream_call.Request(head, body, b"")
         timeout_s = wait_s + self._answer_timeout_s
         try:
             call = await self._pool.call(self._address, request)
--- /dev/null
+++ b/nutmegscale/platform/wires.py
@@ -0,0 +1,20 @@
+"""All wire forms and formats of the platform, as a router takes them."""
+
+from nutmegscale import router_parts
+from nutmegscale.platform import desired_state
+from nutmegscale.platform import ingress
+from nutmegscale.platform import worker_calls
+from nutmegscale.platform import worker_entries
+
+
+def make_wires() -> router_parts.Wires:
+    """Make the wire forms of the platform."""
+    return router_parts.Wires(
+        callers=ingress.CallerWire(),
+        servers=worker_calls.ServerWire(),
+        decode_config=desired_state.decode,
+        config_table=desired_state.TABLE,
+        config_key=desired_state.KEY,
+        decode_entry=worker_entries.decode,
+        entry_table=worker_entries.TABLE,
+    )
--- a/nutmegscale/platform/worker_calls.py
+++ b/nutmegscale/platform/worker_calls.py
@@ -6,7 +6,7 @@
 from nutmegscale import caller_request
 from nutmegscale import errors
 from nutmegscale import http_message
-from nutmegscale import upstream
+from nutmegscale import upstream_call
 from nutmegscale.platform import ingress
 
 _PROOF = b"response-signature"
@@ -27,7 +27,7 @@
         request: caller_request.CallerRequest,
         server: backend.Backend,
         left_s: float,
-    ) -> upstream.Request:
+    ) -> upstream_call.Request:
         """Encode a plain call; see `caller_request.ServerWire`."""
         return _encode(request, server, left_s, [])
 
@@ -36,7 +36,7 @@
         request: caller_request.CallerRequest,
         server: backend.Backend,
         left_s: float,
-    ) -> upstream.Request:
+    ) -> upstream_call.Request:
         """Encode a prefill; see `caller_request.ServerWire`."""
         return _encode(request, server, left_s, [(b"Stage", b"prefill")])
 
@@ -48,7 +48,7 @@
         *,
         source: caller_request.KvHandle | None,
         last_event: bytes,
-    ) -> upstream.Request:
+    ) -> upstream_call.Request:
         """Encode a run; see `caller_request.ServerWire`."""
         headers = []
         if source is not None:
@@ -58,16 +58,16 @@
             headers.append((b"Last-Event-Id", last_event))
         return _encode(request, server, left_s, headers)
 
-    def free(self, handle: caller_request.KvHandle) -> upstream.Request:
+    def free(self, handle: caller_request.KvHandle) -> upstream_call.Request:
         """Encode the freeing; see `caller_request.ServerWire`."""
         target = f"/nutmegscale/kv-handle/{handle.handle}".encode()
         headers = ((b"Host", handle.address.encode()),)
         head = http_message.RequestHead(b"DELETE", target, headers)
-        return upstream.Request(head, b"", b"")
+        return upstream_call.Request(head, b"", b"")
 
     def set_stage(
         self, server: backend.Backend, stage: str, *, holder: str, fence: int
-    ) -> upstream.Request:
+    ) -> upstream_call.Request:
         """Encode an order; see `caller_request.ServerWire`."""
         order = {
             "op": "stage",
@@ -81,7 +81,7 @@
             (b"Target-Instance", server.id.encode()),
         )
         head = http_message.RequestHead(b"POST", b"/nutmegscale/order", headers)
-        return upstream.Request(head, msgspec.json.encode(order), b"")
+        return upstream_call.Request(head, msgspec.json.encode(order), b"")
 
     def read_handle(self, body: bytes) -> str:
         """Decode a prefill's answer; see `caller_request.ServerWire`."""
@@ -111,7 +111,7 @@
     server: backend.Backend,
     left_s: float,
     extra: list[http_message.Header],
-) -> upstream.Request:
+) -> upstream_call.Request:
     headers = http_message.end_to_end(
         request.head.headers, ingress.SYSTEM_HEADERS
     )
@@ -119,7 +119,9 @@
     headers.append((b"Target-Instance", server.id.encode()))
     headers += extra
     head = request.head._replace(headers=tuple(headers))
-    return upstream.Request(head, request.body, request.id.encode("latin-1"))
+    return upstream_call.Request(
+        head, request.body, request.id.encode("latin-1")
+    )
 
 
 def _load(value: bytes | None) -> caller_request.ServerLoad | None:
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -23,9 +23,9 @@
 
 def _facts(found: Any, peer_address: str) -> Any:
     """Return what the router must know of the settings."""
-    from nutmegscale import router  # noqa: PLC0415
+    from nutmegscale import router_parts  # noqa: PLC0415
 
-    return router.HostFacts(
+    return router_parts.HostFacts(
         host=found.host,
         failure_domain=found.failure_domain,
         peer_address=peer_address,
@@ -49,11 +49,8 @@
         from nutmegscale import router_metrics  # noqa: PLC0415
         from nutmegscale import scrape_site  # noqa: PLC0415
         from nutmegscale import upstream  # noqa: PLC0415
-        from nutmegscale.platform import desired_state  # noqa: PLC0415
-        from nutmegscale.platform import ingress  # noqa: PLC0415
         from nutmegscale.platform import store_client  # noqa: PLC0415
-        from nutmegscale.platform import worker_calls  # noqa: PLC0415
-        from nutmegscale.platform import worker_entries  # noqa: PLC0415
+        from nutmegscale.platform import wires  # noqa: PLC0415
 
         self._reactor = reactor
         self._settings = found
@@ -68,15 +65,7 @@
             store=store_client.StoreClient(pool, found.store_address),
             pool=pool,
             transport=self._transport,
-            wires=router.Wires(
-                callers=ingress.CallerWire(),
-                servers=worker_calls.ServerWire(),
-                decode_config=desired_state.decode,
-                config_table=desired_state.TABLE,
-                config_key=desired_state.KEY,
-                decode_entry=worker_entries.decode,
-                entry_table=worker_entries.TABLE,
-            ),
+            wires=wires.make_wires(),
             metrics=metrics,
         )
         board = self._router.board
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -8,11 +8,9 @@
 from collections.abc import Collection
 import random
 from typing import Any
-from typing import NamedTuple
 
 from twisted.internet import defer
 
-from nutmegscale import backend
 from nutmegscale import backend_controller
 from nutmegscale import caller_request
 from nutmegscale import crash_watch
@@ -32,7 +30,7 @@
 from nutmegscale import request_context
 from nutmegscale import retry_share
 from nutmegscale import router_metrics
-from nutmegscale import routes
+from nutmegscale import router_parts
 from nutmegscale import routing_board
 from nutmegscale import routing_controller
 from nutmegscale import row_store
@@ -59,62 +57,18 @@
 DRAIN_POLL_S = 0.05
 
 
-class HostFacts(NamedTuple):
-    """What a host knows of itself when it starts.
-
-    Attributes:
-      host: Its name, unique among the hosts.
-      failure_domain: Where it stands.
-      peer_address: Where its peers reach it.
-      grace_s: Longest graceful shutdown, seconds.
-      retry_ratio: Repeats for each request of a service, over all hosts.
-      retry_extra: Repeats beside that in each window, over all hosts.
-      retry_window_s: Length of that window, seconds.
-    """
-
-    host: str
-    failure_domain: str
-    peer_address: str
-    grace_s: float
-    retry_ratio: float
-    retry_extra: float
-    retry_window_s: float
-
-
-class Wires(NamedTuple):
-    """Wire forms and formats of a deployment.
-
-    Attributes:
-      callers: Wire form between callers and hosts.
-      servers: Wire form between hosts and backend servers.
-      decode_config: Decodes a routing configuration.
-      config_table: Table of the store that holds it.
-      config_key: Its key there.
-      decode_entry: Decodes the entry of a backend server.
-      entry_table: Table of the store that holds the entries.
-    """
-
-    callers: caller_request.CallerWire
-    servers: caller_request.ServerWire
-    decode_config: Callable[[bytes], routes.RoutingConfig]
-    config_table: str
-    config_key: str
-    decode_entry: Callable[[row_store.Row], backend.Backend]
-    entry_table: str
-
-
 class Router:
     """All parts of one host."""
 
     def __init__(
         self,
-        facts: HostFacts,
+        facts: router_parts.HostFacts,
         clock: Any,
         *,
         store: row_store.RowStore,
         pool: upstream.UpstreamPool,
         transport: mesh.Transport,
-        wires: Wires,
+        wires: router_parts.Wires,
         metrics: router_metrics.RouterMetrics | None = None,
         rng: random.Random | None = None,
     ) -> None:
@@ -219,7 +173,7 @@
         """Number of requests that are being answered."""
         return len(self._live)
 
-    def take_facts(self, facts: HostFacts) -> None:
+    def take_facts(self, facts: router_parts.HostFacts) -> None:
         """Take over changed limits; addresses stay until a new start."""
         self._facts = facts
         for budget in self._budgets.values():
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -15,6 +15,7 @@
 from nutmegscale import slot_controller
 from nutmegscale import stream_run
 from nutmegscale import upstream
+from nutmegscale import upstream_call
 
 # A caller abandons a stream without an event after the longest of two
 # seconds and four times the objective (the users' pages).
@@ -234,7 +235,7 @@
         began = self._board.now()
         loads = self._board.loads
         loads.sent(worker)
-        call: upstream.Call | None = None
+        call: upstream_call.Call | None = None
         took_s = 0.0
         timeout_s = PREFILL_TIMEOUT_S + PREFILL_TIMEOUT_FACTOR * grant.prefill_s
         timeout_s = min(timeout_s, max(0.0, context.left_s))
@@ -296,7 +297,7 @@
         )
         context.tries.append(worker.id)
         loads.sent(worker)
-        call: upstream.Call | None = None
+        call: upstream_call.Call | None = None
         run.began = self._board.now()
         try:
             call = await self._pool.call(worker.address, request, line=line)
@@ -320,7 +321,7 @@
         self,
         context: request_context.RequestContext,
         run: stream_run.StreamRun,
-        call: upstream.Call,
+        call: upstream_call.Call,
         head: http_message.ResponseHead,
         verdict: caller_request.Verdict,
     ) -> None:
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -1,12 +1,9 @@
 """HTTP/1.1 connections to backend servers, kept between requests."""
 
-from collections import deque
 from collections.abc import Callable
 from typing import Any
-from typing import NamedTuple
 
 import httptools
-from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import protocol
@@ -14,6 +11,7 @@
 from nutmegscale import errors
 from nutmegscale import http_message
 from nutmegscale import tcp_options
+from nutmegscale import upstream_call
 
 CONNECT_TIMEOUT_S = 0.25
 # Idle life of a kept connection whose server states none, seconds: well
@@ -22,145 +20,6 @@
 # Margin for the way of a request to a server that is about to close.
 IDLE_MARGIN_S = 0.5
 MAX_IDLE_PER_SERVER = 6
-# Bytes of an answer that may wait for a slow caller before reading pauses.
-MAX_WAITING_BYTES = 256 << 10
-
-
-class Request(NamedTuple):
-    """A request for a server.
-
-    Attributes:
-      head: Its head, with all headers but the length.
-      body: Its whole body.
-      request_id: Value that the server repeats in its answer, or b"".
-    """
-
-    head: http_message.RequestHead
-    body: bytes
-    request_id: bytes
-
-
-class Call:
-    """One request on one connection, and its answer as it comes in."""
-
-    def __init__(self, connection: "_Connection", clock: Any) -> None:
-        self._connection = connection
-        self._clock = clock
-        self._head: http_message.ResponseHead | None = None
-        self._chunks: deque[bytes] = deque()
-        self._waiting_bytes = 0
-        self._is_whole = False
-        self._failure: errors.TransportError | None = None
-        self._waiter: defer.Deferred[None] | None = None
-
-    @property
-    def is_kept(self) -> bool:
-        """Whether the connection had served a request before this one."""
-        return self._connection.served > 1
-
-    async def head(self, timeout_s: float) -> http_message.ResponseHead:
-        """Wait for the head of the answer.
-
-        Raises:
-          errors.ResponseTimeoutError: None came in time.
-          errors.TransportError: The connection broke or sent no answer.
-        """
-        deadline = self._clock.seconds() + timeout_s
-        while self._head is None:
-            if self._failure is not None:
-                raise self._failure
-            await self._wait(deadline)
-        return self._head
-
-    async def chunk(self, timeout_s: float) -> bytes:
-        """Wait for the next part of the body; empty at its end.
-
-        Raises:
-          errors.ResponseTimeoutError: None came in time.
-          errors.TransportError: The answer broke off.
-        """
-        deadline = self._clock.seconds() + timeout_s
-        while not self._chunks:
-            if self._is_whole:
-                return b""
-            if self._failure is not None:
-                raise self._failure
-            await self._wait(deadline)
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._waiting_bytes = 0
-        self._connection.resume()
-        return data
-
-    async def body(self, timeout_s: float, max_bytes: int) -> bytes:
-        """Wait for the whole body.
-
-        Raises:
-          errors.ResponseTimeoutError: It wasn't whole in time.
-          errors.TransportError: The answer broke off, or is too long.
-        """
-        deadline = self._clock.seconds() + timeout_s
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            left_s = max(0.0, deadline - self._clock.seconds())
-            data = await self.chunk(left_s)
-            if not data:
-                return b"".join(parts)
-            size += len(data)
-            if size > max_bytes:
-                raise errors.TransportError(f"answer above {max_bytes} bytes")
-            parts.append(data)
-
-    def abort(self) -> None:
-        """Close the connection, unless the answer is whole."""
-        if not self._is_whole:
-            self._connection.abort()
-
-    async def _wait(self, deadline: float) -> None:
-        waiter: defer.Deferred[None] = defer.Deferred()
-        self._waiter = waiter
-        left_s = deadline - self._clock.seconds()
-        timer = self._clock.callLater(max(0.0, left_s), waiter.cancel)
-        try:
-            await waiter
-        except defer.CancelledError as exc:
-            if timer.active():
-                raise
-            raise errors.ResponseTimeoutError("no answer in time") from exc
-        finally:
-            self._waiter = None
-            if timer.active():
-                timer.cancel()
-
-    def _wake(self) -> None:
-        waiter, self._waiter = self._waiter, None
-        if waiter is not None:
-            waiter.callback(None)
-
-    def got_head(self, head: http_message.ResponseHead) -> None:
-        """Take in the head of the answer."""
-        self._head = head
-        self._wake()
-
-    def got_data(self, data: bytes) -> None:
-        """Take in a part of the body."""
-        self._chunks.append(data)
-        self._waiting_bytes += len(data)
-        if self._waiting_bytes > MAX_WAITING_BYTES:
-            self._connection.pause()
-        self._wake()
-
-    def got_end(self) -> None:
-        """Note that the answer is whole."""
-        self._is_whole = True
-        self._wake()
-
-    def failed(self, failure: errors.TransportError) -> None:
-        """Note that no more of the answer will come."""
-        if not self._is_whole and self._failure is None:
-            self._failure = failure
-            self._wake()
 
 
 class _Connection(protocol.Protocol):
@@ -171,13 +30,13 @@
     def __init__(self, pool: "UpstreamPool", address: str) -> None:
         self._pool = pool
         self._parser: Any = None
-        self._call: Call | None = None
+        self._call: upstream_call.Call | None = None
         self._request_id = b""
         self._is_lost = False
         self._is_foreign = False
         self._is_spoilt = False
         self._keeps_alive = False
-        self._finished: Call | None = None
+        self._finished: upstream_call.Call | None = None
         self._runs_to_close = False
         self._headers: list[http_message.Header] = []
         self._idle_timer: Any = None
@@ -194,7 +53,9 @@
         """Set up a new connection."""
         tcp_options.apply(self.transport)
 
-    def send(self, call: Call, request: Request) -> None:
+    def send(
+        self, call: upstream_call.Call, request: upstream_call.Request
+    ) -> None:
         """Send a request."""
         self._cancel_idle()
         self.served += 1
@@ -270,7 +131,7 @@
         self._finished = call
         self._keeps_alive = self._parser.should_keep_alive()
 
-    def _finish(self, call: Call) -> None:
+    def _finish(self, call: upstream_call.Call) -> None:
         """End a call whose answer is whole, once all that came is parsed.
 
         Whoever waits may send the next request at once, so nothing of this
@@ -401,8 +262,12 @@
         return endpoint.connect(factory)
 
     async def call(
-        self, address: str, request: Request, *, line: "Line | None" = None
-    ) -> Call:
+        self,
+        address: str,
+        request: upstream_call.Request,
+        *,
+        line: "Line | None" = None,
+    ) -> upstream_call.Call:
         """Send a request to a server.
 
         Args:
@@ -419,7 +284,7 @@
         connection = line.take() if line else None
         if connection is None:
             connection = self._take(address) or await self._open(address)
-        call = Call(connection, self._clock)
+        call = upstream_call.Call(connection, self._clock)
         connection.send(call, request)
         return call
 
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -9,10 +9,10 @@
 
 from nutmegscale import http_ingress
 from nutmegscale import router
+from nutmegscale import router_parts
 from nutmegscale import upstream
 from nutmegscale.platform import desired_state
-from nutmegscale.platform import ingress
-from nutmegscale.platform import worker_calls
+from nutmegscale.platform import wires
 from nutmegscale.platform import worker_entries
 from standins import fake_network
 from standins import memory_net
@@ -24,15 +24,7 @@
 STEP_S = 0.005
 START_S = 2.0
 
-WIRES = router.Wires(
-    callers=ingress.CallerWire(),
-    servers=worker_calls.ServerWire(),
-    decode_config=desired_state.decode,
-    config_table=desired_state.TABLE,
-    config_key=desired_state.KEY,
-    decode_entry=worker_entries.decode,
-    entry_table=worker_entries.TABLE,
-)
+WIRES = wires.make_wires()
 
 
 class Host(NamedTuple):
@@ -60,7 +52,7 @@
     def _add_host(self, name: str) -> Host:
         pool = upstream.UpstreamPool(None, self.clock, connect=self.net.connect)
         made = router.Router(
-            router.HostFacts(
+            router_parts.HostFacts(
                 host=name,
                 failure_domain="maadi",
                 peer_address=f"tcp://{name}",
