Decisions about slots in time of their own workers, not of all that is held

Found: with 94 workers each look at the queue walked over every held slot for each worker, and planned the memory of all of them before choosing one. Held slots are indexed by worker, memory is looked at for the least busy first, and nothing is forecast while slots are free for all that wait.

--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -9,6 +9,7 @@
 import math
 
 from nutmegscale import backend
+from nutmegscale import held_slots
 from nutmegscale import kv_memory
 from nutmegscale import slot_types
 from nutmegscale import stage_plan
@@ -58,7 +59,7 @@
         self._decodes: dict[str, backend.Backend] = {}
         self._kv_tokens = 0
         self._waiting: dict[str, slot_types.Ask] = {}
-        self._held: dict[str, slot_types.Held] = {}
+        self._held = held_slots.HeldSlots()
         self._pauses = worker_pauses.WorkerPauses()
         self._reading_until: dict[str, float] = {}
         self._arrivals: deque[float] = deque()
@@ -132,7 +133,7 @@
     def release(self, exchange: str) -> None:
         """Free what a stream holds, or take it out of the queue."""
         self._waiting.pop(exchange, None)
-        self._held.pop(exchange, None)
+        self._held.remove(exchange)
 
     def prefilled(self, now: float, exchange: str, prefill_s: float) -> None:
         """Note how long the prefill of a stream took; its lane is free."""
@@ -146,7 +147,7 @@
                 held.prefill, held.lane_tokens, prefill_s
             )
         # Its run begins now, and its memory grows from now on.
-        self._held[exchange] = held._replace(prefill="", since=now)
+        self._held.put(held._replace(prefill="", since=now))
 
     def ran(self, decode: str, tokens: int, run_s: float) -> None:
         """Note how long a whole run took."""
@@ -180,16 +181,16 @@
     ) -> None:
         """Replace what is known of a host's slots by its own list."""
         listed = {h.exchange for h in held}
-        for known in list(self._held.values()):
+        for known in self._held.all():
             is_dropped = known.host == host and known.exchange not in listed
             if is_dropped and now - known.since >= CONFIRM_GRACE_S:
-                del self._held[known.exchange]
+                self._held.remove(known.exchange)
         for item in held:
             known_item = self._held.get(item.exchange)
             if known_item is None:
-                self._held[item.exchange] = item._replace(confirmed=now)
+                self._held.put(item._replace(confirmed=now))
             else:
-                self._held[item.exchange] = known_item._replace(confirmed=now)
+                self._held.put(known_item._replace(confirmed=now))
 
     def pump(self, now: float) -> list[slot_types.Decision]:
         """Give out the free slots and refuse what can't be served.
@@ -245,7 +246,9 @@
         ordered = sorted(
             self._waiting.values(), key=lambda a: (a.priority, a.asked_at)
         )
-        times = self._slot_times(now)
+        # While slots are free for all that wait there is nothing to forecast.
+        has_room = self._free_slots(now) >= len(ordered)
+        times = [] if has_room else self._slot_times(now)
         in_time: list[slot_types.Ask] = []
         late: list[slot_types.Ask] = []
         for ask in ordered:
@@ -270,7 +273,7 @@
             self._reading_until[decode] = now + read_s
         prefill_s = self._read_s(ask, lane) if lane else 0.0
         del self._waiting[ask.exchange]
-        self._held[ask.exchange] = slot_types.Held(
+        held = slot_types.Held(
             ask.exchange,
             ask.host,
             decode,
@@ -279,8 +282,9 @@
             ask.expected_tokens,
             now,
             now,
-            self._lane_tokens(lane) + ask.prompt_tokens if lane else 0,
+            self._held.lane_tokens(lane) + ask.prompt_tokens if lane else 0,
         )
+        self._held.put(held)
         return slot_types.Grant(
             ask.exchange, ask.host, lane or "", decode, prefill_s
         )
@@ -302,35 +306,33 @@
     def _choose_decode(
         self, now: float, ask: slot_types.Ask, *, reads_itself: bool
     ) -> str | None:
-        best: str | None = None
-        best_key = 0.0
+        """Choose the decode worker with the least runs that has room."""
+        candidates: list[tuple[float, str]] = []
         for name, worker in self._decodes.items():
             if name in ask.avoid or self.is_lost(now, name):
                 continue
-            runs = self._runs(name)
-            if len(runs) >= worker.slots or not self._fits(now, ask, name):
+            count = self._held.count(name)
+            if count >= worker.slots:
                 continue
             # Two prompts read at once would hold up the runs beside them.
             if reads_itself and self._reading_until.get(name, 0.0) > now:
                 continue
-            key = len(runs) / worker.slots
-            if best is None or key < best_key:
-                best, best_key = name, key
-        return best
+            candidates.append((count / worker.slots, name))
+        candidates.sort()
+        # Memory is looked at last: it takes the most time.
+        fitting = (n for _, n in candidates if self._fits(now, ask, n))
+        return next(fitting, None)
 
     def _choose_prefill(self, now: float) -> str | None:
         usable = [n for n in self._prefills if not self.is_lost(now, n)]
         return min(usable, key=self._lane_s, default=None)
 
-    def _runs(self, decode: str) -> list[slot_types.Held]:
-        return [held for held in self._held.values() if held.decode == decode]
-
     def _fits(self, now: float, ask: slot_types.Ask, decode: str) -> bool:
         """Whether the memory holds all runs, each to its expected end."""
         token_s = self._token_speeds.token_s(decode)
         run_s = ask.expected_tokens * LENGTH_MARGIN * token_s
         runs = [(now + run_s, ask.prompt_tokens, now)]
-        for held in self._runs(decode):
+        for held in self._held.runs(decode):
             run_s = held.expected_tokens * LENGTH_MARGIN * token_s
             end = held.since + run_s
             runs.append((max(end, now), held.prompt_tokens, held.since))
@@ -344,24 +346,17 @@
 
     def _free_slots(self, now: float) -> int:
         return sum(
-            max(0, worker.slots - len(self._runs(name)))
+            max(0, worker.slots - self._held.count(name))
             for name, worker in self._decodes.items()
             if not self.is_lost(now, name)
         )
 
     def _lane_s(self, prefill: str) -> float:
         """Return how long the prompts ahead take at a prefill worker."""
-        return self._lane_tokens(prefill) * self._prefill_speeds.token_s(
+        return self._held.lane_tokens(prefill) * self._prefill_speeds.token_s(
             prefill
         )
 
-    def _lane_tokens(self, prefill: str) -> int:
-        return sum(
-            held.prompt_tokens
-            for held in self._held.values()
-            if held.prefill == prefill
-        )
-
     def _refuse(self, now: float) -> list[slot_types.Decision]:
         """Refuse what gets no slot before nobody waits for it any more."""
         if not self._waiting:
@@ -435,7 +430,7 @@
             if self.is_lost(now, name):
                 continue
             token_s = self._token_speeds.token_s(name)
-            runs = self._runs(name)
+            runs = self._held.runs(name)
             times += [now] * max(0, worker.slots - len(runs))
             for held in runs:
                 run_s = held.expected_tokens * token_s
@@ -444,9 +439,9 @@
         return times
 
     def _expire(self, now: float) -> None:
-        for held in list(self._held.values()):
+        for held in self._held.all():
             if now - held.confirmed > HOLDER_LIFE_S:
-                del self._held[held.exchange]
+                self._held.remove(held.exchange)
 
 
 def _pair_starts(
--- a/tools/bench_router.py
+++ b/tools/bench_router.py
@@ -10,12 +10,16 @@
 
 from twisted.internet import protocol
 
+from nutmegscale import backend
+from nutmegscale import slot_queue
+from nutmegscale import slot_types
 from standins import raw_caller
 from standins import router_world
 
 PLAIN_CALLS = 400
 # Streams at once: all slots of the stand-in's decode workers.
 STREAMS = 8
+DECISIONS = 300
 EVENTS = 200
 
 
@@ -89,8 +93,51 @@
     return (times[1] - times[0]) / (STREAMS * EVENTS)
 
 
+def decision_cost(workers: int) -> float:
+    """Return the seconds of one ask, with its release, among busy workers.
+
+    Args:
+      workers: Model workers, a fifth of them for prefill; three quarters of
+        the decode slots are held.
+    """
+    queue = slot_queue.SlotQueue()
+    made = tuple(
+        backend.Backend(
+            f"w{n}",
+            1,
+            "m",
+            "",
+            "z",
+            12,
+            is_draining=False,
+            stage="decode" if n % 5 else "prefill",
+        )
+        for n in range(workers)
+    )
+    queue.set_workers(made, kv_tokens=100_125)
+    busy = sum(w.stage == "decode" for w in made) * 9
+    began = 0.0
+    for number in range(busy + DECISIONS):
+        if number == busy:
+            began = time.process_time()
+        now = number / 100
+        name = str(number)
+        ask = slot_types.Ask(
+            name, "h", 5_000, 4_000, 1, now, now + 0.9, now + 3.4
+        )
+        queue.submit(now, ask)
+        queue.prefilled(now, name, 0.1)
+        if number >= busy:
+            queue.release(str(number - busy))
+            queue.pump(now)
+    return (time.process_time() - began) / DECISIONS
+
+
 def main() -> None:
     """Print the figures."""
+    for workers in (5, 15, 47, 94):
+        cost_us = decision_cost(workers) * 1e6
+        print(f"ask and release of a slot, {workers} workers: {cost_us:.0f} us")
     added_ms, direct_ms, event_ms = measure()
     print(f"plain call: {added_ms:.3f} ms by a host, beside {direct_ms:.3f} ms")
     print(f"streamed event: {event_ms:.4f} ms, server and caller included")
