The soak leaves no daemon behind

Cause: timers still due when the soak ends. Nothing starts after the end now. Not a fault of the daemons.

--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -56,10 +56,13 @@
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
         self.process: subprocess.Popen[bytes] | None = None
+        self.may_start = True
         self.store_proxy: Any = None
 
     def start(self) -> None:
-        """Start the daemon."""
+        """Start the daemon, unless the soak has ended."""
+        if not self.may_start:
+            return
         environment = {
             **os.environ,
             "NUTMEGSCALE_SETTINGS": str(self.settings),
@@ -157,6 +160,8 @@
     def stop(self) -> None:
         """Kill the daemons that this soak started."""
         for host in self.hosts:
+            # Timers that restart a host may still be due.
+            host.may_start = False
             host.signal(signal.SIGCONT)
             host.signal(signal.SIGKILL)
             if host.process is not None:
