--- a/nutmegscale/platform/desired_state.py
+++ b/nutmegscale/platform/desired_state.py
@@ -1,7 +1,5 @@
 """Configuration in force, from the row that the platform's operator writes."""
 
-from typing import Any
-
 import msgspec
 
 from nutmegscale import errors
@@ -125,16 +123,3 @@
         priority=route.priority,
         is_resumable=route.resumable and route.kind == "stream",
     )
-
-
-def peek_version(data: bytes) -> int | None:
-    """Return the version of a configuration without reading the rest."""
-
-    class _Version(msgspec.Struct):
-        version: int
-
-    try:
-        found: Any = msgspec.json.decode(data, type=_Version)
-    except msgspec.DecodeError:
-        return None
-    return int(found.version)
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -34,6 +34,8 @@
 MAX_HANDLE_BYTES = 65_536
 # When a caller comes back whose repeat the budget didn't allow, seconds.
 NO_BUDGET_RETRY_AFTER_S = 1.0
+# When a caller comes back whom each worker that was asked turned away, s.
+REJECTED_RETRY_AFTER_S = 1.0
 
 
 class StreamRunner:
@@ -61,7 +63,7 @@
         for _ in range(MAX_OFFERS):
             grant = await self._slots.acquire(self._want(context, run))
             if grant.state != "granted":
-                self._give_up(context, run, grant)
+                self._give_up(context, run, grant.reason, grant.retry_after_s)
                 return
             try:
                 if await self._run_granted(context, run, grant):
@@ -77,7 +79,9 @@
                 )
             if not run.may_go_on(context.route):
                 return
-        self._give_up(context, run, None)
+        self._give_up(
+            context, run, "rejected_by_servers", REJECTED_RETRY_AFTER_S
+        )
 
     def _want(
         self, context: request_context.RequestContext, run: stream_run.StreamRun
@@ -119,7 +123,9 @@
             context.trouble("grant_outdated", decode=grant.decode)
             return False
         if run.arrivals and not self._take_repeat(context):
-            self._give_up_repeat(context, run)
+            self._give_up(
+                context, run, "retry_budget_spent", NO_BUDGET_RETRY_AFTER_S
+            )
             return True
         source = self._kept_source(context, run, grant)
         line: upstream.Line | None = None
@@ -197,17 +203,6 @@
     def _take_repeat(self, context: request_context.RequestContext) -> bool:
         return self._budgets[context.service].take(self._board.now())
 
-    def _give_up_repeat(
-        self, context: request_context.RequestContext, run: stream_run.StreamRun
-    ) -> None:
-        """End a request whose repeat the budget doesn't allow."""
-        if run.runs:
-            context.fail(
-                errors.Failure(502, "run_lost", "the run broke", "maybe_run")
-            )
-        else:
-            context.refuse("retry_budget_spent", NO_BUDGET_RETRY_AFTER_S)
-
     def _broke_off(
         self,
         context: request_context.RequestContext,
@@ -420,16 +415,16 @@
         self,
         context: request_context.RequestContext,
         run: stream_run.StreamRun,
-        refusal: messages.SlotReply | None,
+        reason: str,
+        retry_after_s: float,
     ) -> None:
+        """End a request that gets no further run."""
         if run.runs:
             context.fail(
                 errors.Failure(502, "run_lost", "the run broke", "maybe_run")
             )
-        elif refusal is not None:
-            context.refuse(refusal.reason, refusal.retry_after_s)
         else:
-            context.refuse("rejected_by_servers", 1.0)
+            context.refuse(reason, retry_after_s)
 
 
 def _ms(seconds: float) -> float:
--- a/nutmegscale/table_follower.py
+++ b/nutmegscale/table_follower.py
@@ -45,11 +45,6 @@
         self._version: int | None = None
         self._is_in_contact: bool | None = None
 
-    @property
-    def is_in_contact(self) -> bool:
-        """Whether the last question was answered."""
-        return bool(self._is_in_contact)
-
     def start(self) -> None:
         """Start to follow."""
         if self._running is None:
