--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -237,10 +237,12 @@
     def crash_worker(self, name: str) -> None:
         """End a backend server without leave."""
         worker = self.workers[name]
-        for port in worker.ports:
+        ports, worker.ports = worker.ports, []
+        for port in ports:
             port.stopListening()
         worker.proxy.reset_all()
-        self.gone.append(worker)
+        if ports:
+            self.gone.append(worker)
 
     def remove_worker(self, name: str) -> None:
         """End a backend server that has left."""
