--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+import time
 from typing import Any
 
 from nutmegscale import daemon
@@ -14,6 +15,11 @@
 METRICS_PORT = 9464
 
 
+def _boot_now() -> float:
+    """Return monotonic time that also counts while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _log_refused(status: int) -> None:
     """Write the line of a request that couldn't be read."""
     from nutmegscale import logs  # noqa: PLC0415
@@ -67,6 +73,7 @@
             transport=self._transport,
             wires=wires.make_wires(),
             metrics=metrics,
+            boot_now=_boot_now,
         )
         board = self._router.board
         self._callers = http_ingress.IngressFactory(
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -71,7 +71,22 @@
         wires: router_parts.Wires,
         metrics: router_metrics.RouterMetrics | None = None,
         rng: random.Random | None = None,
+        boot_now: Callable[[], float] | None = None,
     ) -> None:
+        """Make all parts.
+
+        Args:
+          facts: What the host knows of itself.
+          clock: Source of monotonic time and timers.
+          store: The platform's store.
+          pool: Connections to servers.
+          transport: Carrier of messages between hosts.
+          wires: Wire forms of the deployment.
+          metrics: Metrics; none if left out.
+          rng: Source of random numbers.
+          boot_now: Time that also counts while the host is suspended, for
+            leases; that of the clock if left out.
+        """
         self._rng = rng or random.Random()
         self._facts = facts
         self._wires = wires
@@ -144,6 +159,7 @@
             pool,
             wires.servers,
             lease_rows.LeaseRows(store),
+            boot_now=boot_now or clock.seconds,
         )
         self._budgets: dict[str, retry_share.RetryShare] = {}
         self.crashes = crash_watch.CrashWatch(self.board, self.mesh, pool)
--- a/nutmegscale/stage_controller.py
+++ b/nutmegscale/stage_controller.py
@@ -1,5 +1,7 @@
 """Orders that move model workers between stages, under a control lease."""
 
+from collections.abc import Callable
+
 from nutmegscale import backend
 from nutmegscale import caller_request
 from nutmegscale import errors
@@ -37,12 +39,15 @@
         pool: upstream.UpstreamPool,
         wire: caller_request.ServerWire,
         table: lease.LeaseTable,
+        *,
+        boot_now: Callable[[], float],
     ) -> None:
         self._board = board
         self._slots = slots
         self._pool = pool
         self._wire = wire
         self._table = table
+        self._boot_now = boot_now
         self._leases: dict[str, lease.Lease] = {}
         self._moving: dict[str, float] = {}
         self._settled: tuple[int, float] = (-1, 0.0)
@@ -100,7 +105,7 @@
                 self._table,
                 f"stages/{service}",
                 self._board.host,
-                now=self._board.now,
+                now=self._boot_now,
                 life_s=LEASE_LIFE_S,
             )
         return found
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -47,6 +47,8 @@
         self.addresses: dict[str, str] = {}
         self._rng = random.Random(seed)
         self._number = 0
+        # Time that the hosts were suspended, which their clock doesn't count.
+        self.suspended_s = 0.0
         self.hosts = [self._add_host(f"host-{n}") for n in range(hosts)]
 
     def _add_host(self, name: str) -> Host:
@@ -67,6 +69,7 @@
             transport=fake_network.FakeTransport(self.peers, name),
             wires=WIRES,
             rng=random.Random(self._rng.random()),
+            boot_now=lambda: self.clock.seconds() + self.suspended_s,
         )
         self.peers.receivers[name] = made.mesh.receive
         callers = http_ingress.IngressFactory(
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -3,6 +3,7 @@
 from twisted.internet import defer
 from twisted.internet import protocol
 
+from nutmegscale import lease
 from nutmegscale import periodic
 from standins import raw_caller
 from standins import router_world
@@ -482,3 +483,16 @@
     assert not world.workers[left].ran
     assert caller.replies[0].status == 200
     assert caller.replies[0].is_whole
+
+
+def test_suspended_holder_of_the_lease_may_give_no_order_when_it_wakes() -> (
+    None
+):
+    # The steady clock stands still in a suspension; the boot clock doesn't.
+    world = _world()
+    control = world.hosts[0].router.stages._lease("notes-model")
+    periodic.spawn(control.maintain())
+    world.run(0.1)
+    assert control.fence == 1
+    world.suspended_s += lease.LIFE_S
+    assert control.fence is None
