--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -233,3 +233,14 @@
     queue.confirm(0.1, "h1", [item])
     assert _granted(queue.pump(0.2)) == ["a"]
     assert _granted(queue.submit(0.3, _ask("c", 0.3))) == []
+
+
+def test_with_two_slots_nobody_passes_one_that_finds_no_room() -> None:
+    queue = _queue(kv_tokens=20_000)
+    queue.submit(0.0, _ask("a", 0.0, prompt=8_000, expected=1_000))
+    queue.submit(0.0, _ask("big", 0.0, prompt=12_000, expected=3_000))
+    decisions = queue.submit(0.1, _ask("small", 0.1, prompt=1_000))
+    assert "big" not in _refused(decisions)
+    assert _granted(decisions) == []
+    queue.release("a")
+    assert _granted(queue.pump(0.2))[:1] == ["big"]
