Waits are inferred only where callers state the same patience

Cause: on the first grown site callers set themselves between 12.2 and 14.3 s. Conclusion: a host infers a wait only where more than half of a route's callers state the usual patience.

--- a/nutmegscale/patience.py
+++ b/nutmegscale/patience.py
@@ -4,15 +4,39 @@
 NOISE_S = 0.1
 
 
+class _Route:
+    """Patience that the callers of a route state."""
+
+    def __init__(self) -> None:
+        self.usual_s = 0.0
+        self.usual_count = 0
+        self.count = 0
+
+    def add(self, patience_s: float) -> None:
+        """Take in a request; the longest patience counts as the usual one."""
+        self.count += 1
+        if patience_s > self.usual_s + NOISE_S:
+            self.usual_count = 0
+        self.usual_s = max(patience_s, self.usual_s)
+        if patience_s > self.usual_s - NOISE_S:
+            self.usual_count += 1
+
+    @property
+    def is_usual(self) -> bool:
+        """Whether most callers state the same."""
+        return 2 * self.usual_count > self.count
+
+
 class PatienceNorm:
-    """Longest patience that callers state for each route; pure.
+    """Usual patience that callers state for each route; pure.
 
-    A caller that was refused comes back within the time that it set itself
-    at first, so what is missing from the usual patience has passed already.
+    Where callers set themselves the same time, what is missing from it in a
+    request has passed already: its caller was refused, or found no host.
+    Where each caller sets its own time, a request says nothing of that.
     """
 
     def __init__(self) -> None:
-        self._longest_s: dict[str, float] = {}
+        self._routes: dict[str, _Route] = {}
 
     def waited_s(self, route: str, patience_s: float | None) -> float:
         """Return how long a caller had waited, seconds.
@@ -23,7 +47,9 @@
         """
         if patience_s is None:
             return 0.0
-        longest_s = max(patience_s, self._longest_s.get(route, 0.0))
-        self._longest_s[route] = longest_s
-        waited_s = longest_s - patience_s
-        return waited_s if waited_s > NOISE_S else 0.0
+        known = self._routes.setdefault(route, _Route())
+        known.add(patience_s)
+        waited_s = known.usual_s - patience_s
+        if waited_s <= NOISE_S or not known.is_usual:
+            return 0.0
+        return waited_s
