A planner knows callers that it refused when they come back

Cause: where patience differs from caller to caller, one that was refused and comes back looked like a new one and took the place of those that could still be in time. Change: asks carry a digest of the prompt's parts; a planner keeps the times of those that it refused for 15 s.

--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -23,6 +23,8 @@
       prompt_tokens: Length of the prompt; 0 for a plain call.
       max_tokens: Upper bound on the length of the answer.
       expected_tokens: The caller's guess at that length.
+      prompt_parts: Names and lengths of the prompt's parts as the caller
+        states them, b"" if it doesn't; the last part is its own.
       last_event: Event after which a stream shall go on, or b"".
       head: The request as it was sent.
       body: Its whole body.
@@ -35,6 +37,7 @@
     prompt_tokens: int
     max_tokens: int
     expected_tokens: int
+    prompt_parts: bytes
     last_event: bytes
     head: http_message.RequestHead
     body: bytes
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -217,7 +217,8 @@
 class SlotAsk(NamedTuple):
     """A stream that wants a slot, sent to the planner of its service.
 
-    Times are spans from now, seconds.
+    Times are spans from now, seconds. `content` is a digest by which a caller
+    that was refused is known when it comes back.
     """
 
     service: str
@@ -230,6 +231,7 @@
     patience_s: float
     avoid: tuple[str, ...]
     reads_itself: bool
+    content: str = ""
 
 
 class SlotReply(NamedTuple):
--- a/nutmegscale/platform/ingress.py
+++ b/nutmegscale/platform/ingress.py
@@ -55,6 +55,7 @@
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             expected_tokens=max(1, min(expected, max_tokens or expected)),
+            prompt_parts=head.get(b"prompt-prefix") or b"",
             last_event=head.get(b"last-event-id") or b"",
             head=head,
             body=body,
--- /dev/null
+++ b/nutmegscale/returning.py
@@ -0,0 +1,45 @@
+"""Callers that were refused and come back; pure."""
+
+from typing import NamedTuple
+
+# How long a refused caller may take to come back, seconds: the longest
+# deadline of the users' sheets.
+MEMORY_S = 15.0
+
+
+class FirstAsk(NamedTuple):
+    """When a caller came first, and until when it is in time."""
+
+    asked_at: float
+    in_time_by: float
+
+
+class Returning:
+    """First asks of those who were refused, by the content of their request."""
+
+    def __init__(self) -> None:
+        # In the order of the refusals, so that the oldest go first.
+        self._first: dict[str, tuple[float, FirstAsk]] = {}
+
+    def __len__(self) -> int:
+        return len(self._first)
+
+    def note(self, now: float, content: str, first: FirstAsk) -> None:
+        """Keep when a caller that is refused came first."""
+        self._expire(now)
+        if content:
+            self._first.pop(content, None)
+            self._first[content] = (now, first)
+
+    def take(self, now: float, content: str) -> FirstAsk | None:
+        """Return when a caller came first, if it was refused before."""
+        self._expire(now)
+        known = self._first.pop(content, None)
+        return known[1] if known else None
+
+    def _expire(self, now: float) -> None:
+        while self._first:
+            content, (noted, _) = next(iter(self._first.items()))
+            if noted >= now - MEMORY_S:
+                return
+            del self._first[content]
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -41,6 +41,7 @@
       give_up_at: Time after which a first event reaches nobody.
       avoid: Ids of workers that must not be used.
       reads_itself: Whether the decode worker shall read the prompt.
+      content: Digest of the request, "" if it has none.
     """
 
     service: str
@@ -53,6 +54,7 @@
     give_up_at: float
     avoid: tuple[str, ...] = ()
     reads_itself: bool = False
+    content: str = ""
 
 
 class _Own(NamedTuple):
@@ -186,6 +188,7 @@
             want.give_up_at - now,
             want.avoid,
             want.reads_itself,
+            want.content,
         )
         return await self._mesh.call(
             planner, ask, messages.SlotReply, timeout_s=ASK_TIMEOUT_S
--- a/nutmegscale/slot_planner.py
+++ b/nutmegscale/slot_planner.py
@@ -115,6 +115,7 @@
                 give_up_at=now + ask.patience_s,
                 avoid=ask.avoid,
                 reads_itself=ask.reads_itself,
+                content=ask.content,
             ),
         )
         answer = messages.SlotReply(ask.exchange, "queued")
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -11,6 +11,7 @@
 from nutmegscale import backend
 from nutmegscale import held_slots
 from nutmegscale import kv_memory
+from nutmegscale import returning
 from nutmegscale import slot_types
 from nutmegscale import stage_plan
 from nutmegscale import worker_pauses
@@ -61,6 +62,7 @@
         self._waiting: dict[str, slot_types.Ask] = {}
         self._held = held_slots.HeldSlots()
         self._pauses = worker_pauses.WorkerPauses()
+        self._returning = returning.Returning()
         self._reading_until: dict[str, float] = {}
         self._arrivals: deque[float] = deque()
         self._prefill_speeds = worker_speeds.WorkerSpeeds(
@@ -118,8 +120,11 @@
             ]
         known = self._waiting.get(ask.exchange)
         if known is not None:
-            ask = ask._replace(asked_at=known.asked_at)
+            ask = ask._replace(
+                asked_at=known.asked_at, in_time_by=known.in_time_by
+            )
         else:
+            ask = self._as_returning(now, ask)
             self._arrivals.append(now)
             self._prompt_tokens += worker_speeds.SMOOTHING * (
                 ask.prompt_tokens - self._prompt_tokens
@@ -130,6 +135,16 @@
         self._waiting[ask.exchange] = ask
         return self.pump(now)
 
+    def _as_returning(self, now: float, ask: slot_types.Ask) -> slot_types.Ask:
+        """Give an ask the times of its caller's first one, if refused then."""
+        first = self._returning.take(now, ask.content)
+        if first is None:
+            return ask
+        return ask._replace(
+            asked_at=min(first.asked_at, ask.asked_at),
+            in_time_by=min(first.in_time_by, ask.in_time_by),
+        )
+
     def release(self, exchange: str) -> None:
         """Free what a stream holds, or take it out of the queue."""
         self._waiting.pop(exchange, None)
@@ -409,6 +424,8 @@
         self, now: float, ask: slot_types.Ask, times: list[float]
     ) -> slot_types.Refusal:
         del self._waiting[ask.exchange]
+        first = returning.FirstAsk(ask.asked_at, ask.in_time_by)
+        self._returning.note(now, ask.content, first)
         self._refused += 1
         reason = "no_slot_in_time" if times else "no_decode_worker"
         wait_s = times[-1] - now if times else NO_WORKER_RETRY_AFTER_S
--- a/nutmegscale/slot_types.py
+++ b/nutmegscale/slot_types.py
@@ -17,6 +17,7 @@
       give_up_at: Time after which a first event reaches nobody.
       avoid: Ids of decode workers that must not be used.
       reads_itself: Whether the decode worker shall read the prompt.
+      content: Digest of what is asked, "" if it can't be known again.
     """
 
     exchange: str
@@ -29,6 +30,7 @@
     give_up_at: float
     avoid: tuple[str, ...] = ()
     reads_itself: bool = False
+    content: str = ""
 
 
 class Held(NamedTuple):
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -1,5 +1,7 @@
 """Streams of model services: slot, prefill, transfer, run."""
 
+import hashlib
+
 from nutmegscale import backend
 from nutmegscale import caller_request
 from nutmegscale import crash_watch
@@ -34,6 +36,8 @@
 MAX_HANDLE_BYTES = 65_536
 # When a caller comes back whose repeat the budget didn't allow, seconds.
 NO_BUDGET_RETRY_AFTER_S = 1.0
+# Enough to tell the callers of some seconds apart, bytes.
+DIGEST_BYTES = 8
 # When a caller comes back whom each worker that was asked turned away, s.
 REJECTED_RETRY_AFTER_S = 1.0
 
@@ -106,6 +110,7 @@
             ),
             avoid=tuple(run.avoid),
             reads_itself=run.reads_itself,
+            content=_content(request),
         )
 
     async def _run_granted(
@@ -427,5 +432,15 @@
             context.refuse(reason, retry_after_s)
 
 
+def _content(request: caller_request.CallerRequest) -> str:
+    """Return what two attempts of a caller have in common, "" if unknown."""
+    if not request.prompt_parts:
+        return ""
+    digest = hashlib.blake2b(request.prompt_parts, digest_size=DIGEST_BYTES)
+    digest.update(b"%d,%d" % (request.prompt_tokens, request.max_tokens))
+    digest.update(request.head.target)
+    return digest.hexdigest()
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -244,3 +244,25 @@
     assert _granted(decisions) == []
     queue.release("a")
     assert _granted(queue.pump(0.2))[:1] == ["big"]
+
+
+def test_a_refused_caller_that_comes_back_is_late() -> None:
+    queue = _queue(decodes=4)
+    for n in range(8):
+        queue.submit(0.0, _ask(f"r{n}", 0.0, expected=4_000))
+        queue.prefilled(0.0, f"r{n}", 0.1)
+    refused = [
+        name
+        for n in range(12)
+        for name in _refused(
+            queue.submit(0.0, _ask(f"w{n}", 0.0)._replace(content=f"c{n}"))
+        )
+    ]
+    assert refused
+    again = refused[0].replace("w", "c")
+    queue.submit(2.0, _ask("again", 2.0)._replace(content=again))
+    queue.submit(2.1, _ask("fresh", 2.1)._replace(content="other"))
+    queue.release("r0")
+    granted = _granted(queue.pump(2.2))
+    assert "fresh" in granted
+    assert "again" not in granted
