Forecasts count places by memory, not slots alone

Cause: on the grown sites memory is full at eight runs of a worker's twelve slots. Four slots of each always looked free, so all who waited counted as in time and none was refused before its time was over. In a committed test the first run is shorter now: with the old input the big one can't be in time, which is refused (a test of its own).

--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -232,7 +232,7 @@
                 passed += 1
         still_waiting = any(a.exchange in self._waiting for a in in_time)
         for ask in late:
-            spare = self._free_slots(now) - self._late_reserve
+            spare = self._free_places(now) - self._late_reserve
             if still_waiting or spare <= 0:
                 break
             grant = self._place(now, ask)
@@ -261,8 +261,8 @@
         ordered = sorted(
             self._waiting.values(), key=lambda a: (a.priority, a.asked_at)
         )
-        # While slots are free for all that wait there is nothing to forecast.
-        has_room = self._free_slots(now) >= len(ordered)
+        # While places are free for all that wait there is nothing to forecast.
+        has_room = self._free_places(now) >= len(ordered)
         times = [] if has_room else self._slot_times(now)
         in_time: list[slot_types.Ask] = []
         late: list[slot_types.Ask] = []
@@ -356,8 +356,8 @@
 
     @property
     def _late_reserve(self) -> int:
-        slots = sum(worker.slots for worker in self._decodes.values())
-        return math.ceil(slots * LATE_RESERVE)
+        places = sum(self._places(w) for w in self._decodes.values())
+        return math.ceil(places * LATE_RESERVE)
 
     def _free_slots(self, now: float) -> int:
         return sum(
@@ -366,6 +366,22 @@
             if not self.is_lost(now, name)
         )
 
+    def _places(self, worker: backend.Backend) -> int:
+        """Return how many runs of the usual size a decode worker carries."""
+        if not self._kv_tokens:
+            return worker.slots
+        each = self._prompt_tokens + LENGTH_MARGIN * self._expected_tokens / 2
+        fitting = self._kv_tokens * MEMORY_FRACTION / max(1.0, each)
+        return max(1, min(worker.slots, round(fitting)))
+
+    def _free_places(self, now: float) -> int:
+        """Count slots that are free and have memory for usual runs."""
+        return sum(
+            max(0, self._places(worker) - self._held.count(name))
+            for name, worker in self._decodes.items()
+            if not self.is_lost(now, name)
+        )
+
     def _lane_s(self, prefill: str) -> float:
         """Return how long the prompts ahead take at a prefill worker."""
         return self._held.lane_tokens(prefill) * self._prefill_speeds.token_s(
@@ -441,17 +457,21 @@
         )
 
     def _slot_times(self, now: float) -> list[float]:
-        """Return when slots are expected free, sorted, free ones first."""
+        """Return when places are expected free, sorted, free ones first."""
         times: list[float] = []
         for name, worker in self._decodes.items():
             if self.is_lost(now, name):
                 continue
             token_s = self._token_speeds.token_s(name)
             runs = self._held.runs(name)
-            times += [now] * max(0, worker.slots - len(runs))
-            for held in runs:
-                run_s = held.expected_tokens * token_s
-                times.append(max(now, held.since + run_s))
+            places = self._places(worker)
+            times += [now] * max(0, places - len(runs))
+            ends = sorted(
+                max(now, held.since + held.expected_tokens * token_s)
+                for held in runs
+            )
+            # Runs beyond the places end without leaving one.
+            times += ends[max(0, len(runs) - places) :]
         times.sort()
         return times
 
