Small gains move a prefill worker where several stay

Cause: on the grown sites ten of fifteen workers make tokens and memory binds there, while five readers are half idle; a move was ordered for a gain of a quarter only, as suits five workers. Conclusion: a gain of 0.05 is enough where two readers or more stay; the step to a single one still takes a quarter.

--- a/nutmegscale/stage_plan.py
+++ b/nutmegscale/stage_plan.py
@@ -7,7 +7,10 @@
 
 # Gain in requests a second below which no worker is moved: an order keeps a
 # worker away for seconds.
-MIN_GAIN = 1.25
+MIN_GAIN = 1.05
+# The same where one prefill worker would be left: its loss or its queue then
+# holds up every request. 1.15 and 1.2 were worse (docs/design/slots.md).
+MIN_GAIN_TO_ONE = 1.25
 # Prefill capacity kept above that of decode: the wait for a prefill worker
 # comes out of the time to the first event, and bursts are twice the mean.
 PREFILL_HEADROOM = 1.5
@@ -60,6 +63,7 @@
         return None
     now = rate(len(prefills), len(decodes), costs)
     then = rate(len(prefills) - 1, len(decodes) + 1, costs)
-    if then < now * MIN_GAIN:
+    least_gain = MIN_GAIN if len(prefills) > 2 else MIN_GAIN_TO_ONE
+    if then < now * least_gain:
         return None
     return min(prefills, key=lambda w: w.id)
--- a/tests/test_stage_plan.py
+++ b/tests/test_stage_plan.py
@@ -29,6 +29,15 @@
     assert stage_plan.choose_move(_workers(2, 2), COSTS) is None
 
 
+def test_a_small_gain_moves_one_of_several() -> None:
+    # 15 workers with memory for eight runs: 25 requests a second become 27.
+    costs = stage_plan.StageCosts(prefill_s=0.094, decode_s=0.4)
+    chosen = stage_plan.choose_move(_workers(5, 10), costs)
+    assert chosen is not None
+    assert chosen.id == "w0"
+    assert stage_plan.choose_move(_workers(4, 11), costs) is None
+
+
 def test_the_last_prefill_worker_stays() -> None:
     for decodes in (0, 1, 2, 3):
         assert stage_plan.choose_move(_workers(1, decodes), COSTS) is None
