A worker has a place if a run of the usual size fits its memory

Cause: places counted from mean sizes differ from what the memory lets in by one or two runs a worker; with places that look free those who are late wait without a refusal until their time is over. Ruled out: a learnt count (it lags behind a burst of long prompts).

--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 import math
+from typing import NamedTuple
 
 from nutmegscale import answer_lengths
 from nutmegscale import backend
@@ -53,6 +54,19 @@
 FORECAST_SLACK_S = 0.1
 
 
+# How long it is known whether a usual run fits, seconds: runs grow by a
+# hundredth of the memory meanwhile.
+USUAL_FITS_LIFE_S = 0.05
+
+
+class _UsualFits(NamedTuple):
+    """Whether a run of usual size fits a worker with so many runs."""
+
+    count: int
+    until: float
+    fits: bool
+
+
 class SlotQueue:
     """Slots of the decode workers of one service; pure."""
 
@@ -66,6 +80,7 @@
         self._returning = returning.Returning()
         self._lengths = answer_lengths.AnswerLengths()
         self._reading_until: dict[str, float] = {}
+        self._usual_fits: dict[str, _UsualFits] = {}
         self._arrivals: deque[float] = deque()
         self._prefill_speeds = worker_speeds.WorkerSpeeds(
             worker_speeds.START_PREFILL_S
@@ -349,17 +364,20 @@
             candidates.append((count / worker.slots, name))
         candidates.sort()
         # Memory is looked at last: it takes the most time.
-        fitting = (n for _, n in candidates if self._fits(now, ask, n))
+        sizes = ask.prompt_tokens, ask.expected_tokens
+        fitting = (n for _, n in candidates if self._fits(now, n, *sizes))
         return next(fitting, None)
 
     def _choose_prefill(self, now: float) -> str | None:
         usable = [n for n in self._prefills if not self.is_lost(now, n)]
         return min(usable, key=self._lane_s, default=None)
 
-    def _fits(self, now: float, ask: slot_types.Ask, decode: str) -> bool:
+    def _fits(
+        self, now: float, decode: str, prompt_tokens: int, expected: float
+    ) -> bool:
         """Whether the memory of a worker takes one run more."""
         token_s = self._token_speeds.token_s(decode)
-        runs = [kv_memory.Run(ask.prompt_tokens, 0.0, ask.expected_tokens)]
+        runs = [kv_memory.Run(prompt_tokens, 0.0, expected)]
         for held in self._held.runs(decode):
             made = 0.0 if held.prefill else max(0.0, now - held.since) / token_s
             runs.append(
@@ -389,10 +407,29 @@
         fitting = self._kv_tokens * PLACE_FRACTION / max(1.0, each)
         return max(1, min(worker.slots, round(fitting)))
 
+    def _takes_usual(self, now: float, decode: str) -> bool:
+        """Whether the memory of a worker takes one more run of usual size."""
+        count = self._held.count(decode)
+        known = self._usual_fits.get(decode)
+        if known is not None and known.count == count and now < known.until:
+            return known.fits
+        fits = self._fits(
+            now, decode, int(self._prompt_tokens), self._expected_tokens
+        )
+        until = now + USUAL_FITS_LIFE_S
+        self._usual_fits[decode] = _UsualFits(count, until, fits)
+        return fits
+
+    def _worker_free_places(self, now: float, worker: backend.Backend) -> int:
+        count = self._held.count(worker.id)
+        if count >= worker.slots or not self._takes_usual(now, worker.id):
+            return 0
+        return max(1, self._places(worker) - count)
+
     def _free_places(self, now: float) -> int:
         """Count slots that are free and have memory for usual runs."""
         return sum(
-            max(0, self._places(worker) - self._held.count(name))
+            self._worker_free_places(now, worker)
             for name, worker in self._decodes.items()
             if not self.is_lost(now, name)
         )
@@ -479,8 +516,9 @@
                 continue
             token_s = self._token_speeds.token_s(name)
             runs = self._held.runs(name)
-            places = self._places(worker)
-            times += [now] * max(0, places - len(runs))
+            free = self._worker_free_places(now, worker)
+            times += [now] * free
+            places = len(runs) + free if free else self._places(worker)
             ends = sorted(
                 max(now, held.since + held.expected_tokens * token_s)
                 for held in runs
