--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -62,7 +62,7 @@
 class _UsualFits(NamedTuple):
     """Whether a run of usual size fits a worker with so many runs."""
 
-    count: int
+    runs: int
     until: float
     fits: bool
 
@@ -88,8 +88,12 @@
         self._token_speeds = worker_speeds.WorkerSpeeds(
             worker_speeds.START_TOKEN_S
         )
-        self._prompt_tokens = worker_speeds.START_PROMPT_TOKENS
-        self._expected_tokens = worker_speeds.START_EXPECTED_TOKENS
+        self._prompts = worker_speeds.UsualSize(
+            worker_speeds.START_PROMPT_TOKENS
+        )
+        self._answers = worker_speeds.UsualSize(
+            worker_speeds.START_EXPECTED_TOKENS
+        )
         self._refused = 0
         self._opens_at = 0.0
 
@@ -147,12 +151,8 @@
             expected = int(self._lengths.expect(ask.expected_tokens))
             ask = ask._replace(expected_tokens=max(1, expected))
             self._arrivals.append(now)
-            self._prompt_tokens += worker_speeds.SMOOTHING * (
-                ask.prompt_tokens - self._prompt_tokens
-            )
-            self._expected_tokens += worker_speeds.SMOOTHING * (
-                ask.expected_tokens - self._expected_tokens
-            )
+            self._prompts.learn(ask.prompt_tokens)
+            self._answers.learn(ask.expected_tokens)
         self._waiting[ask.exchange] = ask
         return self.pump(now)
 
@@ -207,11 +207,11 @@
         slots = max((w.slots for w in self._decodes.values()), default=1)
         room = slots
         if self._kv_tokens:
-            each = self._prompt_tokens + self._expected_tokens / 2
+            each = self._prompts.mean + self._answers.mean / 2
             room = min(slots, int(self._kv_tokens / max(1.0, each)))
-        run_s = self._expected_tokens * self._token_speeds.mean_s
+        run_s = self._answers.mean * self._token_speeds.mean_s
         return stage_plan.StageCosts(
-            self._prompt_tokens * self._prefill_speeds.mean_s,
+            self._prompts.mean * self._prefill_speeds.mean_s,
             run_s / max(1, room),
         )
 
@@ -403,7 +403,7 @@
         """Return how many runs of the usual size a decode worker carries."""
         if not self._kv_tokens:
             return worker.slots
-        each = self._prompt_tokens + self._expected_tokens / 2
+        each = self._prompts.mean + self._answers.mean / 2
         fitting = self._kv_tokens * PLACE_FRACTION / max(1.0, each)
         return max(1, min(worker.slots, round(fitting)))
 
@@ -411,10 +411,10 @@
         """Whether the memory of a worker takes one more run of usual size."""
         count = self._held.count(decode)
         known = self._usual_fits.get(decode)
-        if known is not None and known.count == count and now < known.until:
+        if known is not None and known.runs == count and now < known.until:
             return known.fits
         fits = self._fits(
-            now, decode, int(self._prompt_tokens), self._expected_tokens
+            now, decode, int(self._prompts.mean), self._answers.mean
         )
         until = now + USUAL_FITS_LIFE_S
         self._usual_fits[decode] = _UsualFits(count, until, fits)
--- a/nutmegscale/worker_speeds.py
+++ b/nutmegscale/worker_speeds.py
@@ -8,6 +8,30 @@
 START_PROMPT_TOKENS = 5_200.0
 START_EXPECTED_TOKENS = 4_060.0
 SMOOTHING = 0.2
+# Weight of a new request in the usual sizes: prompts and answers differ by
+# half, and orders that cost seconds follow from them.
+SIZE_SMOOTHING = 0.02
+# Requests that the start values stand for.
+START_REQUESTS = 10
+
+
+class UsualSize:
+    """Mean size of requests, in tokens."""
+
+    def __init__(self, start: float) -> None:
+        self._mean = start
+        self._count = START_REQUESTS
+
+    @property
+    def mean(self) -> float:
+        """Mean size, tokens."""
+        return self._mean
+
+    def learn(self, tokens: float) -> None:
+        """Take in the size of a request."""
+        self._count += 1
+        weight = max(SIZE_SMOOTHING, 1 / self._count)
+        self._mean += weight * (tokens - self._mean)
 
 
 class Speed:
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -1,5 +1,7 @@
 """Speeds and pauses of model workers, and which host plans."""
 
+import random
+
 from twisted.internet import task
 
 from nutmegscale import membership
@@ -62,3 +64,16 @@
     assert planners.is_own("m")
     clock.advance(planner_view.MOVED_LIFE_S + 0.1)
     assert planners.planner_of("m") == first
+
+
+def test_the_usual_size_follows_slowly_and_starts_from_what_is_given() -> None:
+    size = worker_speeds.UsualSize(5_000.0)
+    size.learn(11_000)
+    assert 5_000.0 < size.mean < 5_600.0
+    chance = random.Random(5)
+    means = []
+    for _ in range(600):
+        size.learn(chance.lognormvariate(8.4, 0.5))
+        means.append(size.mean)
+    # The mean of that distribution is 5,040; single sizes differ by half.
+    assert all(abs(mean / 5_040 - 1.0) < 0.25 for mean in means[100:])
