--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 policy: env
 	$(BIN)/python -m tools.policy
+	$(BIN)/python -m tools.slot_policy $(SITE)
 
 clean:
 	rm -rf .venv build out
--- /dev/null
+++ b/tools/slot_policy.py
@@ -0,0 +1,168 @@
+"""Experiment: what full knowledge, the product's queue and hosts alone earn."""
+
+import argparse
+import itertools
+import json
+import multiprocessing
+import os
+import statistics
+from typing import NamedTuple
+
+from rich import console
+from rich import table
+
+from nutmegscale import slot_queue
+from tools import slot_days
+from tools import slot_oracle
+from tools import slot_world
+from tools import slot_worth
+
+SEEDS = 3
+POLICIES = ("oracle", "queue", "naive")
+
+
+class Case(NamedTuple):
+    """One run to make."""
+
+    site: str | None
+    day: str
+    seed: int
+    policy: str
+    losses: tuple[slot_days.Loss, ...] | None
+
+
+class Row(NamedTuple):
+    """Means of the seeds of a day under a policy."""
+
+    day: str
+    policy: str
+    streams: float
+    in_time: float
+    late: float
+    earned: float
+    wasted_tokens: float
+    worth: float
+
+
+def play(case: Case) -> Row:
+    """Make one run."""
+    day = slot_days.draw(slot_days.load(case.site), case.day, case.seed)
+    if case.losses is not None:
+        day = day._replace(losses=case.losses)
+    if case.policy == "oracle":
+        result = slot_oracle.best(day)
+    else:
+        policy: slot_world.Policy = (
+            slot_world.QueuePolicy(slot_queue.SlotQueue)
+            if case.policy == "queue"
+            else slot_world.NaivePolicy(case.seed)
+        )
+        result = slot_world.World(day, policy).run()
+    states = [outcome.state for outcome in result.outcomes]
+    return Row(
+        case.day,
+        case.policy,
+        len(states),
+        states.count("in_time"),
+        states.count("late"),
+        slot_worth.earned(day, result.outcomes),
+        result.wasted_tokens,
+        slot_worth.worth(day, result),
+    )
+
+
+def combine(rows: list[Row]) -> Row:
+    """Return the means of the rows of a day and policy."""
+    numbers = zip(*(row[2:] for row in rows), strict=True)
+    means = [statistics.fmean(column) for column in numbers]
+    return Row(rows[0].day, rows[0].policy, *means)
+
+
+def print_rows(rows: list[Row]) -> None:
+    """Print the table."""
+    names = ("streams", "in time", "late", "earned", "read in vain", "worth")
+    drawn = table.Table("day", "policy", *names)
+    for row in rows:
+        drawn.add_row(
+            row.day,
+            row.policy,
+            f"{row.streams:.0f}",
+            f"{row.in_time:.0f}",
+            f"{row.late:.0f}",
+            f"{row.earned:.3f}",
+            f"{row.wasted_tokens / 1000:.0f}k",
+            f"{row.worth:.3f}",
+        )
+    console.Console(width=100).print(drawn)
+
+
+def plot(rows: list[Row], path: str) -> None:
+    """Draw the worth of each day by policy."""
+    import matplotlib  # noqa: PLC0415
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot  # noqa: PLC0415
+
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    for policy in POLICIES:
+        found = [row for row in rows if row.policy == policy]
+        days = [row.day for row in found]
+        axes.plot(days, [row.worth for row in found], "o", label=policy)
+    axes.set_ylabel("worth")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def read_loss(text: str) -> slot_days.Loss:
+    """Read "WORKER@AT" for one that leaves, "WORKER@AT-UNTIL" for a crash.
+
+    Raises:
+      ValueError: It can't be read.
+    """
+    worker, _, span = text.partition("@")
+    at, _, until = span.partition("-")
+    is_crash = bool(until)
+    end = float(until) if is_crash else float("inf")
+    return slot_days.Loss(int(worker), float(at), end, is_crash)
+
+
+def main() -> None:
+    """Run the experiment, print its table and keep it under out/policy."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "site", nargs="?", help="site file of the users' bench; else our own"
+    )
+    parser.add_argument("--days", nargs="*")
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--processes", type=int, default=os.cpu_count())
+    parser.add_argument(
+        "--losses",
+        nargs="*",
+        type=read_loss,
+        help="workers that go instead of drawn ones, as 3@15.0 or 4@6.0-9.2",
+    )
+    asked = parser.parse_args()
+    losses = None if asked.losses is None else tuple(asked.losses)
+    days = asked.days or slot_days.names(slot_days.load(asked.site))
+    cases = [
+        Case(asked.site, day, seed, policy, losses)
+        for day, policy, seed in itertools.product(
+            days, POLICIES, range(1, asked.seeds + 1)
+        )
+    ]
+    with multiprocessing.Pool(asked.processes) as pool:
+        played = pool.map(play, cases, chunksize=1)
+    rows = [
+        combine(played[start : start + asked.seeds])
+        for start in range(0, len(played), asked.seeds)
+    ]
+    print_rows(rows)
+    os.makedirs("out/policy", exist_ok=True)
+    with open("out/policy/slots.json", "w", encoding="utf-8") as file:
+        json.dump([row._asdict() for row in rows], file, indent=1)
+    plot(rows, "out/policy/slots.png")
+
+
+if __name__ == "__main__":
+    main()
