Hosts with fast links plan

When it reads a configuration of 1,344 routes its link is busy for over a second, and 34 to 48 asks in that second got no answer; those hosts planned alone, 38 to 49 runs were rejected and prompts read by decode workers. Change: rows of hosts and news of them say whether their link carries planning (50 Mbit/s); the planner is chosen among those that are alive.

--- a/nutmegscale/host_rows.py
+++ b/nutmegscale/host_rows.py
@@ -25,6 +25,7 @@
 
     address: str
     failure_domain: str
+    may_plan: bool = True
 
 
 class HostRows:
@@ -36,6 +37,7 @@
         store: row_store.RowStore,
         address: str,
         *,
+        may_plan: bool,
         rng: random.Random,
         on_key: Callable[[bytes], None],
         on_joined: Callable[[], None],
@@ -43,6 +45,7 @@
         self._board = board
         self._store = store
         self._address = address
+        self._may_plan = may_plan
         self._rng = rng
         self._on_key = on_key
         self._on_joined = on_joined
@@ -66,7 +69,7 @@
         if not self._has_key:
             self._on_key(await self._shared_key())
             self._has_key = True
-        row = HostRow(self._address, self._board.failure_domain)
+        row = HostRow(self._address, self._board.failure_domain, self._may_plan)
         written = await self._store.write(
             HOST_TABLE, self._board.host, msgspec.msgpack.encode(row)
         )
@@ -92,5 +95,9 @@
             logs.get().warning("host_row_skipped", key=row.key, why=str(exc))
             return
         self._board.membership.learn(
-            self._board.now(), row.key, host.failure_domain, host.address
+            self._board.now(),
+            row.key,
+            host.failure_domain,
+            host.address,
+            may_plan=host.may_plan,
         )
--- a/nutmegscale/membership.py
+++ b/nutmegscale/membership.py
@@ -38,6 +38,7 @@
     address: str
     incarnation: int
     state: int
+    may_plan: bool = True
 
 
 class Greeting(NamedTuple):
@@ -75,7 +76,7 @@
 
 
 class Member(NamedTuple):
-    """A known host."""
+    """A known host; `may_plan` if its link and processor carry planning."""
 
     host: str
     failure_domain: str
@@ -83,6 +84,7 @@
     incarnation: int
     state: State
     since: float
+    may_plan: bool = True
 
 
 class _Pending(NamedTuple):
@@ -110,13 +112,20 @@
         period_s: float = 0.5,
         incarnation: int = FIRST_INCARNATION,
         rng: random.Random | None = None,
+        may_plan: bool = True,
     ) -> None:
         self._host = host
         self._period_s = period_s
         self._rng = rng or random.Random(host)
         self._members: dict[str, Member] = {
             host: Member(
-                host, failure_domain, address, incarnation, State.ALIVE, 0.0
+                host,
+                failure_domain,
+                address,
+                incarnation,
+                State.ALIVE,
+                0.0,
+                may_plan,
             )
         }
         self._news: dict[str, int] = {host: NEWS_REPEATS}
@@ -170,8 +179,23 @@
             and (wanted is None or m.failure_domain in wanted)
         )
 
+    def planners(self) -> list[str]:
+        """Return the hosts that may plan for others, by name.
+
+        Without one that has the means every host may.
+        """
+        alive = self.alive()
+        able = [host for host in alive if self._members[host].may_plan]
+        return able or alive
+
     def learn(
-        self, now: float, host: str, failure_domain: str, address: str
+        self,
+        now: float,
+        host: str,
+        failure_domain: str,
+        address: str,
+        *,
+        may_plan: bool = True,
     ) -> None:
         """Add a host from the platform's list, unless it is known.
 
@@ -188,6 +212,7 @@
                 FIRST_INCARNATION,
                 State.ALIVE,
                 now,
+                may_plan,
             )
             self.version += 1
         elif known.address != address and known.state == State.DEAD:
@@ -459,6 +484,7 @@
             member.address,
             member.incarnation,
             int(member.state),
+            member.may_plan,
         )
 
     def _apply(self, now: float, news: News) -> None:
@@ -482,6 +508,7 @@
                 news.incarnation,
                 State(news.state),
                 now,
+                news.may_plan,
             )
         )
 
--- a/nutmegscale/planner_view.py
+++ b/nutmegscale/planner_view.py
@@ -12,8 +12,9 @@
     """The planner of each service.
 
     One host plans for each service: the first by rendezvous hashing among
-    the hosts that this host holds for alive. Two hosts may both plan for a
-    while; that costs goodput only, since the engines have the last word.
+    the hosts that this host holds for alive and that have the means. Two hosts
+    may both plan for a while; that costs goodput only, since the engines have
+    the last word.
     """
 
     def __init__(self, board: routing_board.RoutingBoard) -> None:
@@ -29,8 +30,8 @@
         moved = self._moved.get(service)
         if moved is not None and self._board.now() < moved[1]:
             return moved[0]
-        alive = self._board.membership.alive()
-        return rendezvous.best(service.encode(), alive) or self._board.host
+        able = self._board.membership.planners()
+        return rendezvous.best(service.encode(), able) or self._board.host
 
     def is_own(self, service: str) -> bool:
         """Whether this host plans for a service."""
--- a/nutmegscale/platform/settings.py
+++ b/nutmegscale/platform/settings.py
@@ -23,6 +23,7 @@
       ready_ip: Address for the balancer's question whether it is ready.
       ready_port: Port for that question.
       peer_port: First port that is free for messages between hosts.
+      link_mbps: What the link of its machine carries, Mbit/s.
       store_address: IP and port of the platform's store.
       grace_s: Time from SIGTERM until the process is killed.
       drain_s: Time after which a leaving server must get nothing more.
@@ -39,6 +40,7 @@
     ready_ip: str
     ready_port: int
     peer_port: int
+    link_mbps: float
     store_address: str
     grace_s: float
     drain_s: float
@@ -64,6 +66,10 @@
     retry_window: float = msgspec.field(name="budgetWindowS", default=10.0)
 
 
+class _Limits(msgspec.Struct):
+    link_mbps: float = msgspec.field(name="linkMbps", default=1000.0)
+
+
 class _File(msgspec.Struct):
     node: str = msgspec.field(name="nodeName")
     ip: str
@@ -72,6 +78,7 @@
     platform: _Store
     ports: tuple[int, int] = msgspec.field(name="internalPorts")
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load(path: str | None = None) -> HostSettings:
@@ -109,6 +116,7 @@
         ready_ip=ready_ip,
         ready_port=ready_port,
         peer_port=found.ports[0],
+        link_mbps=found.limits.link_mbps,
         store_address=found.platform.address,
         grace_s=bounds.grace,
         drain_s=bounds.drain_ms / 1000,
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -35,6 +35,7 @@
         host=found.host,
         failure_domain=found.failure_domain,
         peer_address=peer_address,
+        link_mbps=found.link_mbps,
         grace_s=found.grace_s,
         retry_ratio=found.retry_ratio,
         retry_extra=found.retry_extra,
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -41,6 +41,10 @@
 from nutmegscale import upstream
 
 PROBE_PERIOD_S = 0.8
+# Link below which a host plans only if no other can, Mbit/s: the users' small
+# hosts have 5 or 10, on which a configuration of 1,344 routes keeps the link
+# busy for half a second and more.
+PLANNER_LINK_MBPS = 50.0
 # How long a host that just began, or lost its workers, is told to wait, s.
 NOT_READY_RETRY_AFTER_S = 0.5
 # When to come back with content that crashed two servers: it won't run before
@@ -96,6 +100,7 @@
             facts.peer_address,
             period_s=PROBE_PERIOD_S,
             rng=self._rng,
+            may_plan=facts.link_mbps >= PLANNER_LINK_MBPS,
         )
         self.board = routing_board.RoutingBoard(
             facts.host,
@@ -148,6 +153,7 @@
             self.board,
             store,
             facts.peer_address,
+            may_plan=facts.link_mbps >= PLANNER_LINK_MBPS,
             rng=self._rng,
             on_key=self._sealer.set_key,
             on_joined=self.members.announce,
--- a/nutmegscale/router_parts.py
+++ b/nutmegscale/router_parts.py
@@ -16,6 +16,7 @@
       host: Its name, unique among the hosts.
       failure_domain: Where it stands.
       peer_address: Where its peers reach it.
+      link_mbps: What its link carries, Mbit/s.
       grace_s: Longest graceful shutdown, seconds.
       retry_ratio: Repeats for each request of a service, over all hosts.
       retry_extra: Repeats beside that in each window, over all hosts.
@@ -25,6 +26,7 @@
     host: str
     failure_domain: str
     peer_address: str
+    link_mbps: float
     grace_s: float
     retry_ratio: float
     retry_extra: float
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -58,6 +58,7 @@
                 host=name,
                 failure_domain="maadi",
                 peer_address=f"tcp://{name}",
+                link_mbps=1000.0,
                 grace_s=8.0,
                 retry_ratio=0.2,
                 retry_extra=56.0,
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -77,3 +77,31 @@
         means.append(size.mean)
     # The mean of that distribution is 5,040; single sizes differ by half.
     assert all(abs(mean / 5_040 - 1.0) < 0.25 for mean in means[100:])
+
+
+def test_hosts_with_fast_links_plan_and_others_only_without_them() -> None:
+    clock = task.Clock()
+    view = membership.Membership("a", "z", "x", may_plan=False)
+    for name in ("b", "c", "d", "e"):
+        view.learn(0.0, name, "z", "x", may_plan=name == "e")
+    board = routing_board.RoutingBoard("a", "z", clock, view=view)
+    planners = planner_view.PlannerView(board)
+    services = [f"m{n}" for n in range(20)]
+    assert {planners.planner_of(s) for s in services} == {"e"}
+    other = membership.Membership("e", "z", "x", may_plan=True)
+    for message in other.leave(1.0):
+        view.receive(1.0, "e", message.message)
+    other.learn(1.0, "a", "z", "x")
+    for message in other.announce():
+        view.receive(1.0, "e", message.message)
+    assert "e" not in view.alive()
+    assert len({planners.planner_of(s) for s in services}) > 1
+
+
+def test_news_tell_whether_a_host_may_plan() -> None:
+    view = membership.Membership("a", "z", "x", may_plan=False)
+    other = membership.Membership("b", "z", "x", may_plan=True)
+    other.learn(0.0, "a", "z", "x", may_plan=False)
+    for message in other.announce():
+        view.receive(0.0, "b", message.message)
+    assert view.planners() == ["b"]
