Hosts without a planner share the slots of a worker

Cause: while no planner answers each of 73 hosts took one slot at least of each worker that has twelve.

--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -14,6 +14,7 @@
 from nutmegscale import routing_board
 from nutmegscale import slot_planner
 from nutmegscale import slot_queue
+from nutmegscale import slot_share
 
 # How long a planner may take for an answer, seconds: some trips between
 # failure domains, and what a slow host takes.
@@ -236,16 +237,17 @@
         far = [w for w in workers if w.failure_domain != own]
         hosts = self._board.membership.alive()
         peers = self._board.membership.alive([own])
-        decode = self._choose_alone(now, want, near, "decode", len(peers))
+        decode = self._choose_alone(now, want, near, "decode", peers)
         if decode is None:
-            decode = self._choose_alone(now, want, far, "decode", len(hosts))
+            decode = self._choose_alone(now, want, far, "decode", hosts)
         if decode is None:
             return None
         prefill: backend.Backend | None = None
         if not want.reads_itself:
-            prefill = self._choose_alone(now, want, near, "prefill", 1)
+            alone = [self._board.host]
+            prefill = self._choose_alone(now, want, near, "prefill", alone)
             if prefill is None and decode.failure_domain != own:
-                prefill = self._choose_alone(now, want, far, "prefill", 1)
+                prefill = self._choose_alone(now, want, far, "prefill", alone)
         return messages.SlotReply(
             want.exchange,
             "granted",
@@ -259,7 +261,7 @@
         want: Want,
         workers: list[backend.Backend],
         stage: str,
-        sharers: int,
+        sharers: list[str],
     ) -> backend.Backend | None:
         """Choose a worker of a stage on which this host's share has room."""
         loads = self._board.loads
@@ -267,7 +269,8 @@
             w
             for w in workers
             if w.stage == stage
-            and loads.outstanding(w) < max(1, w.slots // max(1, sharers))
+            and loads.outstanding(w)
+            < slot_share.slots_of(w.id, w.slots, self._board.host, sharers)
         ]
         return loads.choose(
             now,
