--- /dev/null
+++ b/nutmegscale/prefill_lanes.py
@@ -0,0 +1,48 @@
+"""Prefill workers of a service, and what each has to read; pure."""
+
+from collections.abc import Iterable
+
+from nutmegscale import backend
+from nutmegscale import held_slots
+from nutmegscale import request_costs
+from nutmegscale import worker_pauses
+
+
+class PrefillLanes:
+    """Queues of prompts at the prefill workers."""
+
+    def __init__(
+        self,
+        held: held_slots.HeldSlots,
+        pauses: worker_pauses.WorkerPauses,
+        costs: request_costs.RequestCosts,
+    ) -> None:
+        self._held = held
+        self._pauses = pauses
+        self._costs = costs
+        self._workers: dict[str, backend.Backend] = {}
+
+    def set_workers(self, workers: Iterable[backend.Backend]) -> None:
+        """Set the prefill workers that take new work."""
+        self._workers = {worker.id: worker for worker in workers}
+
+    def has(self, worker: str) -> bool:
+        """Whether a worker reads prompts."""
+        return worker in self._workers
+
+    def choose(self, now: float) -> str | None:
+        """Return the worker with the least to read, None without one."""
+        usable = [
+            name
+            for name in self._workers
+            if not self._pauses.is_paused(now, name)
+        ]
+        return min(usable, key=self._waiting_s, default=None)
+
+    def read_s(self, worker: str, tokens: int) -> float:
+        """Return when a worker will have read a new prompt, seconds."""
+        return self._waiting_s(worker) + self._costs.read_s(worker, tokens)
+
+    def _waiting_s(self, worker: str) -> float:
+        ahead = self._held.lane_tokens(worker)
+        return self._costs.read_s(worker, ahead)
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -7,34 +7,20 @@
 
 from collections import deque
 import math
-from typing import NamedTuple
 
-from nutmegscale import answer_lengths
 from nutmegscale import backend
+from nutmegscale import decode_slots
 from nutmegscale import held_slots
-from nutmegscale import kv_memory
+from nutmegscale import prefill_lanes
+from nutmegscale import request_costs
 from nutmegscale import returning
 from nutmegscale import slot_types
 from nutmegscale import stage_plan
 from nutmegscale import worker_pauses
-from nutmegscale import worker_speeds
 
 # Time from the grant to the first event beside the prefill itself, seconds:
 # three trips between hosts and workers, a transfer and the first step.
 FIRST_EVENT_OVERHEAD_S = 0.08
-# A decode worker reads at half the speed of a prefill worker (users' pages),
-# between the tokens of its runs.
-READS_ITSELF_FACTOR = 2.2
-# Pause between two prompts that a decode worker reads itself, seconds: its
-# other runs make an event of 58 tokens in 0.05 s, and two prompts within one
-# such event make it later than the 0.3 s that callers allow.
-READS_ITSELF_PAUSE_S = 0.06
-# Part of an engine's memory that is planned with: it is given out in blocks,
-# and shared parts of prompts stay in it.
-MEMORY_FRACTION = 0.98
-# Memory kept free of usual runs when places are counted, beside their mean
-# use; with it places and what `kv_memory` lets in agree.
-PLACE_FRACTION = 0.85
 # Part of the slots that late requests leave to those that can be in time.
 LATE_RESERVE = 1 / 12
 # Longest time for which smaller requests pass one that finds no room, s.
@@ -54,46 +40,22 @@
 FORECAST_SLACK_S = 0.1
 
 
-# How long it is known whether a usual run fits, seconds: runs grow by a
-# hundredth of the memory meanwhile.
-USUAL_FITS_LIFE_S = 0.05
-
-
-class _UsualFits(NamedTuple):
-    """Whether a run of usual size fits a worker with so many runs."""
-
-    runs: int
-    until: float
-    fits: bool
-
-
 class SlotQueue:
     """Slots of the decode workers of one service; pure."""
 
     def __init__(self) -> None:
-        self._prefills: dict[str, backend.Backend] = {}
-        self._decodes: dict[str, backend.Backend] = {}
-        self._kv_tokens = 0
         self._waiting: dict[str, slot_types.Ask] = {}
         self._held = held_slots.HeldSlots()
         self._pauses = worker_pauses.WorkerPauses()
-        self._returning = returning.Returning()
-        self._lengths = answer_lengths.AnswerLengths()
-        self._reading_until: dict[str, float] = {}
-        self._usual_fits: dict[str, _UsualFits] = {}
-        self._arrivals: deque[float] = deque()
-        self._prefill_speeds = worker_speeds.WorkerSpeeds(
-            worker_speeds.START_PREFILL_S
-        )
-        self._token_speeds = worker_speeds.WorkerSpeeds(
-            worker_speeds.START_TOKEN_S
-        )
-        self._prompts = worker_speeds.UsualSize(
-            worker_speeds.START_PROMPT_TOKENS
+        self._costs = request_costs.RequestCosts()
+        self._lanes = prefill_lanes.PrefillLanes(
+            self._held, self._pauses, self._costs
         )
-        self._answers = worker_speeds.UsualSize(
-            worker_speeds.START_EXPECTED_TOKENS
+        self._slots = decode_slots.DecodeSlots(
+            self._held, self._pauses, self._costs
         )
+        self._returning = returning.Returning()
+        self._arrivals: deque[float] = deque()
         self._refused = 0
         self._opens_at = 0.0
 
@@ -120,13 +82,13 @@
           workers: Workers of the service.
           kv_tokens: Tokens that the memory of each one holds.
         """
-        for worker in workers:
-            known = self._prefills.get(worker.id)
-            if known is not None and known.stage != worker.stage:
+        prefills = [w for w in workers if w.stage == "prefill"]
+        decodes = [w for w in workers if w.stage != "prefill"]
+        for worker in decodes:
+            if self._lanes.has(worker.id):
                 self._pauses.end(worker.id)
-        self._prefills = {w.id: w for w in workers if w.stage == "prefill"}
-        self._decodes = {w.id: w for w in workers if w.stage != "prefill"}
-        self._kv_tokens = kv_tokens
+        self._lanes.set_workers(prefills)
+        self._slots.set_workers(decodes, kv_tokens=kv_tokens)
 
     def submit(
         self, now: float, ask: slot_types.Ask
@@ -148,11 +110,10 @@
             )
         else:
             ask = self._as_returning(now, ask)
-            expected = int(self._lengths.expect(ask.expected_tokens))
-            ask = ask._replace(expected_tokens=max(1, expected))
+            expected = self._costs.expect(ask.expected_tokens)
+            ask = ask._replace(expected_tokens=expected)
             self._arrivals.append(now)
-            self._prompts.learn(ask.prompt_tokens)
-            self._answers.learn(ask.expected_tokens)
+            self._costs.note_ask(ask.prompt_tokens, expected)
         self._waiting[ask.exchange] = ask
         return self.pump(now)
 
@@ -179,9 +140,7 @@
         if prefill_s > 0.0:
             self._pauses.worked(held.prefill)
         if prefill_s > 0.0 and held.lane_tokens:
-            self._prefill_speeds.learn(
-                held.prefill, held.lane_tokens, prefill_s
-            )
+            self._costs.note_prefill(held.prefill, held.lane_tokens, prefill_s)
         # Its run begins now, and its memory grows from now on.
         self._held.put(held._replace(prefill="", since=now))
 
@@ -190,9 +149,7 @@
         if hinted <= 0 or events <= 0:
             return
         self._pauses.worked(decode)
-        self._lengths.learn(hinted, events)
-        tokens = self._lengths.tokens(events)
-        self._token_speeds.learn(decode, tokens, run_s)
+        self._costs.note_run(decode, hinted, events, run_s)
 
     def lost(self, now: float, worker: str) -> None:
         """Note that a worker can't be reached; several at once count once."""
@@ -204,16 +161,7 @@
 
     def costs(self) -> stage_plan.StageCosts:
         """Return what a request of the usual size costs a worker."""
-        slots = max((w.slots for w in self._decodes.values()), default=1)
-        room = slots
-        if self._kv_tokens:
-            each = self._prompts.mean + self._answers.mean / 2
-            room = min(slots, int(self._kv_tokens / max(1.0, each)))
-        run_s = self._answers.mean * self._token_speeds.mean_s
-        return stage_plan.StageCosts(
-            self._prompts.mean * self._prefill_speeds.mean_s,
-            run_s / max(1, room),
-        )
+        return self._slots.stage_costs()
 
     def confirm(
         self, now: float, host: str, held: list[slot_types.Held]
@@ -227,9 +175,7 @@
         for item in held:
             known_item = self._held.get(item.exchange)
             if known_item is None:
-                expected = max(
-                    1, int(self._lengths.expect(item.expected_tokens))
-                )
+                expected = self._costs.expect(item.expected_tokens)
                 self._held.put(
                     item._replace(confirmed=now, expected_tokens=expected)
                 )
@@ -250,7 +196,7 @@
         passed = 0
         for ask in in_time:
             # Whoever is passed keeps a slot for when there is memory for it.
-            if self._free_slots(now) <= passed:
+            if self._slots.free_slots(now) <= passed:
                 break
             grant = self._place(now, ask)
             if grant is not None:
@@ -261,7 +207,7 @@
                 passed += 1
         still_waiting = any(a.exchange in self._waiting for a in in_time)
         for ask in late:
-            spare = self._free_places(now) - self._late_reserve
+            spare = self._slots.free_places(now) - self._late_reserve
             if still_waiting or spare <= 0:
                 break
             grant = self._place(now, ask)
@@ -272,16 +218,12 @@
 
     def first_event_s(self, now: float, ask: slot_types.Ask) -> float:
         """Return the time from a grant to the first event, seconds."""
-        lane = None if ask.reads_itself else self._choose_prefill(now)
-        if lane is not None:
-            return FIRST_EVENT_OVERHEAD_S + self._read_s(ask, lane)
-        waits = [
-            max(0.0, self._reading_until.get(name, 0.0) - now)
-            for name in self._decodes
-            if not self.is_lost(now, name)
-        ]
-        itself_s = self._reads_itself_s(ask) + min(waits, default=0.0)
-        return FIRST_EVENT_OVERHEAD_S + itself_s
+        lane = None if ask.reads_itself else self._lanes.choose(now)
+        if lane is None:
+            read_s = self._slots.reads_itself_s(now, ask.prompt_tokens)
+        else:
+            read_s = self._lanes.read_s(lane, ask.prompt_tokens)
+        return FIRST_EVENT_OVERHEAD_S + read_s
 
     def _sort(
         self, now: float
@@ -291,8 +233,8 @@
             self._waiting.values(), key=lambda a: (a.priority, a.asked_at)
         )
         # While places are free for all that wait there is nothing to forecast.
-        has_room = self._free_places(now) >= len(ordered)
-        times = [] if has_room else self._slot_times(now)
+        has_room = self._slots.free_places(now) >= len(ordered)
+        times = [] if has_room else self._slots.place_times(now)
         in_time: list[slot_types.Ask] = []
         late: list[slot_types.Ask] = []
         for ask in ordered:
@@ -308,14 +250,13 @@
     def _place(
         self, now: float, ask: slot_types.Ask
     ) -> slot_types.Grant | None:
-        lane = None if ask.reads_itself else self._choose_prefill(now)
-        decode = self._choose_decode(now, ask, reads_itself=lane is None)
+        lane = None if ask.reads_itself else self._lanes.choose(now)
+        decode = self._slots.choose(now, ask, reads_itself=lane is None)
         if decode is None:
             return None
         if lane is None:
-            read_s = self._reads_itself_s(ask) + READS_ITSELF_PAUSE_S
-            self._reading_until[decode] = now + read_s
-        prefill_s = self._read_s(ask, lane) if lane else 0.0
+            self._slots.note_reads_itself(now, decode, ask.prompt_tokens)
+        prefill_s = self._lanes.read_s(lane, ask.prompt_tokens) if lane else 0.0
         del self._waiting[ask.exchange]
         held = slot_types.Held(
             ask.exchange,
@@ -333,119 +274,20 @@
             ask.exchange, ask.host, lane or "", decode, prefill_s
         )
 
-    def _read_s(self, ask: slot_types.Ask, lane: str) -> float:
-        """Return when a prefill worker will have read a prompt, seconds."""
-        own_s = ask.prompt_tokens * self._prefill_speeds.token_s(lane)
-        return self._lane_s(lane) + own_s
-
-    def _reads_itself_s(self, ask: slot_types.Ask) -> float:
-        """Return how long a decode worker takes for a prompt, seconds."""
-        speed = self._prefill_speeds.mean_s
-        return READS_ITSELF_FACTOR * ask.prompt_tokens * speed
-
     def is_lost(self, now: float, worker: str) -> bool:
         """Whether a worker can't be reached, or is left out of plans."""
         return self._pauses.is_paused(now, worker)
 
-    def _choose_decode(
-        self, now: float, ask: slot_types.Ask, *, reads_itself: bool
-    ) -> str | None:
-        """Choose the decode worker with the least runs that has room."""
-        candidates: list[tuple[float, str]] = []
-        for name, worker in self._decodes.items():
-            if name in ask.avoid or self.is_lost(now, name):
-                continue
-            count = self._held.count(name)
-            if count >= worker.slots:
-                continue
-            # Two prompts read at once would hold up the runs beside them.
-            if reads_itself and self._reading_until.get(name, 0.0) > now:
-                continue
-            candidates.append((count / worker.slots, name))
-        candidates.sort()
-        # Memory is looked at last: it takes the most time.
-        sizes = ask.prompt_tokens, ask.expected_tokens
-        fitting = (n for _, n in candidates if self._fits(now, n, *sizes))
-        return next(fitting, None)
-
-    def _choose_prefill(self, now: float) -> str | None:
-        usable = [n for n in self._prefills if not self.is_lost(now, n)]
-        return min(usable, key=self._lane_s, default=None)
-
-    def _fits(
-        self, now: float, decode: str, prompt_tokens: int, expected: float
-    ) -> bool:
-        """Whether the memory of a worker takes one run more."""
-        token_s = self._token_speeds.token_s(decode)
-        runs = [kv_memory.Run(prompt_tokens, 0.0, expected)]
-        for held in self._held.runs(decode):
-            made = 0.0 if held.prefill else max(0.0, now - held.since) / token_s
-            runs.append(
-                kv_memory.Run(held.prompt_tokens, made, held.expected_tokens)
-            )
-        limit = self._kv_tokens * MEMORY_FRACTION
-        deviation = self._lengths.deviation
-        return len(runs) == 1 or kv_memory.fits(runs, limit, deviation)
-
     @property
     def _late_reserve(self) -> int:
-        places = sum(self._places(w) for w in self._decodes.values())
-        return math.ceil(places * LATE_RESERVE)
-
-    def _free_slots(self, now: float) -> int:
-        return sum(
-            max(0, worker.slots - self._held.count(name))
-            for name, worker in self._decodes.items()
-            if not self.is_lost(now, name)
-        )
-
-    def _places(self, worker: backend.Backend) -> int:
-        """Return how many runs of the usual size a decode worker carries."""
-        if not self._kv_tokens:
-            return worker.slots
-        each = self._prompts.mean + self._answers.mean / 2
-        fitting = self._kv_tokens * PLACE_FRACTION / max(1.0, each)
-        return max(1, min(worker.slots, round(fitting)))
-
-    def _takes_usual(self, now: float, decode: str) -> bool:
-        """Whether the memory of a worker takes one more run of usual size."""
-        count = self._held.count(decode)
-        known = self._usual_fits.get(decode)
-        if known is not None and known.runs == count and now < known.until:
-            return known.fits
-        fits = self._fits(
-            now, decode, int(self._prompts.mean), self._answers.mean
-        )
-        until = now + USUAL_FITS_LIFE_S
-        self._usual_fits[decode] = _UsualFits(count, until, fits)
-        return fits
-
-    def _worker_free_places(self, now: float, worker: backend.Backend) -> int:
-        count = self._held.count(worker.id)
-        if count >= worker.slots or not self._takes_usual(now, worker.id):
-            return 0
-        return max(1, self._places(worker) - count)
-
-    def _free_places(self, now: float) -> int:
-        """Count slots that are free and have memory for usual runs."""
-        return sum(
-            self._worker_free_places(now, worker)
-            for name, worker in self._decodes.items()
-            if not self.is_lost(now, name)
-        )
-
-    def _lane_s(self, prefill: str) -> float:
-        """Return how long the prompts ahead take at a prefill worker."""
-        return self._held.lane_tokens(prefill) * self._prefill_speeds.token_s(
-            prefill
-        )
+        return math.ceil(self._slots.places * LATE_RESERVE)
 
     def _refuse(self, now: float) -> list[slot_types.Decision]:
         """Refuse what gets no slot before nobody waits for it any more."""
         if not self._waiting:
             return []
         in_time, late = self._sort(now)
-        times = self._slot_times(now)
+        times = self._slots.place_times(now)
         late_times = self._late_times(now, times, len(in_time))
         decisions: list[slot_types.Decision] = []
         for ask, start in _pair_starts(in_time, times):
@@ -508,26 +350,6 @@
             rate=self._arrival_rate(now),
         )
 
-    def _slot_times(self, now: float) -> list[float]:
-        """Return when places are expected free, sorted, free ones first."""
-        times: list[float] = []
-        for name, worker in self._decodes.items():
-            if self.is_lost(now, name):
-                continue
-            token_s = self._token_speeds.token_s(name)
-            runs = self._held.runs(name)
-            free = self._worker_free_places(now, worker)
-            times += [now] * free
-            places = len(runs) + free if free else self._places(worker)
-            ends = sorted(
-                max(now, held.since + held.expected_tokens * token_s)
-                for held in runs
-            )
-            # Runs beyond the places end without leaving one.
-            times += ends[max(0, len(runs) - places) :]
-        times.sort()
-        return times
-
     def _expire(self, now: float) -> None:
         for held in self._held.all():
             if now - held.confirmed > HOLDER_LIFE_S:
