--- a/nutmegscale/kv_memory.py
+++ b/nutmegscale/kv_memory.py
@@ -4,9 +4,7 @@
 import math
 from typing import NamedTuple
 
-# Deviations kept free above the expected use. Experiment of `tools.slot_policy`
-# with two seeds of six grown days: worth less waste 0.652, 0.714 and 0.707 at
-# 1.5, 2.0 and 2.5.
+# Deviations kept free above the expected use (docs/design/slots.md).
 SAFE_DEVIATIONS = 2.0
 # Times at which the use is looked at, up to past the longest expected end.
 STEPS = 8
