The idle time of a connection ends when somebody takes it

A connection that is reserved for a run kept its idle timer, and one that was given back unused got a second one; the first fired later, in the middle of a run. Ruled out: the change of configuration beside it (deadlines are set when a request comes in), the server (it saw the close), the caller. Two tests fail without the change.

--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -57,7 +57,7 @@
         self, call: upstream_call.Call, request: upstream_call.Request
     ) -> None:
         """Send a request."""
-        self._cancel_idle()
+        self.end_idle()
         self.served += 1
         self._call = call
         self._request_id = request.request_id
@@ -150,7 +150,7 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """End the call: whole if its answer had no length and ended."""
         self._is_lost = True
-        self._cancel_idle()
+        self.end_idle()
         self._pool.dropped(self)
         call, self._call = self._call, None
         if call is None:
@@ -178,6 +178,7 @@
 
     def wait_idle(self, clock: Any, seconds: float) -> None:
         """Close after a time without a request."""
+        self.end_idle()
         self._idle_timer = clock.callLater(seconds, self._close_idle)
 
     def _close_idle(self) -> None:
@@ -185,7 +186,8 @@
         self._pool.dropped(self)
         self.transport.loseConnection()
 
-    def _cancel_idle(self) -> None:
+    def end_idle(self) -> None:
+        """Keep it open, since somebody has it now."""
         timer, self._idle_timer = self._idle_timer, None
         if timer is not None and timer.active():
             timer.cancel()
@@ -309,6 +311,7 @@
         while idle:
             connection = idle.pop()
             if connection.is_usable and now < connection.idle_until:
+                connection.end_idle()
                 return connection
         return None
 
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,78 @@
+"""Kept connections to servers: idle time and reservation."""
+
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.internet import testing
+
+from nutmegscale import http_message
+from nutmegscale import upstream
+from nutmegscale import upstream_call
+
+ADDRESS = "10.0.0.1:80"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def _request() -> upstream_call.Request:
+    head = http_message.RequestHead(b"GET", b"/", ())
+    return upstream_call.Request(head, b"", b"")
+
+
+class _Net:
+    """Connections that open at once."""
+
+    def __init__(self) -> None:
+        self.clock = task.Clock()
+        self.transports: list[testing.StringTransportWithDisconnection] = []
+        self.pool = upstream.UpstreamPool(None, self.clock, connect=self._open)
+
+    def _open(self, address: str, factory: Any) -> Any:
+        connection = factory.buildProtocol(None)
+        transport = testing.StringTransportWithDisconnection()
+        transport.protocol = connection
+        connection.makeConnection(transport)
+        self.transports.append(transport)
+        return defer.succeed(connection)
+
+    def run(self, coroutine: Any) -> Any:
+        """Return the result of what is done at once."""
+        found: list[Any] = []
+        defer.ensureDeferred(coroutine).addCallback(found.append)
+        return found[0]
+
+
+def _kept_line(net: _Net) -> upstream.Line:
+    """Use a connection once and reserve it while it is idle."""
+    net.run(net.pool.call(ADDRESS, _request()))
+    net.transports[0].protocol.dataReceived(ANSWER)
+    line: upstream.Line = net.run(net.pool.reserve(ADDRESS))
+    assert len(net.transports) == 1
+    return line
+
+
+def test_a_reserved_connection_is_not_closed_as_idle() -> None:
+    net = _Net()
+    line = _kept_line(net)
+    net.clock.advance(upstream.IDLE_LIFE_S + 1)
+    assert net.transports[0].connected
+    net.run(net.pool.call(ADDRESS, _request(), line=line))
+    assert len(net.transports) == 1
+
+
+def test_one_that_was_given_back_is_not_closed_while_it_works() -> None:
+    net = _Net()
+    line = _kept_line(net)
+    net.clock.advance(upstream.IDLE_LIFE_S / 2)
+    line.give_back()
+    net.run(net.pool.call(ADDRESS, _request()))
+    net.clock.advance(upstream.IDLE_LIFE_S)
+    assert len(net.transports) == 1
+    assert net.transports[0].connected
+
+
+def test_an_idle_connection_is_closed_after_its_time() -> None:
+    net = _Net()
+    _kept_line(net).give_back()
+    net.clock.advance(upstream.IDLE_LIFE_S + 0.1)
+    assert not net.transports[0].connected
