--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self.clock = task.Clock()
         self.transports: list[testing.StringTransportWithDisconnection] = []
+        self.connections: list[Any] = []
         self.pool = upstream.UpstreamPool(None, self.clock, connect=self._open)
 
     def _open(self, address: str, factory: Any) -> Any:
@@ -33,6 +34,7 @@
         transport.protocol = connection
         connection.makeConnection(transport)
         self.transports.append(transport)
+        self.connections.append(connection)
         return defer.succeed(connection)
 
     def run(self, coroutine: Any) -> Any:
@@ -45,7 +47,7 @@
 def _kept_line(net: _Net) -> upstream.Line:
     """Use a connection once and reserve it while it is idle."""
     net.run(net.pool.call(ADDRESS, _request()))
-    net.transports[0].protocol.dataReceived(ANSWER)
+    net.connections[0].dataReceived(ANSWER)
     line: upstream.Line = net.run(net.pool.reserve(ADDRESS))
     assert len(net.transports) == 1
     return line
