--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import json
+import os
 import pathlib
 import random
 import signal
@@ -46,7 +47,7 @@
             folder,
             asked.hosts,
             self._rng,
-            net=1 + asked.seed % NETS,
+            net=1 + os.getpid() % NETS,
         )
         self.callers = soak_callers.Callers(
             self.world, random.Random(asked.seed + 1), asked.callers
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -20,7 +20,7 @@
 from standins import store_site
 
 # Each host has a loopback address of its own, 127.NET.0.x; ports are the same
-# on all, so that soaks with different nets run beside each other.
+# on all. Each soak takes a net by its process id, so that several run at once.
 FRONT_PORT = 18_144
 READY_PORT = 18_140
 PEER_PORT = 17_660
