The model's own site is a module; one source for the tokens of an event

Found on rereading: the number 58 stood twice beside the sheet's own figure, a field of attempts was never read, the oracle's docstring named a full batch where half a one is reckoned, and slot_days held a site beside what it draws from one.

--- a/tests/test_slot_world.py
+++ b/tests/test_slot_world.py
@@ -8,15 +8,16 @@
 from tools import slot_engines
 from tools import slot_oracle
 from tools import slot_policy
+from tools import slot_site
 from tools import slot_world
 from tools import slot_worth
 
-ENGINE = slot_days.draw(slot_days.OWN_SITE, "busy", 1).engine
+ENGINE = slot_days.draw(slot_site.OWN_SITE, "busy", 1).engine
 SEEDS = (1, 2, 3, 4)
 
 
 def _day(seed: int) -> slot_days.Day:
-    return slot_days.draw(slot_days.OWN_SITE, "busy", seed)
+    return slot_days.draw(slot_site.OWN_SITE, "busy", seed)
 
 
 def _queue(day: slot_days.Day) -> slot_world.Result:
--- a/tools/slot_days.py
+++ b/tools/slot_days.py
@@ -9,6 +9,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from tools import slot_site
+
 # Sizes are drawn from a log-normal distribution of this deviation: served
 # prompts and answers of five standard days had 0.43 and 0.45 after clipping.
 SIZE_DEVIATION = 0.5
@@ -25,82 +27,6 @@
 MOVED_FACTOR = 1.75
 
 
-# Site of the project's own, in the form of a site file: five workers, and a day
-# with a burst, a crash and a cut.
-OWN_SITE: dict[str, Any] = {
-    "machines": [{"count": 4}],
-    "services": [
-        {
-            "name": "model",
-            "servers": [{"count": 5}],
-            "slots": 8,
-            "queue": 2,
-            "speeds": [1.0, 1.2],
-            "llm": {
-                "prefill": 0.4,
-                "step_ms": 0.9,
-                "step_ms_per_slot": 0.02,
-                "context_ms_per_k": 0.0003,
-                "prefill_tokens_per_ms": 40.0,
-                "kv_tokens": 60_000,
-                "kv_bytes": 16_000.0,
-                "stride": 58,
-            },
-        },
-        {"name": "pages", "servers": [{"count": 2}]},
-    ],
-    "classes": [
-        {
-            "name": "answer",
-            "service": "model",
-            "aim_ms": 1_000.0,
-            "deadline_ms": 12_000,
-            "worth": 30.0,
-            "late_worth": 6.0,
-            "stream": {
-                "pieces": {"mean": 60.0, "max": 120.0},
-                "prompt_tokens": {"mean": 4_000.0, "max": 9_000.0},
-                "chain": [{"tokens": {"mean": 150.0}}],
-                "hint": 0.5,
-            },
-        },
-        {"name": "page", "service": "pages", "worth": 1.0},
-    ],
-    "goal": {"mean": 0.6, "window": 0.1, "class": 0.1, "zone": 0.2},
-    "prices": {"machine_s": 0.5, "kv_gb": 4.0, "read_waste": 6.0},
-    "day": [
-        {
-            "name": "busy",
-            "length_s": 30.0,
-            "faults": [
-                {"kind": "burst", "at": 8.0, "for_s": 4.0, "x": 3.0},
-                {
-                    "kind": "srv_crash",
-                    "at": 15.0,
-                    "for_s": 4.0,
-                    "share": 0.2,
-                },
-                {
-                    "kind": "zone_cut",
-                    "at": 22.0,
-                    "for_s": 3.0,
-                    "zone": "west",
-                },
-            ],
-            "traffic": [
-                {
-                    "zone": zone,
-                    "mix": {"answer": 1.0, "page": 6.0},
-                    "per_s": 14.0,
-                    "shape": {"swing": 0.1, "period_s": 10.0, "phase": phase},
-                }
-                for zone, phase in (("east", 0.0), ("west", 0.5))
-            ],
-        }
-    ],
-}
-
-
 class Engine(NamedTuple):
     """What the workers of a model service can do.
 
@@ -244,7 +170,7 @@
 def load(path: str | None) -> dict[str, Any]:
     """Read a site file, or return the project's own site for None."""
     if path is None:
-        return OWN_SITE
+        return slot_site.OWN_SITE
     with open(path, "rb") as file:
         return tomllib.load(file)
 
@@ -274,7 +200,7 @@
     length_s = spec.get("length_s", DAY_S)
     engine = _engine(service, thin)
     others = [k for k in site["classes"] if k["service"] != service["name"]]
-    calls = _calls(spec, kinds, chance, length_s, thin)
+    calls = _calls(spec, kinds, chance, length_s, thin, engine.event_tokens)
     return Day(
         name,
         engine,
@@ -321,13 +247,15 @@
     chance: random.Random,
     length_s: float,
     thin: float,
+    event_tokens: int,
 ) -> list[Call]:
     calls: list[Call] = []
     for group in spec["traffic"]:
         for kind in kinds:
             for now in _times(spec, group, kind, chance, length_s, thin):
                 name = f"{kind['name']}-{len(calls)}"
-                calls.append(_call(name, group, kind, chance, now))
+                call = _call(name, group, kind, chance, now, event_tokens)
+                calls.append(call)
     return sorted(calls, key=lambda c: c.at)
 
 
@@ -414,14 +342,15 @@
     kind: dict[str, Any],
     chance: random.Random,
     now: float,
+    event_tokens: int,
 ) -> Call:
     stream = kind["stream"]
     own = stream["prompt_tokens"]
     shared = sum(part["tokens"]["mean"] for part in stream["chain"])
     prompt = shared + _size(chance, own["mean"], own["max"])
     pieces = _size(chance, stream["pieces"]["mean"], stream["pieces"]["max"])
-    output = pieces * group.get("event_tokens", 58)
-    usual = (shared + own["mean"]) + 10 * stream["pieces"]["mean"] * 58
+    output = pieces * event_tokens
+    usual = shared + own["mean"] + 10 * stream["pieces"]["mean"] * event_tokens
     size = (prompt + 10 * output) / usual
     hinted = output * math.exp(chance.gauss(0.0, stream["hint"]))
     return Call(
--- a/tools/slot_oracle.py
+++ b/tools/slot_oracle.py
@@ -3,7 +3,7 @@
 Each stream is put into a calendar of decode slots, best ones first, with its
 true length known from the start. Of several orders the best one counts. Left
 out, in favour of this bound: prefill workers are never waited for, a worker
-makes tokens at the speed of a full batch without pauses for reading, and
+makes tokens at the speed of a half full batch without pauses for reading, and
 memory binds by its mean use only.
 """
 
--- a/tools/slot_world.py
+++ b/tools/slot_world.py
@@ -78,7 +78,6 @@
         self.call = call
         self.number = number
         self.at = at
-        self.prefill = -1
         self.decode = -1
         self.began = 0.0
         self.first_s = math.inf
@@ -140,7 +139,7 @@
           prefill: Number of the prefill worker, or -1.
           decode: Number of the decode worker among these.
         """
-        attempt.prefill, attempt.decode = prefill, decode
+        attempt.decode = decode
         began = self.clock.seconds()
 
         def decode_it() -> None:
