--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -158,7 +158,7 @@
         return has_budget and self._choose(context) is not None
 
     def _take_retry(self, context: request_context.RequestContext) -> bool:
-        return self._budgets[context.service].take(self._board.now())
+        return context.take_retry(self._budgets[context.service])
 
     def _may_retry(
         self, context: request_context.RequestContext, attempt: _Attempt
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -7,6 +7,7 @@
 from nutmegscale import http_ingress
 from nutmegscale import http_message
 from nutmegscale import logs
+from nutmegscale import retry_share
 from nutmegscale import routes
 from nutmegscale import routing_board
 
@@ -125,6 +126,15 @@
             **fields,
         )
 
+    def take_retry(self, share: retry_share.RetryShare) -> bool:
+        """Take a retry from this host's share; False if it is used up."""
+        now = self._board.now()
+        is_allowed = share.take(now)
+        event = "retry_allowed" if is_allowed else "retry_denied"
+        self._board.metrics.record_failure_event(event)
+        self.log(event, hosts=share.hosts, left=round(share.remaining(now), 1))
+        return is_allowed
+
     def log(self, event: str, **fields: Any) -> None:
         """Log an event of this request."""
         now = self._board.now()
--- a/nutmegscale/retry_share.py
+++ b/nutmegscale/retry_share.py
@@ -34,6 +34,11 @@
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
+    @property
+    def hosts(self) -> int:
+        """Number of hosts that share the budget."""
+        return self._hosts
+
     def set_hosts(self, hosts: int) -> None:
         """Set how many hosts share the budget; at least 1 is assumed."""
         self._hosts = max(1, hosts)
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -292,7 +292,7 @@
         return not run.prefills or self._take_retry(context)
 
     def _take_retry(self, context: request_context.RequestContext) -> bool:
-        return self._budgets[context.service].take(self._board.now())
+        return context.take_retry(self._budgets[context.service])
 
     async def _handle_broken_run(
         self,
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import json
 from typing import Any
+from typing import NamedTuple
 
 from twisted.internet import protocol
 
@@ -19,6 +20,20 @@
 STAGE_CHANGE_S = 1.0
 
 
+class Received(NamedTuple):
+    """A request of a caller that reached a backend server.
+
+    Attributes:
+      at: When it arrived, seconds of the server's clock.
+      request: Its id.
+      is_accepted_prefill: Whether the server accepted it for prefill.
+    """
+
+    at: float
+    request: str
+    is_accepted_prefill: bool = False
+
+
 class PlatformWorker:
     """One incarnation of a backend server.
 
@@ -42,6 +57,7 @@
       on_crash: Called when it crashes on one of them.
       ran: Ids of the requests that it ran, in order.
       request_heads: Heads of all requests that reached it.
+      received: Requests of callers that reached it, rejected ones included.
       orders: Bodies of the orders that it accepted.
       on_stage_change: Called after its stage changed.
       handles: Expiry of each prefill handle, seconds of the clock.
@@ -72,6 +88,7 @@
         self.on_crash: Callable[[], None] = lambda: None
         self.ran: list[str] = []
         self.request_heads: list[http_message.RequestHead] = []
+        self.received: list[Received] = []
         self.cancelled: list[str] = []
         self.handles: dict[str, float] = {}
         self.freed: list[str] = []
@@ -107,10 +124,14 @@
             self.handles.pop(name, None)
             request.respond(200, [], b"")
             return
+        if head.target == b"/nutmegscale/order":
+            self._apply_order(request)
+            return
+        self.received.append(
+            Received(self._clock.seconds(), _request_id(request))
+        )
         if head.get(b"target-instance") != self.id.encode():
             request.respond(421, [(b"Instance-Id", self.id.encode())], b"")
-        elif head.target == b"/nutmegscale/order":
-            self._apply_order(request)
         elif self.is_full or self._running >= self.slots:
             self._reject(request)
         elif self.stage == "":
@@ -199,6 +220,8 @@
 
     def _prefill(self, request: http_ingress.IncomingRequest) -> None:
         self._prefills += 1
+        accepted = self.received[-1]._replace(is_accepted_prefill=True)
+        self.received[-1] = accepted
         if self.crashes_in_prefill and self._is_poison(request):
             self._clock.callLater(0, self.on_crash)
         name = f"h{self._prefills}"
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -27,6 +27,13 @@
 CODECS = codecs.make_codecs()
 
 
+class SentRequest(NamedTuple):
+    """A caller's request: when it was sent, seconds, and its route."""
+
+    at: float
+    route: str
+
+
 class Host(NamedTuple):
     """A host, and the factory and address of its port for callers."""
 
@@ -48,9 +55,19 @@
       suspended_s: Time that the hosts were suspended, which `clock` doesn't
         count, seconds.
       hosts: The hosts.
+      sent: Requests of callers, in order.
     """
 
-    def __init__(self, *, hosts: int = 1, seed: int = 1) -> None:
+    def __init__(
+        self, *, hosts: int = 1, seed: int = 1, retry_extra: float = 56.0
+    ) -> None:
+        """Create the hosts without starting them.
+
+        Args:
+          hosts: Number of hosts.
+          seed: Seed of all random choices.
+          retry_extra: Fixed part of the retry budget of all hosts, in retries.
+        """
         self.clock = task.Clock()
         self.net = memory_net.MemoryNet(self.clock)
         self.peer_network = fake_network.Network(self.clock)
@@ -59,6 +76,8 @@
         self.addresses: dict[str, str] = {}
         self._rng = random.Random(seed)
         self._request_count = 0
+        self._retry_extra = retry_extra
+        self.sent: list[SentRequest] = []
         self.suspended_s = 0.0
         self.hosts: list[Host] = []
         for number in range(hosts):
@@ -75,7 +94,7 @@
                 link_mbps=1000.0,
                 grace_s=8.0,
                 retry_ratio=0.2,
-                retry_extra=56.0,
+                retry_extra=self._retry_extra,
                 retry_window_s=10.0,
                 is_first_start=self.clock.seconds() == 0.0,
             ),
@@ -97,6 +116,17 @@
         self.hosts.append(added)
         return added
 
+    def restart_host(self, index: int) -> None:
+        """Kill a host and start it again without its memory."""
+        before = self.hosts[index]
+        before.router.stop()
+        factory = self.net.close(before.address)
+        for connection in list(factory.connections):
+            connection.transport.abortConnection()
+        self.hosts[index] = self.add_host(before.router.board.host)
+        self.hosts.pop()
+        self.hosts[index].router.start()
+
     def add_worker(
         self, name: str, *, stage: str = "", slots: int = 4, born: int = 1
     ) -> platform_worker.PlatformWorker:
@@ -191,6 +221,7 @@
         """Send a request and return its connection without waiting."""
         caller = on or self.open_connection(host)
         self._request_count += 1
+        self.sent.append(SentRequest(self.clock.seconds(), route))
         lines = [
             f"{method} /{route}/{resource} HTTP/1.1",
             "Host: clubs.example",
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -343,6 +343,7 @@
     def _check_outcome(self, healed_at: float) -> None:
         self.callers.check_final_state()
         self._poison.check()
+        self._check_retries()
         for host in self.deployment.hosts:
             if not host.is_running:
                 self._record_violation(
@@ -372,6 +373,16 @@
             violations=len(self.callers.violations),
         )
 
+    def _check_retries(self) -> None:
+        """Check that the retries of all hosts stay within the budget."""
+        windows = self.callers.worst_retry_windows(self._poison.sent_at)
+        for window in windows:
+            self.log_event("retries", **window._asdict())
+            if window.is_exceeded:
+                self._record_violation(
+                    "retries stay within the budget", "", str(window)
+                )
+
     def _check_planned_stops(self) -> None:
         """Check that planned stops cut off no answer in progress."""
         for name, stopped_at in self._planned_stops:
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -9,7 +9,10 @@
 from twisted.internet import protocol
 
 from nutmegscale import periodic
+from standins import platform_rows
+from standins import platform_worker
 from standins import raw_caller
+from tools import retry_window
 from tools import soak_world
 
 PATIENCE_S = 14.0
@@ -217,14 +220,47 @@
                 "a refusal is true", record.request, f"{runs} runs"
             )
 
-    def all_runs(self) -> list[str]:
-        """Return the id of the request of each run."""
+    def _all_servers(self) -> list[platform_worker.PlatformWorker]:
         workers = [
             *self._deployment.workers.values(),
             *self._deployment.stopped_workers,
         ]
-        unique = {id(w): w.server for w in workers}
-        return [name for w in unique.values() for name in w.ran]
+        return list({id(w): w.server for w in workers}.values())
+
+    def all_runs(self) -> list[str]:
+        """Return the id of the request of each run."""
+        return [name for server in self._all_servers() for name in server.ran]
+
+    def worst_retry_windows(
+        self, plain_sent_at: list[float]
+    ) -> list[retry_window.WorstWindow]:
+        """Return the worst window of retries of each service.
+
+        Args:
+          plain_sent_at: When others sent requests to the plain service,
+            seconds of the reactor clock.
+        """
+        model, plain = platform_rows.MODEL_SERVICE, platform_rows.PLAIN_SERVICE
+        arrivals = [
+            retry_window.Arrival(
+                received.at,
+                model if server.stage else plain,
+                received.request,
+                received.is_accepted_prefill,
+            )
+            for server in self._all_servers()
+            for received in server.received
+        ]
+        requests = [retry_window.Event(at, plain) for at in plain_sent_at]
+        for record in self.records:
+            is_stream = ROUTES[record.route] == "stream"
+            service = model if is_stream else plain
+            requests.append(retry_window.Event(record.sent_at, service))
+        return retry_window.worst_windows(
+            retry_window.retries_of(arrivals),
+            requests,
+            soak_world.RETRY_BUDGET,
+        )
 
     def _count_runs(self, request: str) -> int:
         return self.all_runs().count(request)
--- a/tools/soak_poison.py
+++ b/tools/soak_poison.py
@@ -37,6 +37,7 @@
         self._rng = rng
         self._contents = 0
         self._informed: set[str] = set()
+        self._sent_at: list[float] = []
         self._running: defer.Deferred[None] | None = None
 
     @property
@@ -44,6 +45,11 @@
         """Number of contents that were sent."""
         return self._contents
 
+    @property
+    def sent_at(self) -> list[float]:
+        """When each request was sent, seconds of the reactor clock."""
+        return self._sent_at
+
     def start(self) -> None:
         """Start sending."""
         self._running = periodic.spawn(self._run())
@@ -71,6 +77,7 @@
         now = self._deployment.reactor.seconds()
         if now - host.disturbed_at > UNDISTURBED_S and host.has_joined:
             self._informed.add(request)
+        self._sent_at.append(now)
         connection.transport.write(
             f"GET {path} HTTP/1.1\r\nHost: clubs.example\r\n"
             f"Request-Id: {request}\r\nDeadline-Ms: 1500\r\n\r\n".encode()
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -19,6 +19,7 @@
 from standins import platform_worker
 from standins import row_table
 from standins import store_site
+from tools import retry_window
 
 # Each host has a loopback address of its own, 127.SUBNET.0.x; ports are the
 # same on all. A soak derives its subnet from its process id, so that several
@@ -31,6 +32,7 @@
 LAPSE_S = 3.6
 # Start of the paths that crash each backend server that runs them.
 POISON_PREFIX = "/slot/poison-"
+RETRY_BUDGET = retry_window.Budget(ratio=0.2, extra=56.0, window_s=10.0)
 SETTINGS = """
 nodeName = "{name}"
 ip = "{ip}"
@@ -42,9 +44,9 @@
 [bounds]
 graceS = {grace}
 drainMs = 2000
-retryBudgetRatio = 0.2
-budgetExtra = 56
-budgetWindowS = 10
+retryBudgetRatio = {budget.ratio}
+budgetExtra = {budget.extra}
+budgetWindowS = {budget.window_s}
 [platform]
 address = "{store}"
 """
@@ -182,6 +184,7 @@
                     front=FRONT_PORT,
                     ready=READY_PORT,
                     grace=GRACE_S,
+                    budget=RETRY_BUDGET,
                     store=host.store_proxy.address,
                 ),
                 encoding="utf-8",
