--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -44,6 +44,8 @@
       event_count: Number of events of each stream.
       service_time_s: Time that a plain call takes, seconds.
       is_full: Whether it rejects every request.
+      rejects_every: It rejects each request whose number, from 1, is a multiple
+        of this; none if 0.
       is_unresponsive: Whether it runs requests but never answers.
       status: Status of its plain answers.
       raw_response: Bytes to send instead of a plain answer, or b"".
@@ -76,6 +78,7 @@
         self.event_count = 3
         self.service_time_s = 0.03
         self.is_full = False
+        self.rejects_every = 0
         self.is_unresponsive = False
         self.status = 200
         self.raw_response = b""
@@ -132,7 +135,7 @@
         )
         if head.get(b"target-instance") != self.id.encode():
             request.respond(421, [(b"Instance-Id", self.id.encode())], b"")
-        elif self.is_full or self._running >= self.slots:
+        elif self._must_reject():
             self._reject(request)
         elif self.stage == "":
             self._run_plain(request)
@@ -154,6 +157,12 @@
         self._clock.callLater(STAGE_CHANGE_S, _switch)
         request.respond(202, [], b"")
 
+    def _must_reject(self) -> bool:
+        is_next = bool(
+            self.rejects_every and len(self.received) % self.rejects_every == 0
+        )
+        return self.is_full or is_next or self._running >= self.slots
+
     def _reject(self, request: http_ingress.IncomingRequest) -> None:
         request.respond(
             503, [(b"Not-Executed", b"1"), self._load_header()], b""
