Rejected and broken first prefills count against the retry budget

Callers weren't hurt; backend servers got more repeats than agreed. Cause: an arrival was counted only where a decode worker was reached. A first prefill that was rejected, broke off or timed out was none, so that the run after it (with a local prefill once the budget was spent) was one send too many, up to one for each request and also with an empty budget. Change: every send of a request goes through RequestSends, which knows what is free (one send, and the first prefill that a worker accepts) and takes a retry before any other; a send without a connection costs nothing. An answer 5xx is given up only once the retry is paid. Ruled out: counting prefills by their start, which charges one too many after an accepted one.

--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -67,6 +67,10 @@
     """A backend server rejected a request without running it."""
 
 
+class RetryDeniedError(NutmegscaleError):
+    """The retry budget allows no further send of a request; none was made."""
+
+
 class PrefillFailedError(NutmegscaleError):
     """A prefill worker gave no KV cache; no decode worker ran anything."""
 
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -6,7 +6,6 @@
 from nutmegscale import errors
 from nutmegscale import http_message
 from nutmegscale import request_context
-from nutmegscale import retry_share
 from nutmegscale import routing_board
 from nutmegscale import upstream
 from nutmegscale import upstream_call
@@ -26,14 +25,12 @@
     """Offers of one attempt of a caller.
 
     Attributes:
-      arrivals: Offers that reached a server.
       runs: Runs that a server began.
       disconnects: Runs whose server broke the connection.
       began_at: When the last offer began, seconds of the host's clock.
     """
 
     def __init__(self) -> None:
-        self.arrivals = 0
         self.runs = 0
         self.disconnects = 0
         self.began_at = 0.0
@@ -47,13 +44,11 @@
         board: routing_board.RoutingBoard,
         pool: upstream.UpstreamPool,
         codec: caller_request.ServerCodec,
-        budgets: dict[str, retry_share.RetryShare],
         crashes: crash_watch.CrashWatch,
     ) -> None:
         self._board = board
         self._pool = pool
         self._codec = codec
-        self._budgets = budgets
         self._crashes = crashes
 
     async def run(self, context: request_context.RequestContext) -> None:
@@ -63,15 +58,13 @@
             server = self._choose(context)
             if server is None or context.left_s < MIN_TIME_LEFT_S:
                 break
-            # Only offers after one that reached a server count as retries.
-            if attempt.arrivals and not self._take_retry(context):
+            if not context.sends.reserve():
                 break
             context.tries.append(server.id)
             attempt.began_at = self._board.now()
             try:
                 head, body = await self._offer(context, server)
             except (errors.ConnectError, errors.RejectedError) as exc:
-                attempt.arrivals += isinstance(exc, errors.RejectedError)
                 context.record_failure_event(
                     "server_rejected", server=server.id, why=str(exc)
                 )
@@ -82,12 +75,12 @@
                 self._fail_after_error(context, exc)
                 return
             attempt.runs += 1
-            attempt.arrivals += 1
             if (
                 head.status >= 500
                 and offer + 1 < MAX_OFFERS
                 and self._may_retry(context, attempt)
-                and self._can_try_another(context)
+                and self._choose(context) is not None
+                and context.sends.reserve()
             ):
                 context.record_failure_event(
                     "server_failed", server=server.id, status=head.status
@@ -111,7 +104,6 @@
           Whether the call may run on another server.
         """
         attempt.runs += 1
-        attempt.arrivals += 1
         context.record_failure_event(
             "server_failed",
             server=server.id,
@@ -152,14 +144,6 @@
             avoid=frozenset(context.tries),
         )
 
-    def _can_try_another(self, context: request_context.RequestContext) -> bool:
-        budget = self._budgets[context.service]
-        has_budget = budget.remaining(self._board.now()) >= 1.0
-        return has_budget and self._choose(context) is not None
-
-    def _take_retry(self, context: request_context.RequestContext) -> bool:
-        return context.take_retry(self._budgets[context.service])
-
     def _may_retry(
         self, context: request_context.RequestContext, attempt: _Attempt
     ) -> bool:
@@ -174,8 +158,9 @@
         loads.record_sent(server)
         call: upstream_call.Call | None = None
         try:
-            call = await self._pool.call(server.address, request)
-            head = await call.head(context.left_s)
+            with context.sends.send():
+                call = await self._pool.call(server.address, request)
+                head = await call.head(context.left_s)
             info = self._codec.read_head(head)
             loads.record_load(self._board.now(), server, info.load)
             body = await call.body(context.left_s, MAX_BODY_BYTES)
--- a/nutmegscale/prefill_runner.py
+++ b/nutmegscale/prefill_runner.py
@@ -64,7 +64,6 @@
         Raises:
           errors.PrefillFailedError: The worker gave none.
         """
-        run.prefills += 1
         run.source_rejections = 0
         began = self._board.now()
         took_s = 0.0
@@ -107,8 +106,11 @@
         timeout_s = min(timeout_s, max(0.0, context.left_s))
         call: upstream_call.Call | None = None
         try:
-            call = await self._pool.call(worker.address, request)
-            head = await call.head(timeout_s)
+            with context.sends.send() as send:
+                call = await self._pool.call(worker.address, request)
+                head = await call.head(timeout_s)
+                if head.status == 200:
+                    send.accept_prefill()
             body = await call.body(timeout_s, MAX_HANDLE_BYTES)
         finally:
             if call is not None:
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -7,6 +7,7 @@
 from nutmegscale import http_ingress
 from nutmegscale import http_message
 from nutmegscale import logs
+from nutmegscale import request_sends
 from nutmegscale import retry_share
 from nutmegscale import routes
 from nutmegscale import routing_board
@@ -28,6 +29,7 @@
       waited_s: How long its caller had waited before this attempt, seconds.
       tries: Ids of the backend servers that it was sent to, without prefill
         workers.
+      sends: What it sent to servers.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         *,
         codec: caller_request.CallerCodec,
         service: str,
+        retries: retry_share.RetryShare,
         waited_s: float = 0.0,
     ) -> None:
         self._board = board
@@ -54,6 +57,8 @@
         self.deadline = incoming.arrived + limit_s
         self.waited_s = waited_s
         self.tries: list[str] = []
+        self.sends = request_sends.RequestSends(self._take_retry)
+        self._retries = retries
         self._content = b""
 
     def content(self) -> bytes:
@@ -126,9 +131,9 @@
             **fields,
         )
 
-    def take_retry(self, share: retry_share.RetryShare) -> bool:
+    def _take_retry(self) -> bool:
         """Take a retry from this host's share; False if it is used up."""
-        now = self._board.now()
+        now, share = self._board.now(), self._retries
         is_allowed = share.take(now)
         event = "retry_allowed" if is_allowed else "retry_denied"
         self._board.metrics.record_failure_event(event)
--- /dev/null
+++ b/nutmegscale/request_sends.py
@@ -0,0 +1,96 @@
+"""Sends of one request to backend servers, paid from the retry budget."""
+
+from collections.abc import Callable
+import types
+from typing import Self
+
+from nutmegscale import errors
+
+
+class RequestSends:
+    """Counts what a request sends to servers; does no I/O.
+
+    Answers retries that pile up while servers fail or reject. One send of a
+    request is free, and so is the first prefill that a worker accepts. Each
+    other one is paid from the retry budget before it is sent, whether or not
+    the server then runs it. One that may have arrived counts as arrived.
+    """
+
+    def __init__(self, take_retry: Callable[[], bool]) -> None:
+        """Create the record of a request that sent nothing yet.
+
+        Args:
+          take_retry: Takes a retry from the budget; returns False if none is
+            left.
+        """
+        self._take_retry = take_retry
+        self._arrivals = 0
+        self._paid = 0
+        self._has_prefilled = False
+
+    @property
+    def has_prefilled(self) -> bool:
+        """Whether a worker accepted a prefill, so that none is free again."""
+        return self._has_prefilled
+
+    def reserve(self, count: int = 1) -> bool:
+        """Pay for sends in advance; what is paid and not sent is kept.
+
+        Args:
+          count: Number of sends that will count as arrivals.
+
+        Returns:
+          Whether they may be sent; False if the retry budget is spent.
+        """
+        while self._paid < self._arrivals + count - 1:
+            if not self._take_retry():
+                return False
+            self._paid += 1
+        return True
+
+    def send(self) -> "Send":
+        """Return the context manager of one send, until its answer begins."""
+        return Send(self)
+
+    def begin(self) -> None:
+        """Pay for a send; see `Send`."""
+        if not self.reserve():
+            raise errors.RetryDeniedError(
+                f"the retry budget allows no send after {self._arrivals}"
+            )
+
+    def end(self, *, is_accepted_prefill: bool) -> None:
+        """Record a send that arrived; see `Send`."""
+        if is_accepted_prefill and not self._has_prefilled:
+            self._has_prefilled = True
+        else:
+            self._arrivals += 1
+
+
+class Send:
+    """One send of a request, as a context manager around it.
+
+    Entering pays for it and raises `errors.RetryDeniedError` if the retry
+    budget is spent. It counts as arrived unless no connection could be made.
+    """
+
+    def __init__(self, sends: RequestSends) -> None:
+        self._sends = sends
+        self._is_accepted_prefill = False
+
+    def accept_prefill(self) -> None:
+        """Record that it was a prefill and the worker accepted it."""
+        self._is_accepted_prefill = True
+
+    def __enter__(self) -> Self:
+        self._sends.begin()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exception: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        if not isinstance(exception, errors.ConnectError):
+            self._sends.end(is_accepted_prefill=self._is_accepted_prefill)
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -206,14 +206,13 @@
             clock, self._suspects, pool.check_connection
         )
         self._plain = plain_runner.PlainRunner(
-            self.board, pool, codecs.servers, self._budgets, self.crashes
+            self.board, pool, codecs.servers, self.crashes
         )
         self._streams = stream_runner.StreamRunner(
             self.board,
             pool,
             codecs.servers,
             self.slots,
-            self._budgets,
             self.crashes,
         )
         self._reachability = reach_controller.ReachController(self.board, pool)
@@ -357,12 +356,12 @@
             route,
             codec=self._codecs.callers,
             service=service,
+            retries=self._budget(service),
             waited_s=self._patience.waited_s(route.name, request.patience_s),
         )
         self._run(context)
 
     def _run(self, context: request_context.RequestContext) -> None:
-        self._budget(context.service).record_request(self.board.now())
         has_engine = self._has_engine(context.service)
         is_stream = context.route.kind == "stream" and has_engine
         runner = self._streams.run if is_stream else self._plain.run
@@ -399,6 +398,7 @@
         return spec is not None and spec.engine is not None
 
     def _budget(self, service: str) -> retry_share.RetryShare:
+        """Return the retry share of a service for a new request to it."""
         hosts = len(self.board.membership.alive())
         budget = self._budgets.get(service)
         if budget is None:
@@ -409,6 +409,7 @@
                 hosts=hosts,
             )
         budget.set_hosts(hosts)
+        budget.record_request(self.board.now())
         return budget
 
     def _reject(
--- a/nutmegscale/stream_run.py
+++ b/nutmegscale/stream_run.py
@@ -14,10 +14,7 @@
       local_prefill: Whether the decode worker must prefill locally.
       is_source_used: Whether a decode worker used the KV cache.
       runs: Runs that started and ended early.
-      arrivals: Failed attempts that reached a decode worker: rejected ones and
-        runs that ended early.
       source_rejections: Rejected runs from the KV cache of the last prefill.
-      prefills: Prefills that were started.
       disconnects: Prefills and runs whose server broke the connection.
       events: Events forwarded to the caller.
       last_event: Id of the last of them that has one, or b"".
@@ -40,9 +37,7 @@
         self.local_prefill = False
         self.is_source_used = False
         self.runs = 0
-        self.arrivals = 0
         self.source_rejections = 0
-        self.prefills = 0
         self.disconnects = 0
         self.events = 0
         self.last_event = b""
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -12,7 +12,6 @@
 from nutmegscale import periodic
 from nutmegscale import prefill_runner
 from nutmegscale import request_context
-from nutmegscale import retry_share
 from nutmegscale import routing_board
 from nutmegscale import slot_controller
 from nutmegscale import stream_run
@@ -49,14 +48,12 @@
         pool: upstream.UpstreamPool,
         codec: caller_request.ServerCodec,
         slots: slot_controller.SlotController,
-        budgets: dict[str, retry_share.RetryShare],
         crashes: crash_watch.CrashWatch,
     ) -> None:
         self._board = board
         self._pool = pool
         self._codec = codec
         self._slots = slots
-        self._budgets = budgets
         self._crashes = crashes
         self._prefills = prefill_runner.PrefillRunner(
             board, pool, codec, slots, crashes
@@ -152,7 +149,7 @@
             run.avoid.append(grant.decode)
             context.record_failure_event("grant_outdated", decode=grant.decode)
             return False
-        if run.arrivals and not self._take_retry(context):
+        if not context.sends.reserve():
             self._give_up(
                 context, run, "retry_budget_spent", NO_BUDGET_RETRY_AFTER_S
             )
@@ -163,7 +160,7 @@
             # prefill would be wasted.
             connection = await self._pool.reserve(decode.address)
             try:
-                if source is None and self._may_prefill(context, run, prefill):
+                if source is None and self._may_prefill(context, prefill):
                     assert prefill is not None
                     source = await self._prefills.prefill(
                         context, run, prefill, forecast_s=grant.prefill_s
@@ -231,7 +228,6 @@
         had_source: bool,
     ) -> None:
         """Record that a decode worker rejected a run without running it."""
-        run.arrivals += 1
         context.record_failure_event(
             "decode_rejected", decode=decode.id, why=str(exc)
         )
@@ -283,16 +279,12 @@
     def _may_prefill(
         self,
         context: request_context.RequestContext,
-        run: stream_run.StreamRun,
         prefill: backend.Backend | None,
     ) -> bool:
         if prefill is None or prefill.is_draining:
             return False
-        # Only further prefills of a request count as retries.
-        return not run.prefills or self._take_retry(context)
-
-    def _take_retry(self, context: request_context.RequestContext) -> bool:
-        return context.take_retry(self._budgets[context.service])
+        # Both a further prefill and the run after it count as arrivals.
+        return not context.sends.has_prefilled or context.sends.reserve(2)
 
     async def _handle_broken_run(
         self,
@@ -308,7 +300,6 @@
           worker.
         """
         run.runs += 1
-        run.arrivals += 1
         is_timeout = isinstance(exc, errors.ResponseTimeoutError)
         context.record_failure_event(
             "stream_broke",
@@ -359,10 +350,11 @@
         call: upstream_call.Call | None = None
         run.began_at = self._board.now()
         try:
-            call = await self._pool.call(
-                worker.address, request, reserved=connection
-            )
-            head = await call.head(max(0.0, context.left_s))
+            with context.sends.send():
+                call = await self._pool.call(
+                    worker.address, request, reserved=connection
+                )
+                head = await call.head(max(0.0, context.left_s))
             info = self._codec.read_head(head)
             if info.is_misdirected:
                 self._pool.close_idle(worker.address)
