The retry budget is divided by all hosts ever known, not by those alive

Backend servers got more repeats than agreed while hosts couldn't hear each other. Cause: the fixed part of the budget was divided by the hosts alive in this host's view. Each side of a cut divided it by its own few, and a host that hadn't joined took all of it. Change: the number of hosts that share only grows while a process lives, and a host that hasn't joined has no fixed share, only its ratio. Silence is no reason for a larger share, since a silent host may be cut off and go on. Ruled out: a larger margin (0.7 before), which three sides of a cut exceed. Cost: rows of hosts that are gone for good keep their share.

--- a/nutmegscale/retry_share.py
+++ b/nutmegscale/retry_share.py
@@ -2,9 +2,8 @@
 
 from collections import deque
 
-# Fraction of the budget that is used, so that hosts whose views of each other
-# differ for a while don't exceed the budget together. It suffices while each
-# host sees at least this fraction of the hosts.
+# Fraction of the budget that is used, so that hosts whose windows differ don't
+# exceed the budget together.
 USED_FRACTION = 0.7
 
 
@@ -13,11 +12,14 @@
 
     The budget of all hosts is a ratio of the requests in a sliding window plus
     a fixed number. Each host applies the ratio to its own requests, takes an
-    equal share of the fixed number, and uses USED_FRACTION of the sum.
+    equal share of the fixed number, and uses USED_FRACTION of the sum. The
+    number of hosts that share never falls: one that became silent may be cut
+    off and still use its share. A host that doesn't know the others yet has
+    no share of the fixed number.
     """
 
     def __init__(
-        self, *, ratio: float, extra: float, window_s: float, hosts: int
+        self, *, ratio: float, extra: float, window_s: float, hosts: int = 0
     ) -> None:
         """Initialize the share.
 
@@ -25,23 +27,23 @@
           ratio: Retries allowed per request.
           extra: Retries allowed beyond that in each window, over all hosts.
           window_s: Length of the sliding window, seconds.
-          hosts: Number of hosts that share the budget; at least 1 is assumed.
+          hosts: Number of hosts that share the budget; 0 if unknown.
         """
         self._ratio = ratio
         self._extra = extra
         self._window_s = window_s
-        self._hosts = max(1, hosts)
+        self._hosts = hosts
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
     @property
     def hosts(self) -> int:
-        """Number of hosts that share the budget."""
+        """Number of hosts that share the budget; 0 if unknown."""
         return self._hosts
 
-    def set_hosts(self, hosts: int) -> None:
-        """Set how many hosts share the budget; at least 1 is assumed."""
-        self._hosts = max(1, hosts)
+    def add_hosts(self, hosts: int) -> None:
+        """Set how many hosts are known to share the budget, if it is more."""
+        self._hosts = max(self._hosts, hosts)
 
     def set_limits(
         self, *, ratio: float, extra: float, window_s: float
@@ -60,7 +62,8 @@
         The result may be fractional or negative; a retry needs at least 1.
         """
         self._drop_expired(now)
-        allowed = self._ratio * len(self._requests) + self._extra / self._hosts
+        fixed = self._extra / self._hosts if self._hosts else 0.0
+        allowed = self._ratio * len(self._requests) + fixed
         return USED_FRACTION * allowed - len(self._retries)
 
     def take(self, now: float) -> bool:
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -220,8 +220,10 @@
         self._live: set[http_ingress.IncomingRequest] = set()
         self._joining: defer.Deferred[Any] | None = None
         self._drain_started_at = 0.0
+        self._has_joined = False
 
     def _on_joined(self) -> None:
+        self._has_joined = True
         self.members.announce()
         self.configs.ask_peers()
         self._suspects.ask_peers()
@@ -399,16 +401,17 @@
 
     def _budget(self, service: str) -> retry_share.RetryShare:
         """Return the retry share of a service for a new request to it."""
-        hosts = len(self.board.membership.alive())
         budget = self._budgets.get(service)
         if budget is None:
             budget = self._budgets[service] = retry_share.RetryShare(
                 ratio=self._settings.retry_ratio,
                 extra=self._settings.retry_extra,
                 window_s=self._settings.retry_window_s,
-                hosts=hosts,
             )
-        budget.set_hosts(hosts)
+        if self._has_joined:
+            # Hosts that are silent or gone count, too: this one can't tell
+            # them from hosts that are cut off.
+            budget.add_hosts(len(self.board.membership.members()))
         budget.record_request(self.board.now())
         return budget
 
