A host's share of the retry budget is a token bucket that starts empty

Backend servers got more repeats than agreed when hosts restarted or callers moved between them. Cause: each host counted requests and retries in a sliding window of its own memory. A restarted host took a whole share again, each time; and windows of two hosts that end at different moments add up to twice the ratio in one window of the service. Change: requests fill a bucket by the ratio, time fills it by half of the host's part of the fixed number, the other half is its size; it is empty at the start. A retry occupies the bucket until its answer begins or its send failed, so that sends held up on the way don't meet later ones. What was paid and not sent is given back. bounds.budgetWindowS of 0 is a settings error now. Ruled out: no fixed part for one window after a start (hosts that have just restarted need retries most), half a share for each incarnation (fails in series of three).

--- a/nutmegscale/platform/settings.py
+++ b/nutmegscale/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from nutmegscale import errors
+from nutmegscale import retry_share
 
 SETTINGS_VARIABLE = "NUTMEGSCALE_SETTINGS"
 
@@ -29,9 +30,7 @@
       grace_s: Time from SIGTERM until the process is killed, seconds.
       drain_s: Time after which a draining backend server must receive no
         more requests, seconds.
-      retry_ratio: Retries allowed per request of a service, over all hosts.
-      retry_extra: Retries allowed beyond that in each window, over all hosts.
-      retry_window_s: Length of that window, seconds.
+      retry_limits: Retry budget of each service, over all hosts.
       is_first_start: Whether the whole system starts for the first time.
     """
 
@@ -47,9 +46,7 @@
     store_address: str
     grace_s: float
     drain_s: float
-    retry_ratio: float
-    retry_extra: float
-    retry_window_s: float
+    retry_limits: retry_share.Limits
     is_first_start: bool
 
 
@@ -133,13 +130,20 @@
         store_address=file_settings.platform.address,
         grace_s=bounds.grace,
         drain_s=bounds.drain_ms / 1000,
-        retry_ratio=bounds.retry_ratio,
-        retry_extra=bounds.retry_extra,
-        retry_window_s=bounds.retry_window,
+        retry_limits=_retry_limits(path, bounds),
         is_first_start=file_settings.bootstrap,
     )
 
 
+def _retry_limits(path: str, bounds: _Bounds) -> retry_share.Limits:
+    window_s = bounds.retry_window
+    if window_s <= 0.0:
+        raise errors.SettingsError(
+            f"{path}: bounds.budgetWindowS: {window_s} isn't above 0"
+        )
+    return retry_share.Limits(bounds.retry_ratio, bounds.retry_extra, window_s)
+
+
 def _parse_address(path: str, key: str, address: str) -> tuple[str, int]:
     ip, _, port = address.rpartition(":")
     if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -31,9 +31,7 @@
         peer_address=peer_address,
         link_mbps=host_settings.link_mbps,
         grace_s=host_settings.grace_s,
-        retry_ratio=host_settings.retry_ratio,
-        retry_extra=host_settings.retry_extra,
-        retry_window_s=host_settings.retry_window_s,
+        retry_limits=host_settings.retry_limits,
         is_first_start=host_settings.is_first_start,
     )
 
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -57,8 +57,10 @@
         self.deadline = incoming.arrived + limit_s
         self.waited_s = waited_s
         self.tries: list[str] = []
-        self.sends = request_sends.RequestSends(self._take_retry)
         self._retries = retries
+        self.sends = request_sends.RequestSends(
+            retries, now=board.now, on_retry=self._record_retry
+        )
         self._content = b""
 
     def content(self) -> bytes:
@@ -131,14 +133,11 @@
             **fields,
         )
 
-    def _take_retry(self) -> bool:
-        """Take a retry from this host's share; False if it is used up."""
-        now, share = self._board.now(), self._retries
-        is_allowed = share.take(now)
+    def _record_retry(self, is_allowed: bool) -> None:
         event = "retry_allowed" if is_allowed else "retry_denied"
         self._board.metrics.record_failure_event(event)
-        self.log(event, hosts=share.hosts, left=round(share.remaining(now), 1))
-        return is_allowed
+        left = self._retries.remaining(self._board.now())
+        self.log(event, hosts=self._retries.hosts, left=round(left, 1))
 
     def log(self, event: str, **fields: Any) -> None:
         """Log an event of this request."""
--- a/nutmegscale/request_sends.py
+++ b/nutmegscale/request_sends.py
@@ -5,6 +5,7 @@
 from typing import Self
 
 from nutmegscale import errors
+from nutmegscale import retry_share
 
 
 class RequestSends:
@@ -16,14 +17,23 @@
     the server then runs it. One that may have arrived counts as arrived.
     """
 
-    def __init__(self, take_retry: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        share: retry_share.RetryShare,
+        *,
+        now: Callable[[], float],
+        on_retry: Callable[[bool], None] = lambda _: None,
+    ) -> None:
         """Create the record of a request that sent nothing yet.
 
         Args:
-          take_retry: Takes a retry from the budget; returns False if none is
-            left.
+          share: Share of the retry budget that pays for further sends.
+          now: Returns monotonic time in seconds.
+          on_retry: Called when a retry is allowed (True) or denied.
         """
-        self._take_retry = take_retry
+        self._share = share
+        self._now = now
+        self._on_retry = on_retry
         self._arrivals = 0
         self._paid = 0
         self._has_prefilled = False
@@ -43,9 +53,11 @@
           Whether they may be sent; False if the retry budget is spent.
         """
         while self._paid < self._arrivals + count - 1:
-            if not self._take_retry():
+            is_allowed = self._share.take(self._now())
+            self._paid += is_allowed
+            self._on_retry(is_allowed)
+            if not is_allowed:
                 return False
-            self._paid += 1
         return True
 
     def send(self) -> "Send":
@@ -65,6 +77,14 @@
             self._has_prefilled = True
         else:
             self._arrivals += 1
+            if self._arrivals > 1:
+                self._share.use()
+
+    def close(self) -> None:
+        """Give back what was paid and not sent, at the end of the request."""
+        while self._paid > max(0, self._arrivals - 1):
+            self._paid -= 1
+            self._share.give_back()
 
 
 class Send:
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -192,7 +192,7 @@
             boot_now=boot_now or clock.seconds,
             era_known_s=lambda era: self._era.known_s(self.board.now(), era),
         )
-        self._budgets: dict[str, retry_share.RetryShare] = {}
+        self._retry_shares: dict[str, retry_share.RetryShare] = {}
         self._suspects = shared_quarantine.SharedQuarantine(
             self.mesh,
             self.board.membership,
@@ -220,10 +220,11 @@
         self._live: set[http_ingress.IncomingRequest] = set()
         self._joining: defer.Deferred[Any] | None = None
         self._drain_started_at = 0.0
-        self._has_joined = False
+        self._joined_at: float | None = None
 
     def _on_joined(self) -> None:
-        self._has_joined = True
+        if self._joined_at is None:
+            self._joined_at = self.board.now()
         self.members.announce()
         self.configs.ask_peers()
         self._suspects.ask_peers()
@@ -247,12 +248,8 @@
     def update_settings(self, settings: router_settings.RouterSettings) -> None:
         """Apply changed limits; other changed settings require a restart."""
         self._settings = settings
-        for budget in self._budgets.values():
-            budget.set_limits(
-                ratio=settings.retry_ratio,
-                extra=settings.retry_extra,
-                window_s=settings.retry_window_s,
-            )
+        for share in self._retry_shares.values():
+            share.set_limits(self.board.now(), settings.retry_limits)
 
     def start(self) -> None:
         """Start every component."""
@@ -358,7 +355,7 @@
             route,
             codec=self._codecs.callers,
             service=service,
-            retries=self._budget(service),
+            retries=self._retry_share(service),
             waited_s=self._patience.waited_s(route.name, request.patience_s),
         )
         self._run(context)
@@ -388,6 +385,7 @@
         self, result: Any, context: request_context.RequestContext
     ) -> None:
         self._live.discard(context.incoming)
+        context.sends.close()
         if not context.incoming.is_ended:
             # A defect: the runner ended without an answer.
             context.fail(
@@ -399,21 +397,23 @@
         spec = config.services.get(service) if config else None
         return spec is not None and spec.engine is not None
 
-    def _budget(self, service: str) -> retry_share.RetryShare:
+    def _retry_share(self, service: str) -> retry_share.RetryShare:
         """Return the retry share of a service for a new request to it."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = retry_share.RetryShare(
-                ratio=self._settings.retry_ratio,
-                extra=self._settings.retry_extra,
-                window_s=self._settings.retry_window_s,
+        now = self.board.now()
+        # Hosts that are silent or gone count, too: this one can't tell them
+        # from hosts that are cut off.
+        known = len(self.board.membership.members())
+        hosts = 0 if self._joined_at is None else known
+        share = self._retry_shares.get(service)
+        if share is None:
+            share = self._retry_shares[service] = retry_share.RetryShare(
+                self._settings.retry_limits,
+                now=now if self._joined_at is None else self._joined_at,
+                hosts=hosts,
             )
-        if self._has_joined:
-            # Hosts that are silent or gone count, too: this one can't tell
-            # them from hosts that are cut off.
-            budget.add_hosts(len(self.board.membership.members()))
-        budget.record_request(self.board.now())
-        return budget
+        share.add_hosts(now, hosts)
+        share.record_request(now)
+        return share
 
     def _reject(
         self,
--- a/nutmegscale/router_settings.py
+++ b/nutmegscale/router_settings.py
@@ -5,6 +5,7 @@
 
 from nutmegscale import backend
 from nutmegscale import caller_request
+from nutmegscale import retry_share
 from nutmegscale import routes
 from nutmegscale import row_store
 
@@ -18,9 +19,7 @@
       peer_address: Address at which its peers reach it.
       link_mbps: Capacity of its network link, Mbit/s.
       grace_s: Longest graceful shutdown, seconds.
-      retry_ratio: Retries allowed per request of a service, over all hosts.
-      retry_extra: Retries allowed beyond that in each window, over all hosts.
-      retry_window_s: Length of that window, seconds.
+      retry_limits: Retry budget of each service, over all hosts.
       is_first_start: Whether the whole system starts for the first time.
     """
 
@@ -29,9 +28,7 @@
     peer_address: str
     link_mbps: float
     grace_s: float
-    retry_ratio: float
-    retry_extra: float
-    retry_window_s: float
+    retry_limits: retry_share.Limits
     is_first_start: bool = False
 
 
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -8,6 +8,7 @@
 from twisted.internet import task
 
 from nutmegscale import http_ingress
+from nutmegscale import retry_share
 from nutmegscale import router
 from nutmegscale import router_settings
 from nutmegscale import upstream
@@ -93,9 +94,7 @@
                 peer_address=f"tcp://{name}",
                 link_mbps=1000.0,
                 grace_s=8.0,
-                retry_ratio=0.2,
-                retry_extra=self._retry_extra,
-                retry_window_s=10.0,
+                retry_limits=retry_share.Limits(0.2, self._retry_extra, 10.0),
                 is_first_start=self.clock.seconds() == 0.0,
             ),
             self.clock,
--- a/tests/test_request_sends.py
+++ b/tests/test_request_sends.py
@@ -4,22 +4,20 @@
 
 from nutmegscale import errors
 from nutmegscale import request_sends
+from nutmegscale import retry_share
 
 
-class _Budget:
-    """Retry budget with a number of retries; counts those taken."""
-
-    def __init__(self, retries: int) -> None:
-        self.left = retries
-        self.taken = 0
-
-    def take(self) -> bool:
-        """Take a retry if one is left."""
-        if not self.left:
-            return False
-        self.left -= 1
-        self.taken += 1
-        return True
+def _make(retries: int) -> tuple[request_sends.RequestSends, list[bool]]:
+    """Create sends with a number of retries; also return the verdicts."""
+    limits = retry_share.Limits(ratio=1.0, extra=2.0 * retries, window_s=10.0)
+    share = retry_share.RetryShare(limits, now=0.0, hosts=1)
+    for _ in range(retries):
+        share.record_request(0.0)
+    verdicts: list[bool] = []
+    sends = request_sends.RequestSends(
+        share, now=lambda: 0.0, on_retry=verdicts.append
+    )
+    return sends, verdicts
 
 
 def _send(sends: request_sends.RequestSends, *, prefill: bool = False) -> None:
@@ -34,8 +32,7 @@
 
 
 def test_first_prefill_and_first_run_are_free() -> None:
-    budget = _Budget(0)
-    sends = request_sends.RequestSends(budget.take)
+    sends, verdicts = _make(0)
     _send(sends, prefill=True)
     _send(sends)
     with pytest.raises(errors.RetryDeniedError):
@@ -43,18 +40,16 @@
 
 
 def test_rejected_prefill_leaves_the_run_to_be_paid() -> None:
-    budget = _Budget(1)
-    sends = request_sends.RequestSends(budget.take)
+    sends, verdicts = _make(1)
     _fail(sends, errors.RejectedError("full"))
     _send(sends, prefill=True)
     _send(sends)
-    assert budget.taken == 1
+    assert verdicts.count(True) == 1
     assert not sends.reserve()
 
 
 def test_second_accepted_prefill_is_paid_before_the_run() -> None:
-    budget = _Budget(1)
-    sends = request_sends.RequestSends(budget.take)
+    sends, verdicts = _make(1)
     _send(sends, prefill=True)
     _fail(sends, errors.RejectedError("full"))
     assert sends.has_prefilled
@@ -63,18 +58,25 @@
 
 
 def test_send_without_a_connection_costs_nothing() -> None:
-    budget = _Budget(1)
-    sends = request_sends.RequestSends(budget.take)
+    sends, verdicts = _make(1)
     for _ in range(3):
         _fail(sends, errors.ConnectError("down"))
     _send(sends)
     _fail(sends, errors.ConnectError("down"))
     _send(sends)
-    assert budget.taken == 1
+    assert verdicts.count(True) == 1
 
 
 def test_send_that_may_have_arrived_is_counted() -> None:
-    budget = _Budget(0)
-    sends = request_sends.RequestSends(budget.take)
+    sends, verdicts = _make(0)
     _fail(sends, errors.ResponseTimeoutError("late"))
     assert not sends.reserve()
+
+
+def test_what_was_paid_and_not_sent_is_given_back() -> None:
+    sends, verdicts = _make(1)
+    _send(sends)
+    assert sends.reserve()
+    sends.close()
+    assert sends.reserve()
+    assert verdicts == [True, True]
--- a/tests/test_retry_budget_of_hosts.py
+++ b/tests/test_retry_budget_of_hosts.py
@@ -5,6 +5,7 @@
 servers beyond the first send of each request.
 """
 
+from nutmegscale import retry_share
 from standins import platform_rows
 from standins import router_world
 from tools import retry_window
@@ -44,7 +45,7 @@
     simulation: router_world.Simulation, extra: float = EXTRA
 ) -> retry_window.WorstWindow:
     """Return the worst window of the service whose servers failed."""
-    budget = retry_window.Budget(ratio=0.2, extra=extra, window_s=10.0)
+    budget = retry_share.Limits(ratio=0.2, extra=extra, window_s=10.0)
     model, plain = platform_rows.MODEL_SERVICE, platform_rows.PLAIN_SERVICE
     arrivals = [
         retry_window.Arrival(
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -1,9 +1,10 @@
 """Tests of how close retries come to their budget."""
 
+from nutmegscale import retry_share
 from tools import retry_report
 from tools import retry_window
 
-BUDGET = retry_window.Budget(ratio=0.5, extra=2.0, window_s=10.0)
+BUDGET = retry_share.Limits(ratio=0.5, extra=2.0, window_s=10.0)
 
 
 def _arrival(
--- a/tools/retry_report.py
+++ b/tools/retry_report.py
@@ -12,6 +12,7 @@
 import pathlib
 import sys
 
+from nutmegscale import retry_share
 from tools import loss_report
 from tools import retry_window
 
@@ -29,7 +30,7 @@
 )
 
 
-def report(lines: Iterable[str], budget: retry_window.Budget) -> list[str]:
+def report(lines: Iterable[str], budget: retry_share.Limits) -> list[str]:
     """Return the lines of the report.
 
     Args:
@@ -69,7 +70,7 @@
         for path in arguments.logs
         for line in path.read_text(encoding="utf-8").splitlines()
     ]
-    budget = retry_window.Budget(
+    budget = retry_share.Limits(
         arguments.ratio, arguments.extra, arguments.window
     )
     for line in report(lines, budget):
--- a/tools/retry_window.py
+++ b/tools/retry_window.py
@@ -9,19 +9,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-
-class Budget(NamedTuple):
-    """Limits of the retries of a service, over all hosts.
-
-    Attributes:
-      ratio: Retries allowed per request.
-      extra: Retries allowed beyond that in each window.
-      window_s: Length of the window, seconds.
-    """
-
-    ratio: float
-    extra: float
-    window_s: float
+from nutmegscale import retry_share
 
 
 class Arrival(NamedTuple):
@@ -97,7 +85,9 @@
 
 
 def worst_windows(
-    retries: Iterable[Event], requests: Iterable[Event], budget: Budget
+    retries: Iterable[Event],
+    requests: Iterable[Event],
+    budget: retry_share.Limits,
 ) -> list[WorstWindow]:
     """Find the worst window of each service with retries, sorted by service."""
     retry_times, request_times = _by_service(retries), _by_service(requests)
@@ -121,7 +111,7 @@
     start: float,
     retries: list[float],
     sent: list[float],
-    budget: Budget,
+    budget: retry_share.Limits,
 ) -> WorstWindow:
     window_s = budget.window_s
     # Requests of the window, the one before it or the one half a window
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from nutmegscale import http_ingress
+from nutmegscale import retry_share
 from nutmegscale.platform import routing_config
 from nutmegscale.platform import worker_entries
 from standins import fault_proxy
@@ -19,7 +20,6 @@
 from standins import platform_worker
 from standins import row_table
 from standins import store_site
-from tools import retry_window
 
 # Each host has a loopback address of its own, 127.SUBNET.0.x; ports are the
 # same on all. A soak derives its subnet from its process id, so that several
@@ -32,7 +32,7 @@
 LAPSE_S = 3.6
 # Start of the paths that crash each backend server that runs them.
 POISON_PREFIX = "/slot/poison-"
-RETRY_BUDGET = retry_window.Budget(ratio=0.2, extra=56.0, window_s=10.0)
+RETRY_BUDGET = retry_share.Limits(ratio=0.2, extra=56.0, window_s=10.0)
 SETTINGS = """
 nodeName = "{name}"
 ip = "{ip}"
