--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -55,6 +55,7 @@
       handles_expire_at_once: Whether prefill handles expire at once.
       poison: Body that crashes it when it runs, or b"".
       poison_prefix: Start of the paths that crash it when they run, or b"".
+      poison_parts: Parts of prompts that crash it when it begins the answer.
       crashes_in_prefill: Whether it crashes when it prefills one of them.
       on_crash: Called when it crashes on one of them.
       ran: Ids of the requests that it ran, in order.
@@ -87,6 +88,7 @@
         self.handles_expire_at_once = False
         self.poison = b""
         self.poison_prefix = b""
+        self.poison_parts: frozenset[bytes] = frozenset()
         self.crashes_in_prefill = False
         self.on_crash: Callable[[], None] = lambda: None
         self.ran: list[str] = []
@@ -201,6 +203,11 @@
             return True
         return self.poison != b"" and request.body == self.poison
 
+    def _has_poison_part(self, request: http_ingress.IncomingRequest) -> bool:
+        parts = request.head.get(b"prompt-prefix") or b""
+        names = [part.partition(b":")[0] for part in parts.split(b",")]
+        return not self.poison_parts.isdisjoint(names)
+
     def _answer_headers(self, request: http_ingress.IncomingRequest) -> Any:
         return [
             (b"Request-Id", _request_id(request).encode()),
@@ -278,6 +285,9 @@
         if is_first:
             headers = [(b"Content-Type", b"text/event-stream")]
             request.start(200, headers + self._answer_headers(request))
+            if self._has_poison_part(request):
+                self._clock.callLater(0, self.on_crash)
+                return
         if (
             self.break_after_events is not None
             and number > self.break_after_events
