Parts of prompts that crash workers are found and refused

Callers saw decode workers end one after the other, with all streams on them. Cause: suspicions went by one digest of the whole request. Class: evidence is kept under a name that the fault doesn't have. Change: evidence is kept for the whole content and for each part but the prompt's last, in one Quarantine. A crash counts against the parts of runs whose answer had hardly begun (under four events), so that streams in progress don't blur it; a run past that point counts for its parts at all hosts. Three crashes identify a part (five at about the same time), unless its crashes are explained by causes that the request doesn't hold; what can't be told apart is refused only together, so that sound requests with the same first part or the same caller's part go on. A quarantine of a part lasts 30 s, then 300 s, then an hour; one request at a time tries it, one host after the other. A message names 16 parts at most, those first that didn't run lately. Ruled out: intersections of whole crashes (streams in progress hold all common parts), refusal of every suspect part (refuses the first part).

--- a/nutmegscale/call_controller.py
+++ b/nutmegscale/call_controller.py
@@ -21,6 +21,7 @@
 from nutmegscale import messages
 from nutmegscale import periodic
 from nutmegscale import platform_service
+from nutmegscale import quarantine
 from nutmegscale import retry_budget
 from nutmegscale import store_era
 from nutmegscale import worker
@@ -54,13 +55,15 @@
     content_type: str
     body: bytes
 
-    def content_digest(self) -> bytes:
-        """Return the digest of the content, the same for each attempt."""
-        return claim.content_digest(
-            self.service.encode(),
-            self.method.encode(),
-            self.path.encode(),
-            self.body,
+    def content(self) -> quarantine.Content:
+        """Return the content, the same for each attempt."""
+        return quarantine.Content(
+            claim.content_digest(
+                self.service.encode(),
+                self.method.encode(),
+                self.path.encode(),
+                self.body,
+            )
         )
 
 
@@ -211,7 +214,7 @@
         disconnects = 0
         was_sent = False
         for number in range(MAX_TRIES):
-            if self._crashes.refused_for_s(call.content_digest):
+            if self._crashes.refused_for_s(call.content):
                 outcome: errors.Outcome = "maybe_run" if was_sent else "not_run"
                 return errors.quarantine_failure(outcome)
             if number and not self._budget.take():
@@ -229,7 +232,7 @@
                 if crash_watch.is_disconnect(exc):
                     disconnects += 1
                     await self._crashes.is_quarantined_after_checks(
-                        call.content_digest(),
+                        call.content(),
                         disconnects=disconnects,
                         limit_s=deadline - self._board.now(),
                     )
@@ -253,7 +256,7 @@
           errors.TransportError: The call may have run.
         """
         for _ in range(MAX_TRIES):
-            if self._crashes.refused_for_s(call.content_digest):
+            if self._crashes.refused_for_s(call.content):
                 raise errors.QuarantinedError(f"{call.method} {call.path}")
             chosen = self._choose(call)
             if chosen is None:
@@ -289,7 +292,7 @@
             self._record_failure(name)
             if crash_watch.is_disconnect(exc):
                 self._crashes.record_disconnect(
-                    call.content_digest(),
+                    call.content(),
                     _WatchedServer(name, name, chosen.address),
                     began_at,
                 )
@@ -298,7 +301,7 @@
             self._outstanding[name] -= 1
             if not self._outstanding[name]:
                 del self._outstanding[name]
-        self._crashes.record_success(call.content_digest)
+        self._crashes.record_success(call.content)
         content_type = response.headers.get("content-type", "")
         return claim.Answer(response.status, content_type, response.body)
 
@@ -330,7 +333,7 @@
             and w.name not in self._board.leaving_workers
         }
         healthy = [n for n in usable if self._avoid_until.get(n, 0.0) <= now]
-        apart = self._crashes.server_apart(call.content_digest, healthy)
+        apart = self._crashes.server_apart(call.content, healthy)
         if apart is not None:
             return usable[apart]
         return min(
--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -7,6 +7,7 @@
 from nutmegscale import backend
 from nutmegscale import errors
 from nutmegscale import http_message
+from nutmegscale import quarantine
 from nutmegscale import upstream_call
 
 CONTENT_DIGEST_BYTES = 16
@@ -44,6 +45,10 @@
     head: http_message.RequestHead
     body: bytes
 
+    def content(self) -> quarantine.Content:
+        """Return what may crash the servers that run the request."""
+        return quarantine.Content(self.content_digest(), self.part_digests())
+
     def content_digest(self) -> bytes:
         """Return the digest of the content, the same for each attempt.
 
--- a/nutmegscale/crash_watch.py
+++ b/nutmegscale/crash_watch.py
@@ -14,10 +14,13 @@
 from nutmegscale import periodic
 from nutmegscale import quarantine
 from nutmegscale import shared_quarantine
+from nutmegscale import sound_parts
 
 # Pause before checking whether a server that broke a connection still accepts
 # new ones, seconds.
 CHECK_DELAY_S = 0.05
+# Parts of one prompt that may become suspect in a crash.
+MAX_SUSPECT_PARTS = 16
 
 
 class Server(Protocol):
@@ -43,12 +46,12 @@
     """Run of a content whose server closed the connection.
 
     Attributes:
-      fingerprint: Digest of the content.
+      content: The content, with the parts that may be at fault.
       began_at: When the run began, seconds of the host's clock.
       broke_at: When the connection closed, seconds of the host's clock.
     """
 
-    fingerprint: bytes
+    content: quarantine.Content
     began_at: float
     broke_at: float
 
@@ -63,13 +66,21 @@
     @property
     def contents(self) -> set[bytes]:
         """Digests of the contents that it counts against."""
-        return {run.fingerprint for run in self.runs}
+        return {run.content.digest for run in self.runs}
 
     @property
     def joined(self) -> str:
         """The digests as one text for log lines."""
         return ",".join(sorted(content.hex() for content in self.contents))
 
+    def clear(self, names: Collection[bytes]) -> None:
+        """Leave out contents and parts that ran on elsewhere."""
+        self.runs = [
+            run._replace(content=run.content.without(names))
+            for run in self.runs
+            if run.content.digest not in names
+        ]
+
     def wait(self) -> defer.Deferred[None]:
         """Return a new Deferred that fires at the end of the check."""
         waiter: defer.Deferred[None] = defer.Deferred()
@@ -87,8 +98,10 @@
     """Suspects content whose servers crashed while they ran it.
 
     Contents are named by a digest that is the same for each attempt of a
-    request. Many calls may share one content. It stays in use as long as some
-    of its runs end between two crashes of its servers.
+    request, and by the digests of the parts of its prompt that it shares with
+    others. Many calls may share one content. It stays in use as long as some of
+    its runs end between two crashes of its servers. Functions that return a
+    content aren't called while there are no suspects.
     """
 
     def __init__(
@@ -109,32 +122,45 @@
         self._suspects = suspects
         self._connect = connect
         self._checks: dict[str, _Check] = {}
+        self._sound_parts = sound_parts.SoundParts()
 
     @property
     def _is_watching(self) -> bool:
         return bool(self._checks) or self._suspects.has_suspects
 
-    def refused_for_s(self, digest_of: Callable[[], bytes]) -> float:
-        """Return the time until content may run again, seconds; 0 if now.
-
-        Args:
-          digest_of: Returns the digest of the content; not called while there
-            are no suspects.
-        """
+    def refused_for_s(
+        self, content_of: Callable[[], quarantine.Content]
+    ) -> float:
+        """Return the time until content may run again, seconds; 0 if now."""
         if not self._suspects.has_suspects:
             return 0.0
-        return self._suspects.refused_for_s(digest_of())
+        return self._suspects.refused_for_s(content_of())
+
+    def admit(self, content_of: Callable[[], quarantine.Content]) -> float:
+        """Let a new request run unless its content is in quarantine.
+
+        After a quarantine, the request tries its content, and others with it
+        are refused meanwhile.
+
+        Returns:
+          Time until it may be sent again, seconds; 0 if it may run now.
+        """
+        refused_for_s = self.refused_for_s(content_of)
+        if self._suspects.has_suspects and not refused_for_s:
+            self._suspects.begin_trial(content_of())
+        return refused_for_s
 
     def server_apart(
-        self, digest_of: Callable[[], bytes], servers: Collection[str]
+        self,
+        content_of: Callable[[], quarantine.Content],
+        servers: Collection[str],
     ) -> str | None:
         """Return the server where a suspect runs apart from other suspects.
 
         Contents whose broken connection is still being checked count, too.
 
         Args:
-          digest_of: Returns the digest of the content; not called while there
-            are no suspects.
+          content_of: Returns the content.
           servers: Ids of the candidates.
 
         Returns:
@@ -143,7 +169,7 @@
         """
         if not servers or not self._is_watching:
             return None
-        content = digest_of()
+        content = content_of().digest
         suspects = set(self._suspects.sharing_crashes(content))
         for check in self._checks.values():
             if content in check.contents:
@@ -152,34 +178,59 @@
             return None
         return quarantine.assign_apart(suspects, servers)[content]
 
-    def record_success(self, digest_of: Callable[[], bytes]) -> None:
+    def record_begun(
+        self, content_of: Callable[[], quarantine.Content], *, part_count: int
+    ) -> None:
+        """Record that an answer got past its beginning.
+
+        The parts of its prompt are cleared on all hosts, also of crashes that
+        are still being checked. The whole content isn't, since it may crash
+        its server later.
+
+        Args:
+          content_of: Returns the content.
+          part_count: Number of parts of its prompt.
+        """
+        if part_count > MAX_SUSPECT_PARTS:
+            self._sound_parts.record(content_of().parts)
+        if self._is_watching:
+            self._clear(content_of().parts)
+
+    def record_success(
+        self, content_of: Callable[[], quarantine.Content]
+    ) -> None:
         """Record that content ran to its end.
 
         It is cleared on all hosts, also of crashes that are still being
         checked.
-
-        Args:
-          digest_of: Returns the digest of the content; not called while there
-            are no suspects.
         """
-        if not self._is_watching:
-            return
-        content = digest_of()
+        if self._is_watching:
+            self._clear((content_of().digest,))
+
+    def _clear(self, names: tuple[bytes, ...]) -> None:
         for check in self._checks.values():
-            check.runs = [r for r in check.runs if r.fingerprint != content]
-        if self._suspects.is_suspect(content):
-            self._suspects.clear(content)
+            check.clear(names)
+        self._suspects.clear(names)
 
     def record_disconnect(
-        self, content: bytes, server: Server, began_at: float
+        self,
+        content: quarantine.Content,
+        server: Server,
+        began_at: float,
+        *,
+        has_begun: bool = False,
     ) -> None:
         """Record that a server broke the connection while it ran content.
 
         Args:
-          content: Digest of the content.
+          content: The content.
           server: The server.
           began_at: When the run began, seconds of the host's clock.
+          has_begun: Whether its answer got past its beginning, so that the
+            parts of the prompt aren't at fault.
         """
+        parts = self._sound_parts.least_sound(content.parts, MAX_SUSPECT_PARTS)
+        content = content._replace(parts=() if has_begun else parts)
         run = _BrokenRun(content, began_at, self._clock.seconds())
         check = self._checks.get(server.key)
         if check is None:
@@ -188,7 +239,7 @@
         check.runs.append(run)
 
     async def is_quarantined_after_checks(
-        self, content: bytes, *, disconnects: int, limit_s: float
+        self, content: quarantine.Content, *, disconnects: int, limit_s: float
     ) -> bool:
         """Whether content must not run again after a broken connection.
 
@@ -197,17 +248,18 @@
         than a crash.
 
         Args:
-          content: Digest of the content.
+          content: The content.
           disconnects: Servers that broke the connection in this attempt.
           limit_s: Longest wait for a check, seconds.
         """
-        if disconnects > 1 or self._suspects.is_suspect(content):
+        is_suspect = any(map(self._suspects.is_suspect, content.names))
+        if disconnects > 1 or is_suspect:
             for check in list(self._checks.values()):
-                if content in check.contents:
+                if content.digest in check.contents:
                     await check.wait().addTimeout(
                         max(0.0, limit_s), self._clock, _end_wait
                     )
-        return self._suspects.is_quarantined(content)
+        return self._suspects.refused_for_s(content) > 0.0
 
     async def _check_server(self, server: Server, check: _Check) -> None:
         """Suspect what ran on a server if it accepts no connection now."""
@@ -234,7 +286,7 @@
             )
             for run in check.runs:
                 self._suspects.suspect(
-                    run.fingerprint,
+                    run.content,
                     server.id,
                     # Hosts that ran the content on it name the crash alike.
                     server.key,
--- a/nutmegscale/exchange_controller.py
+++ b/nutmegscale/exchange_controller.py
@@ -20,6 +20,7 @@
 from nutmegscale import periodic
 from nutmegscale import planner_controller
 from nutmegscale import prompts
+from nutmegscale import quarantine
 from nutmegscale import shared_quarantine
 
 # Claims of one request before it fails as in progress.
@@ -69,7 +70,7 @@
             self.planning,
             cancels,
             on_crash=self._record_crash,
-            on_cleared=lambda served: suspects.clear(served.fingerprint),
+            on_cleared=lambda served: suspects.clear((served.fingerprint,)),
             confirm=self._confirm,
         )
         link.on(messages.HandoverRequest, self._receive_handover)
@@ -413,7 +414,10 @@
         is_timed = began_at is not None
         run = "" if is_timed else f"@{served.id}@{len(served.tokens)}"
         self._suspects.suspect(
-            served.fingerprint, worker, f"{worker}{run}", began_at=began_at
+            quarantine.Content(served.fingerprint),
+            worker,
+            f"{worker}{run}",
+            began_at=began_at,
         )
 
     def cancel_all(self) -> None:
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -240,6 +240,8 @@
       crash_age_s: Time since the worker crashed, seconds.
       rounds: Number of crashes that count against the content by the sender;
         0 if unknown.
+      parts: Digests of the parts of its prompt that count, too.
+      part_rounds: Number of crashes that count against each part.
     """
 
     fingerprint: bytes
@@ -248,16 +250,28 @@
     run_age_s: float | None = None
     crash_age_s: float = 0.0
     rounds: int = 0
+    parts: tuple[bytes, ...] = ()
+    part_rounds: tuple[int, ...] = ()
 
 
 class SuspicionCleared(NamedTuple):
     """Notice that a run of suspected content passed the crash point.
 
     Attributes:
-      fingerprint: Digest of the content.
+      fingerprints: Digests of the content, or of parts of its prompt.
     """
 
-    fingerprint: bytes
+    fingerprints: tuple[bytes, ...]
+
+
+class SuspectTried(NamedTuple):
+    """Notice that a request tries content whose quarantine has ended.
+
+    Attributes:
+      fingerprints: Digests of the content, or of parts of its prompt.
+    """
+
+    fingerprints: tuple[bytes, ...]
 
 
 class SuspectsRequest(NamedTuple):
@@ -472,6 +486,7 @@
     Pong,
     SuspectsRequest,
     SuspectsReply,
+    SuspectTried,
 )
 TYPE_BY_NUMBER: dict[int, Any] = dict(enumerate(_MESSAGE_TYPES, start=1))
 NUMBER_BY_TYPE: dict[Any, int] = {
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -86,6 +86,7 @@
                     "server_failed", server=server.id, status=head.status
                 )
                 continue
+            context.record_begun(self._crashes)
             self._crashes.record_success(context.content)
             context.answer(head, body)
             return
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -3,10 +3,12 @@
 from typing import Any
 
 from nutmegscale import caller_request
+from nutmegscale import crash_watch
 from nutmegscale import errors
 from nutmegscale import http_ingress
 from nutmegscale import http_message
 from nutmegscale import logs
+from nutmegscale import quarantine
 from nutmegscale import request_sends
 from nutmegscale import retry_share
 from nutmegscale import routes
@@ -63,14 +65,20 @@
         self.sends = request_sends.RequestSends(
             retries, now=board.now, on_retry=self._record_retry
         )
-        self._content = b""
+        self._content: quarantine.Content | None = None
 
-    def content(self) -> bytes:
-        """Return the digest of the request's content; see `CallerRequest`."""
-        if not self._content:
-            self._content = self.request.content_digest()
+    def content(self) -> quarantine.Content:
+        """Return the content of the request; see `CallerRequest`."""
+        if self._content is None:
+            self._content = self.request.content()
         return self._content
 
+    def record_begun(self, crashes: crash_watch.CrashWatch) -> None:
+        """Record that the answer got past its beginning."""
+        crashes.record_begun(
+            self.content, part_count=len(self.request.prompt_parts)
+        )
+
     @property
     def part_names(self) -> str:
         """The first digits of the digests of its prompt's parts, for logs."""
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -342,7 +342,7 @@
         if is_leaving and route.kind == "stream":
             self._refuse(incoming, request, "host_is_leaving")
             return
-        refused_for_s = self.crashes.refused_for_s(request.content_digest)
+        refused_for_s = self.crashes.admit(request.content)
         if refused_for_s:
             self._refuse(
                 incoming, request, "quarantined", retry_after_s=refused_for_s
--- a/nutmegscale/shared_quarantine.py
+++ b/nutmegscale/shared_quarantine.py
@@ -1,6 +1,7 @@
 """Quarantine whose evidence all hosts share by messages."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from nutmegscale import logs
 from nutmegscale import membership
@@ -11,8 +12,13 @@
 
 # Hosts that inform each host of what it doesn't know.
 INFORMING_HOSTS = 2
-# Contents in one reply.
+# Contents and parts in one reply.
 MAX_CONTENTS = 64
+# Content whose quarantine has ended is tried by one host after the other, so
+# that no two requests try it at once: pause between two hosts, seconds, and the
+# number of hosts after which all others follow together.
+TRIAL_STAGGER_S = 2.0
+MAX_TRIAL_RANK = 7
 
 
 class SharedQuarantine:
@@ -51,6 +57,7 @@
         self._known = quarantine.Quarantine() if known is None else known
         link.on(messages.Suspicion, self._receive)
         link.on(messages.SuspicionCleared, self._receive_cleared)
+        link.on(messages.SuspectTried, self._receive_tried)
         link.on(messages.SuspectsRequest, self._receive_request)
         link.on(messages.SuspectsReply, self._receive_reply)
 
@@ -63,13 +70,25 @@
         """Whether content must run apart from other suspects."""
         return self._known.is_suspect(self._now(), fingerprint)
 
-    def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Whether content must not run again."""
-        return self._known.is_quarantined(self._now(), fingerprint)
-
-    def refused_for_s(self, fingerprint: bytes) -> float:
+    def refused_for_s(self, content: quarantine.Content) -> float:
         """Return the time until content may run again, seconds; 0 if now."""
-        return self._known.refused_for_s(self._now(), fingerprint)
+        return self._known.refused_for_s(
+            self._now(), content, delay_s=self._trial_delay_s(content.digest)
+        )
+
+    def begin_trial(self, content: quarantine.Content) -> None:
+        """Record, here and elsewhere, a run of content after a quarantine."""
+        tried = self._known.begin_trial(self._now(), content)
+        if tried:
+            logs.get().info(
+                "content_tried", contents=",".join(name.hex() for name in tried)
+            )
+            self._tell_peers(messages.SuspectTried(tuple(tried)))
+
+    def _trial_delay_s(self, fingerprint: bytes) -> float:
+        """Return how much later than the first host this one tries it."""
+        order = rendezvous.rank(fingerprint, self._members.alive())
+        return TRIAL_STAGGER_S * min(MAX_TRIAL_RANK, order.index(self._host))
 
     def sharing_crashes(self, fingerprint: bytes) -> list[bytes]:
         """Return a suspect and the other suspects of its crashes."""
@@ -77,7 +96,7 @@
 
     def suspect(
         self,
-        fingerprint: bytes,
+        content: quarantine.Content,
         worker: str,
         crash: str,
         *,
@@ -87,7 +106,7 @@
         """Record, here and at the other hosts, content that ran in a crash.
 
         Args:
-          fingerprint: Digest of the content.
+          content: The content, with the parts that count, too.
           worker: Worker that crashed.
           crash: Name of the crash; unique unless `began_at` is given.
           began_at: When the run began, seconds; after the other crashes of the
@@ -96,21 +115,32 @@
         """
         now = self._now()
         message = messages.Suspicion(
-            fingerprint,
+            content.digest,
             worker,
             crash,
             run_age_s=None if began_at is None else now - began_at,
             crash_age_s=0.0 if crashed_at is None else now - crashed_at,
+            parts=content.parts,
+            part_rounds=(0,) * len(content.parts),
         )
         self._receive(self._host, message)
-        rounds = self._known.rounds(fingerprint)
-        self._tell_peers(message._replace(rounds=rounds))
+        rounds = [self._known.rounds(name) for name in content.names]
+        self._tell_peers(
+            message._replace(rounds=rounds[0], part_rounds=tuple(rounds[1:]))
+        )
 
-    def clear(self, fingerprint: bytes) -> None:
-        """Record, here and at the other hosts, that content ran on."""
-        message = messages.SuspicionCleared(fingerprint)
-        self._receive_cleared(self._host, message)
-        self._tell_peers(message)
+    def clear(self, fingerprints: Iterable[bytes]) -> None:
+        """Record, here and at the other hosts, that content ran on.
+
+        Args:
+          fingerprints: Digests of the content and of parts; those that aren't
+            suspects are left out.
+        """
+        suspects = tuple(name for name in fingerprints if self.is_suspect(name))
+        if suspects:
+            message = messages.SuspicionCleared(suspects)
+            self._receive_cleared(self._host, message)
+            self._tell_peers(message)
 
     def ask_peers(self) -> None:
         """Ask some hosts for what they know of suspects."""
@@ -123,7 +153,10 @@
         return rendezvous.rank(host.encode(), others)[:INFORMING_HOSTS]
 
     def _tell_peers(
-        self, message: messages.Suspicion | messages.SuspicionCleared
+        self,
+        message: messages.Suspicion
+        | messages.SuspicionCleared
+        | messages.SuspectTried,
     ) -> None:
         for host in self._members.alive():
             if host != self._host:
@@ -131,41 +164,74 @@
 
     def _receive(self, sender: str, message: messages.Suspicion) -> None:
         now = self._now()
-        content = message.fingerprint
-        known_before = self._known.evidence_of(now, content)
-        was_quarantined = self._known.is_quarantined(now, content)
-        age_s = message.run_age_s
-        counts = self._known.suspect(
-            now,
-            content,
-            message.crash,
-            began_at=None if age_s is None else now - age_s,
-            crashed_at=now - message.crash_age_s,
-            rounds=message.rounds,
-        )
+        content = quarantine.Content(message.fingerprint, message.parts)
+        was_refused = self._known.refused_for_s(now, content) > 0.0
+        known_before = [
+            self._known.evidence_of(now, name)
+            for name in content.names
+            if was_refused
+        ]
+        counts = [
+            self._suspect(now, message, name, rounds)
+            for name, rounds in zip(
+                content.names,
+                (message.rounds, *message.part_rounds),
+                strict=False,
+            )
+        ]
         logs.get().info(
             "content_suspected",
-            content=content.hex(),
+            content=content.digest.hex(),
+            parts=",".join(part.hex()[:8] for part in content.parts),
             backend=message.worker,
             crash=message.crash,
-            counts=counts,
+            counts=any(counts),
             told_by=sender,
         )
-        if counts:
+        if any(counts):
             self._on_event("content_suspected", message.worker)
-        if self._known.is_quarantined(now, content) and not was_quarantined:
-            logs.get().warning(
-                "content_quarantined",
-                fingerprint=content.hex(),
-                backend=message.worker,
-                told_by=sender,
-            )
-            self._on_event("content_quarantined", message.worker)
+        if self._known.refused_for_s(now, content) and not was_refused:
+            self._report_quarantine(sender, message.worker, content)
+
+        is_behind = was_refused and sender != self._host
+        if is_behind and self._host in self._nearest(sender):
+            known = tuple(e for e in known_before if e is not None)
+            self._mesh.send(sender, messages.SuspectsReply(known))
+
+    def _suspect(
+        self,
+        now: float,
+        message: messages.Suspicion,
+        name: bytes,
+        rounds: int,
+    ) -> bool:
+        age_s = message.run_age_s
+        parts = frozenset(message.parts)
+        return self._known.suspect(
+            now,
+            name,
+            message.crash,
+            began_at=None if age_s is None else now - age_s,
+            crashed_at=now - message.crash_age_s,
+            rounds=rounds,
+            run=None if name == message.fingerprint else parts,
+        )
 
-        is_behind = was_quarantined and sender != self._host
-        if is_behind and known_before and self._host in self._nearest(sender):
-            reply = messages.SuspectsReply((known_before,))
-            self._mesh.send(sender, reply)
+    def _report_quarantine(
+        self,
+        sender: str,
+        worker: str,
+        content: quarantine.Content,
+    ) -> None:
+        causes = self._known.causes(content)
+        logs.get().warning(
+            "content_quarantined",
+            fingerprint=",".join(name.hex() for name in causes),
+            crashes=max(self._known.rounds(name) for name in causes),
+            backend=worker,
+            told_by=sender,
+        )
+        self._on_event("content_quarantined", worker)
 
     def _receive_request(
         self, sender: str, _: messages.SuspectsRequest
@@ -190,7 +256,14 @@
     def _receive_cleared(
         self, sender: str, message: messages.SuspicionCleared
     ) -> None:
-        self._known.clear(message.fingerprint, now=self._now())
+        for name in message.fingerprints:
+            self._known.clear(name, now=self._now())
         logs.get().info(
-            "content_cleared", content=message.fingerprint.hex(), told_by=sender
+            "content_cleared",
+            contents=",".join(name.hex() for name in message.fingerprints),
+            told_by=sender,
         )
+
+    def _receive_tried(self, _: str, message: messages.SuspectTried) -> None:
+        for name in message.fingerprints:
+            self._known.record_trial(self._now(), name)
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -34,6 +34,9 @@
 # Length of a content digest, bytes: enough to distinguish the refused requests
 # that a planner remembers for `refused_requests.RETENTION_S`.
 DIGEST_BYTES = 8
+# Events of a run after which its answer is past its beginning, where a part of
+# the prompt may crash the worker.
+BEGUN_EVENTS = 4
 # Retry-After of a request that was granted `MAX_OFFERS` slots and ran in none:
 # each worker rejected it, left or was unreachable; seconds.
 REJECTED_RETRY_AFTER_S = 1.0
@@ -313,7 +316,10 @@
         if not is_timeout:
             run.disconnects += 1
             self._crashes.record_disconnect(
-                context.content(), decode, run.began_at
+                context.content(),
+                decode,
+                run.began_at,
+                has_begun=run.run_events >= BEGUN_EVENTS,
             )
             self._board.loads.record_failure(self._board.now(), decode)
             self._report_unreachable(context, run, decode)
@@ -402,13 +408,18 @@
                 break
             complete = splitter.feed(data)
             if complete:
+                had_begun = run.run_events >= BEGUN_EVENTS
                 run.record_events(self._board.now(), splitter.count(complete))
                 run.last_event = splitter.last_id or run.last_event
+                if run.run_events >= BEGUN_EVENTS and not had_begun:
+                    context.record_begun(self._crashes)
                 incoming.write(complete)
         if splitter.rest:
             raise errors.TransportError("the stream ended within an event")
         run.ended_at = self._board.now()
         run.is_complete = True
+        if run.run_events < BEGUN_EVENTS:
+            context.record_begun(self._crashes)
         self._crashes.record_success(context.content)
         incoming.finish()
         self._board.metrics.record_stream(
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -238,7 +238,9 @@
         self._prefills += 1
         accepted = self.received[-1]._replace(is_accepted_prefill=True)
         self.received[-1] = accepted
-        if self.crashes_in_prefill and self._is_poison(request):
+        if self.crashes_in_prefill and (
+            self._is_poison(request) or self._has_poison_part(request)
+        ):
             self._clock.callLater(0, self.on_crash)
         name = f"h{self._prefills}"
 
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -206,3 +206,45 @@
     assert caller.replies[-1].status == 503
     world.simulation.run(retry_after_s)
     assert world.ask("common", BAD, host=0) == 200
+
+
+def test_crashing_part_among_many_is_found_with_small_messages() -> None:
+    world = _World()
+    common = [f"common{number}" for number in range(99)]
+    assert world.ask(*common, host=0) == 200
+    assert world.ask(*common, host=1) == 200
+    assert world.ask(*common, host=2) == 200
+    sizes: list[int] = []
+    deliver = world.simulation.peer_network.deliver
+
+    def _measure(source: str, target: str, data: bytes) -> None:
+        sizes.append(len(data))
+        deliver(source, target, data)
+
+    world.simulation.peer_network.deliver = _measure  # type: ignore[method-assign]
+    _crash_until_known(
+        world, lambda: world.ask(*common[:50], BAD, *common[50:])
+    )
+    assert world.crashes <= MAX_CRASHES
+    assert max(sizes) < 1_500
+
+
+def test_resumable_streams_with_the_part_take_no_more_workers() -> None:
+    world = _World()
+    for _ in range(12):
+        world.send("common", BAD, route="digest")
+        world.simulation.run(2.0)
+    assert world.crashes <= MAX_CRASHES
+    assert world.ask("common") == 200
+
+
+def test_part_that_crashes_in_prefill_is_found() -> None:
+    world = _World(bad=())
+    for name in ("p1", "p2"):
+        world.set_bad(name, (BAD,))
+        world.simulation.workers[name].crashes_in_prefill = True
+    for _ in range(12):
+        world.ask("common", BAD)
+        world.simulation.run(0.5)
+    assert world.crashes <= MAX_CRASHES
+    assert world.ask("common") == 200
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 from standins import deployment
 from standins import engine_model
 
+X = quarantine.Content(b"x")
 POISON = "map " * 40 + engine_model.PREFILL_CRASH_MARK
 
 
@@ -161,11 +162,11 @@
     for at in (1.0, 2.0):
         known.suspect(at, b"x", "a", began_at=at - 0.1, crashed_at=at)
     end = 2.0 + quarantine.FIRST_QUARANTINE_S
-    assert known.refused_for_s(end - 10.0, b"x") == 10.0
+    assert known.refused_for_s(end - 10.0, X) == 10.0
     assert not known.is_quarantined(end, b"x")
     assert known.is_suspect(end, b"x")
     known.suspect(end, b"x", "a", began_at=end - 0.1, crashed_at=end)
-    assert known.refused_for_s(end, b"x") == quarantine.QUARANTINE_TTL_S
+    assert known.refused_for_s(end, X) == quarantine.QUARANTINE_TTL_S
 
 
 def test_a_run_after_the_quarantine_clears_the_content() -> None:
@@ -186,7 +187,7 @@
     for evidence in other.evidence(3.0, limit=10):
         assert known.merge(51.0, evidence)
         assert not known.merge(51.0, evidence)
-    assert known.refused_for_s(51.0, b"x") == other.refused_for_s(3.0, b"x")
+    assert known.refused_for_s(51.0, X) == other.refused_for_s(3.0, X)
     assert not other.merge(3.0, known.evidence(51.0, limit=10)[0])
 
 
@@ -199,3 +200,70 @@
     assert known.is_quarantined(1.05, b"x")
     known.suspect(1.06, b"x", "b", began_at=0.9, crashed_at=1.05, rounds=2)
     assert known.rounds(b"x") == 2
+
+
+def _run(
+    known: quarantine.Quarantine,
+    at: float,
+    crash: str,
+    digest: bytes,
+    *parts: bytes,
+) -> None:
+    """Record a crash under a run that began shortly before it."""
+    run = frozenset(parts)
+    known.suspect(at, digest, crash, began_at=at - 0.1, crashed_at=at)
+    for part in parts:
+        known.suspect(
+            at, part, crash, began_at=at - 0.1, crashed_at=at, run=run
+        )
+
+
+def test_part_is_refused_only_with_all_that_it_always_ran_with() -> None:
+    known = quarantine.Quarantine()
+    for number in range(3):
+        _run(known, 1.0 + number, f"c{number}", b"%d" % number, b"club", b"bad")
+    refused = [
+        known.refused_for_s(4.0, quarantine.Content(b"new", parts)) > 0.0
+        for parts in ((b"club", b"bad"), (b"club",), (b"bad",), ())
+    ]
+    assert refused == [True, False, False, False]
+    known.suspect(5.0, b"bad", "c9", began_at=4.9, run=frozenset((b"bad",)))
+    assert known.refused_for_s(5.0, quarantine.Content(b"new", (b"bad",)))
+
+
+def test_parts_that_ran_on_more_often_than_they_crashed_are_cleared() -> None:
+    known = quarantine.Quarantine()
+    for number in range(4):
+        _run(known, 1.0 + number, f"c{number}", b"%d" % number, b"a", b"bad")
+        for _ in range(2):
+            known.clear(b"a", now=1.5 + number)
+    assert known.rounds(b"a") == 0
+    assert known.refused_for_s(5.0, quarantine.Content(b"new", (b"bad",))) > 0.0
+
+
+def test_a_part_crashed_by_servers_lost_together_is_no_cause() -> None:
+    known = quarantine.Quarantine()
+    for number in range(4):
+        known.suspect(
+            1.0,
+            b"a",
+            f"server {number}",
+            began_at=0.5,
+            crashed_at=1.0,
+            run=frozenset((b"a",)),
+        )
+    assert not known.refused_for_s(1.0, quarantine.Content(b"new", (b"a",)))
+
+
+def test_memory_is_bounded_with_many_parts_and_keeps_contents() -> None:
+    known = quarantine.Quarantine(capacity=50)
+    for at in (1.0, 2.0):
+        known.suspect(at, b"x", f"c{at}", began_at=at - 0.1, crashed_at=at)
+    for number in range(500):
+        part = b"part %d" % number
+        known.suspect(
+            3.0, part, "c", began_at=2.9, crashed_at=3.0, run=frozenset((part,))
+        )
+    assert known.is_quarantined(3.0, b"x")
+    assert len(known.evidence(3.0, limit=1_000)) == 51
+    assert known.evidence(3.0, limit=1)[0].fingerprint == b"x"
