--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,6 +1,6 @@
 """Randomized soak test: checks guarantees of real daemons under faults.
 
-    python -m tools.soak --seed N --minutes M [--hosts N] [--callers N]
+    python -m tools.soak --seed N --minutes M [--hosts N] [--callers N] [--grey]
 
 All random choices come from the seed. Writes faults and results as JSON lines
 to out/soak-SEED/soak-SEED.jsonl; ends only the processes that it started.
@@ -19,6 +19,7 @@
 
 from nutmegscale import periodic
 from tools import soak_callers
+from tools import soak_grey
 from tools import soak_poison
 from tools import soak_world
 
@@ -68,6 +69,10 @@
         self._poison = soak_poison.PoisonCallers(
             self.deployment, self.callers, random.Random(arguments.seed + 2)
         )
+        self._grey = soak_grey.GreyServers(
+            self.deployment, random.Random(arguments.seed + 3)
+        )
+        self._has_grey_servers = arguments.grey
         self.deployment.on_poison = self._crash_on_poison
         self._log_file = open(folder / f"soak-{arguments.seed}.jsonl", "w")  # noqa: SIM115
         self._disturbed_at: dict[str, float] = {}
@@ -90,6 +95,8 @@
         self.deployment.start()
         await periodic.sleep(reactor, WARM_UP_S)
         self._poison.start()
+        if self._has_grey_servers:
+            self._grey.start()
         end = self._started_at + WARM_UP_S + self._duration_s
         while reactor.seconds() < end:
             # Faults come in bursts and overlap.
@@ -97,6 +104,7 @@
                 self._inject_fault()
             await periodic.sleep(reactor, self._rng.uniform(0.3, 3.0))
         self._poison.stop()
+        self._grey.stop()
         self._heal_all()
         await periodic.sleep(reactor, RECOVERY_S)
         healed_at = reactor.seconds()
@@ -433,6 +441,11 @@
     parser.add_argument("--minutes", type=float, default=1.0)
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument(
+        "--grey",
+        action="store_true",
+        help="let backend servers fail while hosts restart and don't join",
+    )
     parser.add_argument("--out", default="out")
     arguments = parser.parse_args()
     folder = pathlib.Path(arguments.out) / f"soak-{arguments.seed}"
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -105,6 +105,14 @@
             assert self.process is not None
             self.process.send_signal(number)
 
+    def restart(self) -> None:
+        """Kill the daemon if it runs, and start it again."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+        self.start()
+
     @property
     def has_joined(self) -> bool:
         """Whether the running daemon has found the other hosts."""
