Bytes of servers that never become an answer end the call within bounds

What callers saw: nothing; a host could run out of memory. A head, a trailer, interim answers and answers to other requests were read until the caller's deadline, and ten servers sending bodies without end could fill ten times 4 MiB and the joins of them. Change: a connection takes at most 256 KiB since the request or the last part of the body that aren't body; then the call fails as malformed and the connection is closed. All bodies being collected share 16 MiB, beyond which calls with more than 256 KiB fail; small answers go on. Measured: six kinds of bytes that are no body, tests failed before (64 MiB taken, still waiting) and pass now at 256 KiB; ten bodies without end stay under 16 MiB.

--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -21,6 +21,9 @@
 # its way while the server closes the connection.
 IDLE_TIMEOUT_MARGIN_S = 0.5
 MAX_IDLE_PER_SERVER = 6
+# Bytes since a request was sent, or since the last part of its answer's body,
+# that aren't body: heads, trailers, and answers to other requests.
+MAX_OVERHEAD_BYTES = 256 << 10
 
 
 class _Connection(protocol.Protocol):
@@ -48,6 +51,7 @@
         self._body_ends_at_close = False
         self._headers: list[http_message.Header] = []
         self._idle_timer: Any = None
+        self._overhead_bytes = 0
         self.address = address
         self.served = 0
         self.idle_until = 0.0
@@ -73,6 +77,7 @@
         self._headers = []
         self._is_ignoring_message = False
         self._body_ends_at_close = False
+        self._overhead_bytes = 0
         self.transport.write(
             http_message.encode_request(request.head, request.body)
         )
@@ -82,6 +87,7 @@
         if self._call is None:
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -90,6 +96,14 @@
                 errors.MalformedAnswerError(f"malformed HTTP response: {exc}")
             )
             self._must_abort = True
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._fail(
+                errors.MalformedAnswerError(
+                    f"{self._overhead_bytes} bytes without a part of the "
+                    f"answer's body, expected at most {MAX_OVERHEAD_BYTES}"
+                )
+            )
+            self._must_abort = True
         if self._completed_call is not None:
             self._complete(self._completed_call)
         elif self._must_abort:
@@ -130,6 +144,7 @@
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body; see httptools."""
         if self._call is not None and not self._is_ignoring_message:
+            self._overhead_bytes = 0
             self._call.got_data(body)
 
     def on_message_complete(self) -> None:
@@ -279,6 +294,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._connect = connect or self._connect_tcp
         self._idle: dict[str, list[_Connection]] = {}
+        self._bodies = upstream_call.BodyMemory()
         self.opened = 0
 
     def _connect_tcp(self, address: str, factory: Any) -> Any:
@@ -288,6 +304,11 @@
         )
         return endpoint.connect(factory)
 
+    @property
+    def collected_bytes(self) -> int:
+        """Bytes of the bodies that all calls are collecting."""
+        return self._bodies.collected_bytes
+
     async def call(
         self,
         address: str,
@@ -312,7 +333,7 @@
         connection = reserved.take() if reserved else None
         if connection is None:
             connection = self._take_idle(address) or await self._open(address)
-        call = upstream_call.Call(connection, self._clock)
+        call = upstream_call.Call(connection, self._clock, self._bodies)
         connection.send(call, request)
         return call
 
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -13,6 +13,12 @@
 # Reading from the server pauses while more of a response than this is buffered
 # for a slow caller.
 MAX_BUFFERED_BYTES = 256 << 10
+# Limit on the bodies being collected for all calls together: an eighth of the
+# memory of the smallest host, which has 128 MB by the deployment's
+# specification. Beyond it, the calls whose body is longer than the second
+# limit fail.
+MAX_COLLECTED_BYTES = 16 << 20
+MAX_BODY_WHEN_FULL_BYTES = 256 << 10
 
 
 class Connection(Protocol):
@@ -45,11 +51,30 @@
     request_id: bytes
 
 
+class BodyMemory:
+    """Counts the bytes of bodies that all calls of a pool are collecting.
+
+    Attributes:
+      collected_bytes: Their number.
+    """
+
+    def __init__(self) -> None:
+        self.collected_bytes = 0
+
+    def allows(self, size: int) -> bool:
+        """Whether a body of a size may go on growing."""
+        is_full = self.collected_bytes > MAX_COLLECTED_BYTES
+        return not is_full or size <= MAX_BODY_WHEN_FULL_BYTES
+
+
 class Call:
     """One request on one connection and its response as it is received."""
 
-    def __init__(self, connection: Connection, clock: Any) -> None:
+    def __init__(
+        self, connection: Connection, clock: Any, bodies: BodyMemory
+    ) -> None:
         self._connection = connection
+        self._bodies = bodies
         self._clock = clock
         self._head: http_message.ResponseHead | None = None
         self._chunks: deque[bytes] = deque()
@@ -103,17 +128,26 @@
         deadline = self._clock.seconds() + timeout_s
         parts: list[bytes] = []
         size = 0
-        while True:
-            left_s = max(0.0, deadline - self._clock.seconds())
-            data = await self.chunk(left_s)
-            if not data:
-                return b"".join(parts)
-            size += len(data)
-            if size > max_bytes:
-                raise errors.TransportError(
-                    f"response body exceeds {max_bytes} bytes"
-                )
-            parts.append(data)
+        try:
+            while True:
+                left_s = max(0.0, deadline - self._clock.seconds())
+                data = await self.chunk(left_s)
+                if not data:
+                    return b"".join(parts)
+                size += len(data)
+                self._bodies.collected_bytes += len(data)
+                if size > max_bytes:
+                    raise errors.TransportError(
+                        f"response body exceeds {max_bytes} bytes"
+                    )
+                if not self._bodies.allows(size):
+                    raise errors.TransportError(
+                        f"response body of {size} bytes or more, and "
+                        f"{self._bodies.collected_bytes} bytes in all calls"
+                    )
+                parts.append(data)
+        finally:
+            self._bodies.collected_bytes -= size
 
     def abort(self) -> None:
         """Close the connection, unless the response is complete."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,15 +1,18 @@
-"""Tests of the idle timeout and the reservation of pooled connections.
+"""Tests of pooled connections: idle timeout, reservation, bytes without end.
 
 A connection must not be closed by its idle timer once it is reserved or carries
-a call again, but must be closed if it stays idle.
+a call again, but must be closed if it stays idle. Bytes that never become an
+answer must end the call within bounds of memory.
 """
 
 from typing import Any
 
+import pytest
 from twisted.internet import defer
 from twisted.internet import task
 from twisted.internet import testing
 
+from nutmegscale import errors
 from nutmegscale import http_message
 from nutmegscale import upstream
 from nutmegscale import upstream_call
@@ -82,3 +85,78 @@
     _reserve_idle_connection(net).release()
     net.clock.advance(upstream.IDLE_TIMEOUT_S + 0.1)
     assert not net.transports[0].connected
+
+
+def _feed_without_end(
+    net: _FakeNetwork, waiting: Any, first: bytes, piece: bytes
+) -> int:
+    """Send bytes until the call fails; return how many were taken.
+
+    Args:
+      net: The network.
+      waiting: Coroutine that waits for the answer.
+      first: First bytes of the answer.
+      piece: Bytes to repeat.
+    """
+    failed: list[Any] = []
+    defer.ensureDeferred(waiting).addErrback(failed.append)
+    connection = net.connections[-1]
+    connection.dataReceived(first)
+    taken = len(first)
+    while not failed and taken < 64 << 20:
+        connection.dataReceived(piece)
+        taken += len(piece)
+    assert failed[0].check(errors.TransportError)
+    return taken
+
+
+@pytest.mark.parametrize(
+    ("first", "piece"),
+    [
+        (b"", b"x" * 4_096),
+        (b"HTTP/1.1 200 OK\r\n", b"X-More: y\r\n" * 100),
+        (b"HTTP/1.1 200 OK\r\nX-Long: ", b"y" * 4_096),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\na\r\n0\r\n",
+            b"X-Trailer: y\r\n" * 100,
+        ),
+        (b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", b"z" * 4_096),
+    ],
+)
+def test_bytes_without_end_that_are_no_body_end_the_call(
+    first: bytes, piece: bytes
+) -> None:
+    net = _FakeNetwork()
+    request = _request()._replace(request_id=b"own")
+    call = net.run(net.pool.call(ADDRESS, request))
+    taken = _feed_without_end(net, call.body(5.0, 1 << 20), first, piece)
+    assert taken <= upstream.MAX_OVERHEAD_BYTES + 2 * 4_096
+    assert not net.transports[-1].connected
+
+
+def test_bodies_without_end_of_ten_servers_stay_within_the_memory() -> None:
+    net = _FakeNetwork()
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    failed: list[Any] = []
+    small: list[bytes] = []
+    for _ in range(10):
+        call = net.run(net.pool.call(ADDRESS, _request()))
+        defer.ensureDeferred(call.body(5.0, 4 << 20)).addErrback(failed.append)
+        net.connections[-1].dataReceived(head)
+    most = 0
+    for _ in range(4_096):
+        for connection in net.connections:
+            if connection.transport.connected:
+                connection.dataReceived(b"x" * 4_096)
+        most = max(most, net.pool.collected_bytes)
+        if len(failed) == 10:
+            break
+    assert len(failed) == 10
+    assert most <= upstream_call.MAX_COLLECTED_BYTES + 4_096
+    assert net.pool.collected_bytes == 0
+    call = net.run(net.pool.call(ADDRESS, _request()))
+    defer.ensureDeferred(call.body(5.0, 4 << 20)).addCallback(small.append)
+    net.connections[-1].dataReceived(RESPONSE)
+    assert small == [b"ok"]
