A stream waits for a caller that doesn't read

Cause: events were written to the caller's connection however slowly it read, so that a server that sends events without end filled the host's memory.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 import httptools
+from twisted.internet import defer
 from twisted.internet import protocol
 
 from nutmegscale import http_message
@@ -121,15 +122,26 @@
         self._is_chunked = True
         sent = [*headers, (b"Transfer-Encoding", b"chunked")]
         self._connection.send_head(status, sent)
+        self._connection.begin_stream()
 
     def write(self, data: bytes) -> None:
         """Send a part of the body as a chunk."""
         if data and not self._is_ended:
             self._connection.send(b"%x\r\n%b\r\n" % (len(data), data))
 
+    async def drained(self, timeout_s: float) -> None:
+        """Wait until the caller has read enough for more to be sent.
+
+        Args:
+          timeout_s: Longest wait, seconds; it then returns all the same.
+        """
+        if not self._is_ended:
+            await self._connection.drained(timeout_s)
+
     def finish(self) -> None:
         """End a chunked response."""
         if not self._is_ended:
+            self._connection.end_stream()
             self._connection.send(b"0\r\n\r\n")
             self._end()
 
@@ -164,6 +176,9 @@
         self._request: IncomingRequest | None = None
         self._is_closing = False
         self._is_discarding = False
+        self._is_streaming = False
+        self._is_blocked = False
+        self._unblocked: defer.Deferred[None] | None = None
         self._body_bytes = 0
         self._reset_message()
 
@@ -196,6 +211,7 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Cancel the request that the caller was waiting for."""
         self._factory.connections.discard(self)
+        self._is_streaming = False
         self._cancel_timer()
         self._release_body()
         request, self._request = self._request, None
@@ -330,6 +346,42 @@
         """Send raw bytes."""
         self.transport.write(data)
 
+    def begin_stream(self) -> None:
+        """Watch how fast the caller reads a response."""
+        self._is_streaming = True
+        self.transport.registerProducer(self, True)
+
+    def end_stream(self) -> None:
+        """Stop watching how fast the caller reads."""
+        if self._is_streaming:
+            self._is_streaming = False
+            self.transport.unregisterProducer()
+            self.resumeProducing()
+
+    async def drained(self, timeout_s: float) -> None:
+        """Wait until the caller reads on; see `IncomingRequest.drained`."""
+        if not self._is_blocked:
+            return
+        self._unblocked = defer.Deferred()
+        self._unblocked.addTimeout(
+            timeout_s, self._factory.clock, lambda *_: None
+        )
+        await self._unblocked
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the caller doesn't read; see twisted's IPushProducer."""
+        self._is_blocked = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the caller reads on; see twisted's IPushProducer."""
+        self._is_blocked = False
+        waiter, self._unblocked = self._unblocked, None
+        if waiter is not None and not waiter.called:
+            waiter.callback(None)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the loss of the connection is handled apart."""
+
     def on_response_sent(self) -> None:
         """Wait for the next request, or close the connection."""
         self._request = None
@@ -342,6 +394,7 @@
         """Close at once, in the middle of a response."""
         self._request = None
         self._is_discarding = True
+        self.end_stream()
         self.transport.abortConnection()
 
     def close_if_idle(self) -> None:
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -414,6 +414,7 @@
                 if run.run_events >= BEGUN_EVENTS and not had_begun:
                     context.record_begun(self._crashes)
                 incoming.write(complete)
+                await incoming.drained(max(0.0, context.left_s))
         if splitter.rest:
             raise errors.TransportError("the stream ended within an event")
         run.ended_at = self._board.now()
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -29,6 +29,7 @@
         self.is_closed = False
         self.is_paused = False
         self._unread: list[bytes] = []
+        self._producer: Any = None
 
     def write(self, data: bytes) -> None:
         """Send bytes to the other end."""
@@ -75,6 +76,26 @@
             self.is_closed = True
             self._owner.connectionLost(failure.Failure(reason))
 
+    def registerProducer(  # noqa: N802
+        self, producer: Any, streaming: bool
+    ) -> None:
+        """Set the producer that `block_writes` and `unblock_writes` pause."""
+        self._producer = producer
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Remove the producer."""
+        self._producer = None
+
+    def block_writes(self) -> None:
+        """Ask the producer to pause, as if the other end didn't read."""
+        if self._producer is not None:
+            self._producer.pauseProducing()
+
+    def unblock_writes(self) -> None:
+        """Ask the producer to go on."""
+        if self._producer is not None:
+            self._producer.resumeProducing()
+
     def pauseProducing(self) -> None:  # noqa: N802
         """Buffer incoming bytes."""
         self.is_paused = True
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -22,6 +22,7 @@
         self._written: list[bytes] = []
         self.is_half_closed = False
         self.is_aborted = False
+        self.producer: Any = None
 
     def value(self) -> bytes:
         """Return the written data."""
@@ -31,6 +32,16 @@
         """Record data."""
         self._written.append(data)
 
+    def registerProducer(  # noqa: N802
+        self, producer: Any, streaming: bool
+    ) -> None:
+        """Set the producer to pause while the caller doesn't read."""
+        self.producer = producer
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Remove the producer."""
+        self.producer = None
+
     def loseWriteConnection(self) -> None:  # noqa: N802
         """Record an orderly close."""
         self.is_half_closed = True
