Orders and frees that get no complete answer close their connection

Cause: after a timeout or an answer that is too long, the call of an order or of a free wasn't aborted. Its connection stayed open, with up to 256 KiB buffered, for as long as the server kept it.

--- a/nutmegscale/prefill_runner.py
+++ b/nutmegscale/prefill_runner.py
@@ -147,13 +147,16 @@
 
     async def free(self, handle: caller_request.KvHandle) -> None:
         """Ask a server to free a KV cache that no run used."""
+        call: upstream_call.Call | None = None
         try:
             call = await self._pool.call(
                 handle.address, self._codec.free(handle)
             )
             await call.body(FREE_TIMEOUT_S, MAX_HANDLE_BYTES)
-            call.abort()
         except errors.TransportError as exc:
             logs.get().info(
                 "handle_not_freed", server=handle.address, why=str(exc)
             )
+        finally:
+            if call is not None:
+                call.abort()
--- a/nutmegscale/stage_controller.py
+++ b/nutmegscale/stage_controller.py
@@ -12,6 +12,7 @@
 from nutmegscale import slot_controller
 from nutmegscale import stage_plan
 from nutmegscale import upstream
+from nutmegscale import upstream_call
 
 PERIOD_S = 0.5
 ORDER_TIMEOUT_S = 1.0
@@ -128,6 +129,7 @@
         )
         status = 0
         why = ""
+        call: upstream_call.Call | None = None
         try:
             call = await self._pool.call(worker.address, request)
             head = await call.head(ORDER_TIMEOUT_S)
@@ -135,6 +137,9 @@
             status = head.status
         except errors.TransportError as exc:
             why = str(exc)
+        finally:
+            if call is not None:
+                call.abort()
         # Without an answer the pause stays: the worker may have received the
         # order.
         if status and status not in ACCEPTED_STATUSES:
