An event without end breaks its stream off at 256 KiB

Cause: the splitter kept an event until its end, with a copy of all of it for each part that came in: bytes without end filled the host until the caller's deadline. Change: an event of over 256 KiB is a malformed answer; the caller keeps the events before it and its connection is cut, since they aren't the whole answer. The stand-in's servers can send without end, in streams and in answers to hosts.

--- a/nutmegscale/event_stream.py
+++ b/nutmegscale/event_stream.py
@@ -1,5 +1,11 @@
 """Splitting of streams of server-sent events."""
 
+from nutmegscale import errors
+
+# Longest event. One event may hold several tokens; the longest answers of a
+# model have some hundred KB in all.
+MAX_EVENT_BYTES = 256 << 10
+
 
 class EventSplitter:
     """Splits a response body into complete events and tracks their ids."""
@@ -19,9 +25,19 @@
         return self._last_id
 
     def feed(self, data: bytes) -> bytes:
-        """Add received data and return the bytes of newly complete events."""
+        """Add received data and return the bytes of newly complete events.
+
+        Raises:
+          errors.MalformedAnswerError: An event is too long.
+        """
         data = self._rest + data
         end = data.rfind(b"\n\n")
+        unfinished = len(data) - (end + 2 if end >= 0 else 0)
+        if unfinished > MAX_EVENT_BYTES:
+            raise errors.MalformedAnswerError(
+                f"event of {unfinished} bytes or more, expected at most "
+                f"{MAX_EVENT_BYTES}"
+            )
         if end < 0:
             self._rest = data
             return b""
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -18,6 +18,7 @@
 PREFILL_S = 0.1
 EVENT_INTERVAL_S = 0.05
 STAGE_CHANGE_S = 1.0
+ENDLESS_INTERVAL_S = 0.005
 
 
 class Received(NamedTuple):
@@ -56,6 +57,9 @@
       poison: Body that crashes it when it runs, or b"".
       poison_prefix: Start of the paths that crash it when they run, or b"".
       poison_parts: Parts of prompts that crash it when it begins the answer.
+      endless: Bytes that it repeats without end, after the first event of a
+        stream and as the body of other answers than plain ones, or b"".
+      endless_answers: Number of connections on which it does so.
       crashes_in_prefill: Whether it crashes when it prefills one of them.
       on_crash: Called when it crashes on one of them.
       ran: Ids of the requests that it ran, in order.
@@ -88,6 +92,8 @@
         self.handles_expire_at_once = False
         self.poison = b""
         self.poison_prefix = b""
+        self.endless = b""
+        self.endless_answers = 0
         self.poison_parts: frozenset[bytes] = frozenset()
         self.crashes_in_prefill = False
         self.on_crash: Callable[[], None] = lambda: None
@@ -127,7 +133,7 @@
             name = head.target.rpartition(b"/")[2].decode()
             self.freed.append(name)
             self.handles.pop(name, None)
-            request.respond(200, [], b"")
+            self._end_call(request, 200)
             return
         if head.target == b"/nutmegscale/order":
             self._apply_order(request)
@@ -157,7 +163,31 @@
             self.on_stage_change()
 
         self._clock.callLater(STAGE_CHANGE_S, _switch)
-        request.respond(202, [], b"")
+        self._end_call(request, 202)
+
+    def _end_call(
+        self, request: http_ingress.IncomingRequest, status: int
+    ) -> None:
+        """Answer a call of a host with an empty body, or one without end."""
+        if self.endless:
+            request.start(status, [])
+            self._send_without_end(request)
+        else:
+            request.respond(status, [], b"")
+
+    def _send_without_end(self, request: http_ingress.IncomingRequest) -> None:
+        self.endless_answers += 1
+
+        def _end() -> None:
+            self.endless_answers -= 1
+
+        request.watch_disconnect(_end)
+        self._repeat(request)
+
+    def _repeat(self, request: http_ingress.IncomingRequest) -> None:
+        if not request.is_ended:
+            request.write(self.endless)
+            self._clock.callLater(ENDLESS_INTERVAL_S, self._repeat, request)
 
     def _must_reject(self) -> bool:
         is_next = bool(
@@ -299,6 +329,10 @@
             release_slot()
             return
         request.write(b"id: %d\ndata: token\n\n" % number)
+        if self.endless:
+            release_slot()
+            self._send_without_end(request)
+            return
         if number < self.event_count:
             self._clock.callLater(
                 EVENT_INTERVAL_S,
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -559,3 +559,44 @@
     ]
     assert len(heads) == 6
     assert all(head.get(b"kv-source") for head in heads)
+
+
+def test_event_without_end_breaks_the_stream_off_after_what_was_sent() -> None:
+    simulation = _make_simulation()
+    decodes = [simulation.workers[name] for name in ("d1", "d2")]
+    for worker in decodes:
+        worker.endless = b"data: " + b"x" * 16_384
+    caller = simulation.send("brief")
+    simulation.run(1.0)
+    assert [w.endless_answers for w in decodes] == [0, 0]
+    assert caller.replies[0].body == b"id: 1\ndata: token\n\n"
+    assert not caller.replies[0].is_complete
+    assert caller.is_closed
+
+
+def test_free_that_is_answered_without_end_is_closed() -> None:
+    simulation = _make_simulation()
+    prefills = [simulation.workers[name] for name in ("p1", "p2")]
+    for worker in prefills:
+        worker.endless = b"x" * 16_384
+    for name in ("d1", "d2"):
+        simulation.workers[name].is_full = True
+    simulation.ask("brief", 4.0)
+    assert sum(len(w.freed) for w in prefills) > 0
+    assert [w.endless_answers for w in prefills] == [0, 0]
+
+
+def test_endless_events_wait_for_a_caller_that_does_not_read() -> None:
+    simulation = _make_simulation()
+    for name in ("d1", "d2"):
+        simulation.workers[name].endless = b"data: %b\n\n" % (b"x" * 16_384)
+    caller = simulation.send("brief")
+    simulation.run(0.3)
+    caller.transport.peer.block_writes()
+    simulation.run(0.1)
+    before = len(caller.received)
+    simulation.run(3.0)
+    assert len(caller.received) - before <= 32_768
+    caller.transport.peer.unblock_writes()
+    simulation.run(0.5)
+    assert len(caller.received) > before + 32_768
