The client of the own interface bounds heads, bodies and queued lines

Cause: bodies were read without a limit until the timeout, a compressed one could grow without end, a head was bounded by line only, and lines of a stream were queued however slowly they were taken. Change: 64 KiB for a head, 4 MiB for a body as received and decompressed, the connection is closed by us beyond it; a stream's connection isn't read while 256 lines wait. Each wait had a timeout already. Measured: the five new tests; by reading, four of them can't pass before (no limit in the code).

--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -1,7 +1,6 @@
 """HTTP client for one base URL, with a timeout on every wait."""
 
 from collections.abc import Awaitable
-import gzip
 from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
@@ -11,9 +10,12 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.internet import protocol
+from twisted.protocols import policies
 from twisted.python import failure
 from twisted.web import client
+from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope.interface import implementer
@@ -23,6 +25,13 @@
 CONNECT_TIMEOUT_S = 0.5
 REQUEST_TIMEOUT_S = 5.0
 MAX_LINE_BYTES = 1 << 20
+# Longest head of a response, with the bytes between two parts of it.
+MAX_HEAD_BYTES = 64 << 10
+# Longest body of a complete response, as received and decompressed.
+MAX_BODY_BYTES = 4 << 20
+# A stream's connection isn't read while more lines than this are waiting.
+MAX_QUEUED_LINES = 256
+HEAD_END = b"\r\n\r\n"
 
 _T = TypeVar("_T")
 
@@ -76,6 +85,130 @@
         pass
 
 
+class _LimitedConnection(policies.ProtocolWrapper):
+    """Connection that is closed when a response's head gets too long."""
+
+    transport: Any
+
+    def __init__(self, factory: Any, wrapped: Any) -> None:
+        super().__init__(factory, wrapped)
+        self._is_head_due = False
+        self._head_bytes = 0
+        self._head_tail = b""
+
+    def write(self, data: bytes) -> None:
+        """Send a part of a request; the head of its response is due."""
+        self._expect_head()
+        super().write(data)  # type: ignore[no-untyped-call]
+
+    def writeSequence(self, data: Any) -> None:  # noqa: N802
+        """Send parts of a request; the head of its response is due."""
+        self._expect_head()
+        super().writeSequence(data)  # type: ignore[no-untyped-call]
+
+    def _expect_head(self) -> None:
+        self._is_head_due = True
+        self._head_bytes = 0
+        self._head_tail = b""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Pass on data, or abort if the head doesn't end in time."""
+        if self._is_head_due:
+            self._head_bytes += len(data)
+            searched = self._head_tail + data
+            self._head_tail = searched[1 - len(HEAD_END) :]
+            self._is_head_due = HEAD_END not in searched
+            if self._is_head_due and self._head_bytes > MAX_HEAD_BYTES:
+                self.transport.abortConnection()
+                return
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+
+
+@implementer(iweb.IAgentEndpointFactory)
+class _LimitedEndpoints:
+    """Creates the endpoints of an agent; limits the heads of responses."""
+
+    def __init__(self, reactor: Any, connect_timeout_s: float) -> None:
+        self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_s
+
+    def endpointForURI(self, uri: client.URI) -> Any:  # noqa: N802
+        """Return the endpoint of a server."""
+        return _LimitedEndpoint(
+            endpoints.TCP4ClientEndpoint(
+                self._reactor,
+                uri.host.decode(),
+                uri.port,
+                timeout=self._connect_timeout_s,
+            )
+        )
+
+
+@implementer(interfaces.IStreamClientEndpoint)
+class _LimitedEndpoint:
+    """Endpoint whose connections are `_LimitedConnection`s."""
+
+    def __init__(self, endpoint: Any) -> None:
+        self._endpoint = endpoint
+
+    def connect(self, factory: Any) -> Any:
+        """Connect; the Deferred fires with the factory's own protocol."""
+        wrapping: Any = policies.WrappingFactory(factory)
+        wrapping.protocol = _LimitedConnection
+        wrapping.noisy = False
+        connecting = self._endpoint.connect(wrapping)
+        return connecting.addCallback(lambda opened: opened.wrappedProtocol)
+
+
+class _BodyCollector(protocol.Protocol):
+    """Response body that is collected completely, up to a limit."""
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.done: defer.Deferred[bytes] = defer.Deferred(self._cancel)
+
+    def _cancel(self, _: Any) -> None:
+        _abort(self.transport)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part of the body; abort if it gets too long."""
+        self._size += len(data)
+        if self.done.called:
+            return
+        if self._size > MAX_BODY_BYTES:
+            self._parts.clear()
+            self.done.errback(
+                errors.TransportError(
+                    f"response body exceeds {MAX_BODY_BYTES} bytes"
+                )
+            )
+            _abort(self.transport)
+            return
+        self._parts.append(data)
+
+    def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
+        """Complete the body, or fail if it broke off."""
+        if self.done.called:
+            return
+        if reason.check(client.ResponseDone, http.PotentialDataLoss):
+            self.done.callback(b"".join(self._parts))
+        else:
+            self.done.errback(reason)
+
+
+def _abort(transport: Any) -> None:
+    """Close the connection of a response body at once."""
+    if transport is None:
+        return
+    producer = getattr(transport, "_producer", None)
+    abort = getattr(producer, "abortConnection", None)
+    if abort is not None:
+        abort()
+    else:
+        transport.loseConnection()
+
+
 class LineStream(protocol.Protocol):
     """Response body that is read line by line."""
 
@@ -84,12 +217,15 @@
         self._buffer = b""
         self._lines: defer.DeferredQueue[bytes | None] = defer.DeferredQueue()
         self._closed = False
+        self._is_paused = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Split received data into lines; abort if one is too long."""
         *lines, self._buffer = (self._buffer + data).split(b"\n")
         for line in lines:
             self._lines.put(line)
+        if len(self._lines.pending) > MAX_QUEUED_LINES:
+            self._pause(True)
         if len(self._buffer) > MAX_LINE_BYTES:
             self.close()
 
@@ -112,6 +248,8 @@
           errors.ResponseTimeoutError: No line arrived in time.
         """
         waiting: defer.Deferred[bytes | None] = self._lines.get()
+        if len(self._lines.pending) <= MAX_QUEUED_LINES:
+            self._pause(False)
         waiting.addTimeout(timeout_s, self._clock)
         try:
             return await waiting
@@ -120,6 +258,16 @@
                 f"stream made no progress in {timeout_s:.2f} s"
             ) from exc
 
+    def _pause(self, is_paused: bool) -> None:
+        """Stop reading from the connection, or go on."""
+        if self._is_paused == is_paused or self.transport is None:
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self.transport.pauseProducing()
+        elif not self._closed:
+            self.transport.resumeProducing()
+
     def rest(self) -> bytes:
         """Return the data after the last complete line."""
         return self._buffer
@@ -130,15 +278,7 @@
             return
         self._closed = True
         self._lines.put(None)
-        transport: Any = self.transport
-        if transport is None:
-            return
-        producer = getattr(transport, "_producer", None)
-        abort = getattr(producer, "abortConnection", None)
-        if abort is not None:
-            abort()
-        else:
-            transport.loseConnection()
+        _abort(self.transport)
 
 
 class HttpClient:
@@ -178,8 +318,10 @@
         pool.maxPersistentPerHost = 16
         pool.cachedConnectionTimeout = 30
         pool.retryAutomatically = False
-        agent = client.Agent(
-            self._reactor, connectTimeout=self._connect_timeout_s, pool=pool
+        agent = client.Agent.usingEndpointFactory(
+            self._reactor,
+            _LimitedEndpoints(self._reactor, self._connect_timeout_s),
+            pool=pool,
         )
         return agent, pool
 
@@ -242,7 +384,9 @@
 
         async def _exchange() -> Response:
             response = await self._send(method, path, json, body, headers)
-            data = await client.readBody(response)
+            body_of = _BodyCollector()
+            response.deliverBody(body_of)
+            data = await body_of.done
             raw = response.headers.getAllRawHeaders()
             self._traffic_bytes += len(data) + _head_bytes(raw)
             received = _last_header_values(response)
@@ -354,10 +498,18 @@
 
 
 def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj(wbits=zlib.MAX_WBITS | 16)
     try:
-        return gzip.decompress(data)
-    except (OSError, EOFError, zlib.error) as exc:
+        plain = decompressor.decompress(data, MAX_BODY_BYTES + 1)
+    except zlib.error as exc:
         raise errors.TransportError(f"malformed gzip body: {exc}") from exc
+    if len(plain) > MAX_BODY_BYTES:
+        raise errors.TransportError(
+            f"decompressed body exceeds {MAX_BODY_BYTES} bytes"
+        )
+    if not decompressor.eof:
+        raise errors.TransportError("gzip body ended early")
+    return plain
 
 
 def _head_bytes(headers: Any) -> int:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,5 +1,6 @@
-"""Tests of the HTTP client's check of a server's connections."""
+"""Tests of the HTTP client: check of connections, answers without end."""
 
+import gzip
 from typing import Any
 
 import pytest
@@ -37,3 +38,82 @@
     checking.addErrback(results.append)
     with pytest.raises(errors.ConnectError):
         results[0].raiseException()
+
+
+class _Exchange:
+    """A request on a connection whose received bytes the test provides.
+
+    Attributes:
+      transport: Transport of the connection.
+      results: Result or failure of the request.
+    """
+
+    def __init__(self) -> None:
+        reactor = testing.MemoryReactorClock()
+        self._client = http_client.HttpClient(reactor, "http://127.0.0.1:81")
+        self.results: list[Any] = []
+        asking = defer.ensureDeferred(self._client.request("GET", "/"))
+        asking.addBoth(self.results.append)
+        factory: Any = reactor.tcpClients[0][2]
+        self._protocol: Any = factory.buildProtocol(None)
+        self.transport: Any = testing.StringTransportWithDisconnection()
+        self.transport.protocol = self._protocol
+        self._protocol.makeConnection(self.transport)
+
+    def receive(self, data: bytes) -> None:
+        """Let bytes of the server arrive."""
+        self._protocol.dataReceived(data)
+
+    def receive_without_end(self, piece: bytes, limit: int) -> int:
+        """Repeat bytes until the connection is closed; return their number."""
+        taken = 0
+        while self.transport.connected and taken < limit:
+            self.receive(piece)
+            taken += len(piece)
+        return taken
+
+
+def test_answer_is_read_whole() -> None:
+    exchange = _Exchange()
+    exchange.receive(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+    exchange.receive(b"k")
+    assert exchange.results[0].body == b"ok"
+
+
+@pytest.mark.parametrize(
+    ("first", "piece", "limit"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: y\r\n" * 100, 1 << 16),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536, 4 << 20),
+    ],
+)
+def test_answer_without_end_is_closed_within_bounds(
+    first: bytes, piece: bytes, limit: int
+) -> None:
+    exchange = _Exchange()
+    exchange.receive(first)
+    taken = exchange.receive_without_end(piece, 4 * limit)
+    assert taken <= limit + 2 * len(piece)
+    assert exchange.results[0].check(errors.TransportError)
+
+
+def test_small_body_that_decompresses_without_end_fails() -> None:
+    packed = gzip.compress(b"x" * (64 << 20))
+    exchange = _Exchange()
+    exchange.receive(
+        b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+        b"Content-Length: %d\r\n\r\n" % len(packed)
+    )
+    exchange.receive(packed)
+    assert exchange.results[0].check(errors.TransportError)
+
+
+def test_lines_without_end_wait_until_they_are_taken() -> None:
+    lines: Any = http_client.LineStream(testing.MemoryReactorClock())
+    transport: Any = testing.StringTransport()
+    lines.makeConnection(transport)
+    lines.dataReceived(b"a line\n" * (http_client.MAX_QUEUED_LINES + 10))
+    assert transport.producerState == "paused"
+    for _ in range(20):
+        defer.ensureDeferred(lines.next_line(1.0))
+    assert transport.producerState == "producing"
