A server that broke a connection is checked at once, before a retry

Cause: each host checked the server only 50 ms later, and retried before. Change: the check tries a connection at once. If it is refused, the suspicion goes out at once, and the retry waits 10 ms for what other hosts know, so that the two are kept apart. If it is accepted, the retry goes on after that round trip (at most 20 ms) and the check is made again after 50 ms, as before. The test of a caller that leaves during a check now uses servers that don't answer the check, since a refused one ends within 2 ms.

--- a/nutmegscale/crash_watch.py
+++ b/nutmegscale/crash_watch.py
@@ -16,9 +16,13 @@
 from nutmegscale import shared_quarantine
 from nutmegscale import sound_parts
 
-# Pause before checking whether a server that broke a connection still accepts
-# new ones, seconds.
+# A server that broke a connection is checked at once, and again after this time
+# if it still accepts connections, seconds.
 CHECK_DELAY_S = 0.05
+# Longest wait for the first check before a call runs elsewhere, and the wait
+# after it for what other hosts know if the server is down, seconds.
+FIRST_CHECK_WAIT_S = 0.02
+SHARE_DELAY_S = 0.01
 # Parts of one prompt that may become suspect in a crash.
 MAX_SUSPECT_PARTS = 16
 
@@ -62,6 +66,8 @@
     def __init__(self) -> None:
         self.runs: list[_BrokenRun] = []
         self._waiters: list[defer.Deferred[None]] = []
+        self._first_waiters: list[defer.Deferred[None]] = []
+        self._has_passed = False
 
     @property
     def contents(self) -> set[bytes]:
@@ -87,11 +93,24 @@
         self._waiters.append(waiter)
         return waiter
 
+    def wait_first(self) -> defer.Deferred[None]:
+        """Return a new Deferred that fires once the first try has ended."""
+        waiter: defer.Deferred[None] = defer.Deferred()
+        if self._has_passed:
+            waiter.callback(None)
+        else:
+            self._first_waiters.append(waiter)
+        return waiter
+
+    def pass_first(self) -> None:
+        """Record that the server accepted a connection at the first try."""
+        self._has_passed = True
+        _wake(self._first_waiters)
+
     def end(self) -> None:
         """Wake those who wait, except those who were cancelled."""
-        for waiter in self._waiters:
-            if not waiter.called:
-                waiter.callback(None)
+        _wake(self._first_waiters)
+        _wake(self._waiters)
 
 
 class CrashWatch:
@@ -261,11 +280,40 @@
                     )
         return self._suspects.refused_for_s(content) > 0.0
 
+    async def wait_for_first_check(
+        self, content: quarantine.Content, *, limit_s: float
+    ) -> None:
+        """Wait until a retry of content can be kept apart from other suspects.
+
+        If the server that broke the connection is found down, hosts that ran
+        other content on it are heard before either runs elsewhere. Otherwise,
+        there is next to no wait.
+
+        Args:
+          content: The content.
+          limit_s: Longest wait, seconds.
+        """
+        began_at = self._clock.seconds()
+        for check in list(self._checks.values()):
+            if content.digest in check.contents:
+                await check.wait_first().addTimeout(
+                    min(FIRST_CHECK_WAIT_S, max(0.0, limit_s)),
+                    self._clock,
+                    _end_wait,
+                )
+        left_s = limit_s - (self._clock.seconds() - began_at)
+        if self._suspects.is_suspect(content.digest) and left_s > 0.0:
+            await periodic.sleep(self._clock, min(SHARE_DELAY_S, left_s))
+
     async def _check_server(self, server: Server, check: _Check) -> None:
         """Suspect what ran on a server if it accepts no connection now."""
         try:
-            await periodic.sleep(self._clock, CHECK_DELAY_S)
-            self._end_check(server, check, await self._is_down(server))
+            is_down = await self._is_down(server)
+            if not is_down:
+                check.pass_first()
+                await periodic.sleep(self._clock, CHECK_DELAY_S)
+                is_down = await self._is_down(server)
+            self._end_check(server, check, is_down)
         finally:
             self._checks.pop(server.key, None)
             check.end()
@@ -309,5 +357,11 @@
     )
 
 
+def _wake(waiters: list[defer.Deferred[None]]) -> None:
+    for waiter in waiters:
+        if not waiter.called:
+            waiter.callback(None)
+
+
 def _end_wait(result: object, limit_s: float) -> None:
     """End a wait that reached its limit without an error."""
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -116,6 +116,10 @@
             self._crashes.record_disconnect(
                 context.content(), server, attempt.began_at
             )
+            if self._may_retry(context, attempt):
+                await self._crashes.wait_for_first_check(
+                    context.content(), limit_s=context.left_s
+                )
             if await self._crashes.is_quarantined_after_checks(
                 context.content(),
                 disconnects=attempt.disconnects,
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -114,12 +114,14 @@
     Attributes:
       silent: Unresponsive addresses: attempts to connect time out, and bytes
         on open connections are lost.
+      hanging: Addresses where only attempts to connect time out.
       connect_attempts: Addresses of all attempts to connect, in order.
     """
 
     def __init__(self, clock: Any) -> None:
         self.clock = clock
         self.silent: set[str] = set()
+        self.hanging: set[str] = set()
         self.connect_attempts: list[str] = []
         self._listeners: dict[str, Any] = {}
 
@@ -145,7 +147,7 @@
         def _refuse() -> None:
             connected.errback(error.ConnectionRefusedError())
 
-        if address in self.silent:
+        if address in self.silent | self.hanging:
             self.clock.callLater(
                 CONNECT_TIMEOUT_S,
                 lambda: connected.errback(error.TimeoutError()),
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -279,8 +279,20 @@
     assert _run_count(simulation) == 3
 
 
+def _go_silent_on_crash(simulation: router_world.Simulation) -> None:
+    """Let crashed servers answer no connection attempt, so checks take long."""
+    for name, worker in simulation.workers.items():
+
+        def _crash(name: str = name) -> None:
+            simulation.crash_worker(name, DOWN_S)
+            simulation.net.hanging.add(simulation.addresses[name])
+
+        worker.on_crash = _crash
+
+
 def test_caller_that_leaves_during_the_checks_ends_no_check() -> None:
     simulation = _simulation()
+    _go_silent_on_crash(simulation)
     for worker in simulation.workers.values():
         worker.poison_prefix = b"/slot/poison"
     caller = simulation.send("slot", method="GET", body=b"", resource="poison")
