Hosts that are leaving know what to refuse, and trials go by the part's digest

Found by reading the diff: while there was a suspect, a host that was shutting down raised an error on each request whose content is refused (it isn't among the alive hosts whose order it asked for), so that the request got no answer. And the order in which hosts try content after a quarantine went by the request's own digest, which differs from request to request, instead of the digest that was in quarantine.

--- a/nutmegscale/quarantine.py
+++ b/nutmegscale/quarantine.py
@@ -1,6 +1,7 @@
 """Quarantine of content that crashes the backend servers running it."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 import heapq
@@ -336,22 +337,26 @@
         return self.refused_for_s(now, Content(fingerprint)) > 0.0
 
     def refused_for_s(
-        self, now: float, content: Content, *, delay_s: float = 0.0
+        self,
+        now: float,
+        content: Content,
+        *,
+        delay_of: Callable[[bytes], float] = lambda _: 0.0,
     ) -> float:
         """Return the time until content may run again, seconds; 0 if now.
 
         Args:
           now: Monotonic time in seconds.
           content: The content.
-          delay_s: How much later than the first host this one tries content
-            whose quarantine has ended, seconds.
+          delay_of: Returns how much later than the first host this one tries
+            a digest whose quarantine has ended, seconds.
         """
         ends = [now]
         for name in self.causes(content):
             record = self._records[name]
             ends.append(record.trial_until)
             if not self._may_try_early(record, content.names):
-                ends.append(record.refused_until + delay_s)
+                ends.append(record.refused_until + delay_of(name))
         return max(ends) - now
 
     def _may_try_early(self, record: _Record, names: Collection[bytes]) -> bool:
--- a/nutmegscale/shared_quarantine.py
+++ b/nutmegscale/shared_quarantine.py
@@ -73,7 +73,7 @@
     def refused_for_s(self, content: quarantine.Content) -> float:
         """Return the time until content may run again, seconds; 0 if now."""
         return self._known.refused_for_s(
-            self._now(), content, delay_s=self._trial_delay_s(content.digest)
+            self._now(), content, delay_of=self._trial_delay_s
         )
 
     def begin_trial(self, content: quarantine.Content) -> None:
@@ -87,7 +87,9 @@
 
     def _trial_delay_s(self, fingerprint: bytes) -> float:
         """Return how much later than the first host this one tries it."""
-        order = rendezvous.rank(fingerprint, self._members.alive())
+        # A host that is leaving isn't among the alive ones.
+        hosts = {*self._members.alive(), self._host}
+        order = rendezvous.rank(fingerprint, sorted(hosts))
         return TRIAL_STAGGER_S * min(MAX_TRIAL_RANK, order.index(self._host))
 
     def sharing_crashes(self, fingerprint: bytes) -> list[bytes]:
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -248,3 +248,11 @@
         world.simulation.run(0.5)
     assert world.crashes <= MAX_CRASHES
     assert world.ask("common") == 200
+
+
+def test_host_that_is_leaving_still_knows_what_to_refuse() -> None:
+    world = _World()
+    _crash_until_known(world, lambda: world.ask("common", BAD))
+    world.simulation.hosts[0].router.members.leave()
+    assert world.ask("common", BAD, host=0) == 503
+    assert world.ask("common", host=0) == 200
