--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -267,3 +267,21 @@
     assert known.is_quarantined(3.0, b"x")
     assert len(known.evidence(3.0, limit=1_000)) == 51
     assert known.evidence(3.0, limit=1)[0].fingerprint == b"x"
+
+
+def test_two_rounds_are_enough_if_five_servers_crashed_in_them() -> None:
+    known = quarantine.Quarantine()
+    content = quarantine.Content(b"new", (b"bad",))
+    run = frozenset((b"bad",))
+    for number in range(5):
+        assert not known.refused_for_s(2.0, content)
+        at = 1.0 if number < 3 else 2.0
+        known.suspect(
+            at,
+            b"bad",
+            f"server {number}",
+            began_at=at - 0.1,
+            crashed_at=at,
+            run=run,
+        )
+    assert known.refused_for_s(2.0, content) > 0.0
