--- a/nutmegscale/backend_controller.py
+++ b/nutmegscale/backend_controller.py
@@ -188,7 +188,11 @@
             )
 
     def _prune_loads(self) -> None:
-        self._board.loads.keep_only(self._board.backends.all())
+        servers = self._board.backends.all()
+        self._board.loads.keep_only(servers)
+        self._board.server_limits.keep_only(
+            self._board.now(), {server.key for server in servers}
+        )
 
     async def _expire(self) -> None:
         now = self._board.now()
--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -110,13 +110,18 @@
     """The KV cache of a finished prefill.
 
     Attributes:
-      address: Address of the server that keeps it.
+      server: The server that keeps it.
       handle: Name of the KV cache on that server.
     """
 
-    address: str
+    server: backend.Backend
     handle: str
 
+    @property
+    def address(self) -> str:
+        """Address of the server that keeps it."""
+        return self.server.address
+
 
 class CallerCodec(Protocol):
     """Codec for callers' requests and their answers."""
@@ -207,3 +212,14 @@
     def read_head(self, head: http_message.ResponseHead) -> ResponseInfo:
         """Decode what the head of an answer states."""
         ...
+
+    def read_limit(self, head: http_message.ResponseHead) -> float | None:
+        """Decode the requests a second that a server takes from all hosts.
+
+        Returns:
+          The limit; None if the answer states none.
+
+        Raises:
+          errors.MalformedLimitError: The stated limit can't be read.
+        """
+        ...
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -59,6 +59,10 @@
     """The received data isn't a valid response in the protocol."""
 
 
+class MalformedLimitError(NutmegscaleError):
+    """A backend server states a limit on its requests that can't be read."""
+
+
 class MalformedRequestError(NutmegscaleError):
     """A caller's request has a malformed header."""
 
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -7,6 +7,7 @@
 from nutmegscale import http_message
 from nutmegscale import request_context
 from nutmegscale import routing_board
+from nutmegscale import server_calls
 from nutmegscale import upstream
 from nutmegscale import upstream_call
 
@@ -43,11 +44,13 @@
         self,
         board: routing_board.RoutingBoard,
         pool: upstream.UpstreamPool,
+        calls: server_calls.ServerCalls,
         codec: caller_request.ServerCodec,
         crashes: crash_watch.CrashWatch,
     ) -> None:
         self._board = board
         self._pool = pool
+        self._calls = calls
         self._codec = codec
         self._crashes = crashes
 
@@ -164,7 +167,7 @@
         call: upstream_call.Call | None = None
         try:
             with context.sends.send():
-                call = await self._pool.call(server.address, request)
+                call = await self._calls.send(server, request)
                 head = await call.head(context.left_s)
             info = self._codec.read_head(head)
             loads.record_load(self._board.now(), server, info.load)
--- a/nutmegscale/platform/worker_calls.py
+++ b/nutmegscale/platform/worker_calls.py
@@ -1,5 +1,7 @@
 """Codec for calls to the platform's backend servers and their answers."""
 
+import re
+
 import msgspec
 
 from nutmegscale import backend
@@ -10,6 +12,10 @@
 from nutmegscale.platform import ingress
 
 _SIGNATURE_HEADER = b"response-signature"
+_LIMIT_HEADER = b"server-limit"
+_DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?")
+# Longest part of a malformed value that an error names, bytes.
+_MAX_NAMED_BYTES = 40
 
 
 class _PrefillAnswer(msgspec.Struct):
@@ -105,6 +111,18 @@
             load=_parse_load(head.get(b"server-load")),
         )
 
+    def read_limit(self, head: http_message.ResponseHead) -> float | None:
+        """Decode a server's limit; see `caller_request.ServerCodec`."""
+        values = [v for n, v in head.headers if n.lower() == _LIMIT_HEADER]
+        if not values:
+            return None
+        if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+            raise errors.MalformedLimitError(
+                f"limit {values[0][:_MAX_NAMED_BYTES]!r}, stated "
+                f"{len(values)} times, expected one decimal number"
+            )
+        return float(values[0])
+
 
 def _encode(
     request: caller_request.CallerRequest,
--- a/nutmegscale/prefill_runner.py
+++ b/nutmegscale/prefill_runner.py
@@ -7,6 +7,7 @@
 from nutmegscale import logs
 from nutmegscale import request_context
 from nutmegscale import routing_board
+from nutmegscale import server_calls
 from nutmegscale import slot_controller
 from nutmegscale import stream_run
 from nutmegscale import upstream
@@ -32,12 +33,14 @@
         self,
         board: routing_board.RoutingBoard,
         pool: upstream.UpstreamPool,
+        calls: server_calls.ServerCalls,
         codec: caller_request.ServerCodec,
         slots: slot_controller.SlotController,
         crashes: crash_watch.CrashWatch,
     ) -> None:
         self._board = board
         self._pool = pool
+        self._calls = calls
         self._codec = codec
         self._slots = slots
         self._crashes = crashes
@@ -107,7 +110,7 @@
         call: upstream_call.Call | None = None
         try:
             with context.sends.send() as send:
-                call = await self._pool.call(worker.address, request)
+                call = await self._calls.send(worker, request)
                 head = await call.head(timeout_s)
                 if head.status == 200:
                     send.accept_prefill()
@@ -121,9 +124,7 @@
             raise errors.RejectedError(
                 f"prefill ended with status {head.status}, not 200"
             )
-        return caller_request.KvHandle(
-            worker.address, self._codec.read_handle(body)
-        )
+        return caller_request.KvHandle(worker, self._codec.read_handle(body))
 
     def _record_failure(
         self,
@@ -149,13 +150,13 @@
         """Ask a server to free a KV cache that no run used."""
         call: upstream_call.Call | None = None
         try:
-            call = await self._pool.call(
-                handle.address, self._codec.free(handle)
+            call = await self._calls.send(
+                handle.server, self._codec.free(handle)
             )
             await call.body(FREE_TIMEOUT_S, MAX_HANDLE_BYTES)
         except errors.TransportError as exc:
             logs.get().info(
-                "handle_not_freed", server=handle.address, why=str(exc)
+                "handle_not_freed", server=handle.server.id, why=str(exc)
             )
         finally:
             if call is not None:
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -36,6 +36,7 @@
 from nutmegscale import routing_board
 from nutmegscale import routing_controller
 from nutmegscale import row_store
+from nutmegscale import server_calls
 from nutmegscale import shared_quarantine
 from nutmegscale import slot_controller
 from nutmegscale import stage_controller
@@ -183,10 +184,11 @@
         self.slots = slot_controller.SlotController(
             self.board, self.mesh, self._peers
         )
+        calls = server_calls.ServerCalls(self.board, pool, codecs.servers)
         self.stages = stage_controller.StageController(
             self.board,
             self.slots,
-            pool,
+            calls,
             codecs.servers,
             lease_rows.LeaseRows(store),
             boot_now=boot_now or clock.seconds,
@@ -206,11 +208,12 @@
             clock, self._suspects, pool.check_connection
         )
         self._plain = plain_runner.PlainRunner(
-            self.board, pool, codecs.servers, self.crashes
+            self.board, pool, calls, codecs.servers, self.crashes
         )
         self._streams = stream_runner.StreamRunner(
             self.board,
             pool,
+            calls,
             codecs.servers,
             self.slots,
             self.crashes,
--- a/nutmegscale/router_metrics.py
+++ b/nutmegscale/router_metrics.py
@@ -19,6 +19,10 @@
             "nutmegscale_router_troubles",
             description="events that a request got over or failed by",
         )
+        self._limited_servers = meter.create_gauge(
+            "nutmegscale_router_limited_servers",
+            description="backend servers that state a limit on their requests",
+        )
         self._first_event = meter.create_histogram(
             "nutmegscale_router_first_event_seconds",
             explicit_bucket_boundaries_advisory=FIRST_EVENT_BOUNDS_S,
@@ -40,6 +44,10 @@
         """Count a failure event of a request, which may still succeed."""
         self._failure_events.add(1, {"event": event})
 
+    def record_limited_servers(self, count: int) -> None:
+        """Record how many servers state a limit, as this host knows it."""
+        self._limited_servers.set(count)
+
     def record_answer(self, kind: str, seconds: float) -> None:
         """Record the time to a complete answer of a plain service."""
         self._answer.record(seconds, {"kind": kind})
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -10,6 +10,7 @@
 from nutmegscale import membership
 from nutmegscale import router_metrics
 from nutmegscale import routes
+from nutmegscale import server_limits
 from nutmegscale import server_loads
 from nutmegscale import timeline
 
@@ -31,6 +32,8 @@
       backends: Registered backend servers; backend controller.
       loads: Load and failures of backend servers; plain runner, stream runner
         and reach controller. The backend controller drops removed servers.
+      server_limits: Limits that backend servers state; server calls. The
+        backend controller drops removed servers.
       unreachable_services: Names of services of which this host reaches no
         server; reach controller.
       cut_domains: Failure domains that this host is cut off from; domain
@@ -59,6 +62,7 @@
         self.table: routes.RouteTable | None = None
         self.backends = backend.BackendDirectory()
         self.loads = loads or server_loads.ServerLoads()
+        self.server_limits = server_limits.ServerLimits()
         self.unreachable_services: frozenset[str] = frozenset()
         self.cut_domains: frozenset[str] = frozenset()
         self.is_draining = False
--- a/nutmegscale/stage_controller.py
+++ b/nutmegscale/stage_controller.py
@@ -9,9 +9,9 @@
 from nutmegscale import logs
 from nutmegscale import periodic
 from nutmegscale import routing_board
+from nutmegscale import server_calls
 from nutmegscale import slot_controller
 from nutmegscale import stage_plan
-from nutmegscale import upstream
 from nutmegscale import upstream_call
 
 PERIOD_S = 0.5
@@ -39,7 +39,7 @@
         self,
         board: routing_board.RoutingBoard,
         slots: slot_controller.SlotController,
-        pool: upstream.UpstreamPool,
+        calls: server_calls.ServerCalls,
         codec: caller_request.ServerCodec,
         table: lease.LeaseTable,
         *,
@@ -48,7 +48,7 @@
     ) -> None:
         self._board = board
         self._slots = slots
-        self._pool = pool
+        self._calls = calls
         self._codec = codec
         self._table = table
         self._boot_now = boot_now
@@ -131,7 +131,7 @@
         why = ""
         call: upstream_call.Call | None = None
         try:
-            call = await self._pool.call(worker.address, request)
+            call = await self._calls.send(worker, request)
             head = await call.head(ORDER_TIMEOUT_S)
             await call.body(ORDER_TIMEOUT_S, MAX_ANSWER_BYTES)
             status = head.status
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -13,6 +13,7 @@
 from nutmegscale import prefill_runner
 from nutmegscale import request_context
 from nutmegscale import routing_board
+from nutmegscale import server_calls
 from nutmegscale import slot_controller
 from nutmegscale import stream_run
 from nutmegscale import upstream
@@ -49,17 +50,19 @@
         self,
         board: routing_board.RoutingBoard,
         pool: upstream.UpstreamPool,
+        calls: server_calls.ServerCalls,
         codec: caller_request.ServerCodec,
         slots: slot_controller.SlotController,
         crashes: crash_watch.CrashWatch,
     ) -> None:
         self._board = board
         self._pool = pool
+        self._calls = calls
         self._codec = codec
         self._slots = slots
         self._crashes = crashes
         self._prefills = prefill_runner.PrefillRunner(
-            board, pool, codec, slots, crashes
+            board, pool, calls, codec, slots, crashes
         )
 
     async def run(self, context: request_context.RequestContext) -> None:
@@ -359,8 +362,8 @@
         run.begin(self._board.now())
         try:
             with context.sends.send():
-                call = await self._pool.call(
-                    worker.address, request, reserved=connection
+                call = await self._calls.send(
+                    worker, request, reserved=connection
                 )
                 head = await call.head(max(0.0, context.left_s))
             info = self._codec.read_head(head)
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -315,6 +315,7 @@
         request: upstream_call.Request,
         *,
         reserved: "ReservedConnection | None" = None,
+        on_head: Callable[[http_message.ResponseHead], None] = lambda _: None,
     ) -> upstream_call.Call:
         """Send a request to a server.
 
@@ -323,6 +324,7 @@
           request: The request.
           reserved: Connection to the server that was reserved for the request;
             another one is used if it was closed meanwhile.
+          on_head: Called with the head of the response as soon as it arrives.
 
         Returns:
           The call; its response is still to be awaited.
@@ -333,7 +335,9 @@
         connection = reserved.take() if reserved else None
         if connection is None:
             connection = self._take_idle(address) or await self._open(address)
-        call = upstream_call.Call(connection, self._clock, self._bodies)
+        call = upstream_call.Call(
+            connection, self._clock, self._bodies, on_head=on_head
+        )
         connection.send(call, request)
         return call
 
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -1,6 +1,7 @@
 """One request to a server and its response as it is received."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
@@ -71,11 +72,17 @@
     """One request on one connection and its response as it is received."""
 
     def __init__(
-        self, connection: Connection, clock: Any, bodies: BodyMemory
+        self,
+        connection: Connection,
+        clock: Any,
+        bodies: BodyMemory,
+        *,
+        on_head: Callable[[http_message.ResponseHead], None] = lambda _: None,
     ) -> None:
         self._connection = connection
         self._bodies = bodies
         self._clock = clock
+        self._on_head = on_head
         self._head: http_message.ResponseHead | None = None
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
@@ -180,6 +187,7 @@
     def got_head(self, head: http_message.ResponseHead) -> None:
         """Handle the head of the response."""
         self._head = head
+        self._on_head(head)
         self._wake()
 
     def got_data(self, data: bytes) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -255,6 +255,43 @@
     assert (misdirected.has_run, misdirected.is_misdirected) == (False, True)
 
 
+def _head_with_limits(*values: bytes) -> http_message.ResponseHead:
+    headers = tuple((b"Server-Limit", value) for value in values)
+    return http_message.ResponseHead(200, headers)
+
+
+@pytest.mark.parametrize(
+    ("value", "per_s"), [(b"2.8", 2.8), (b"0", 0.0), (b"1000000000", 1e9)]
+)
+def test_limit_of_a_server(value: bytes, per_s: float) -> None:
+    codec = worker_calls.ServerCodec()
+    assert codec.read_limit(_head_with_limits(value)) == per_s
+    assert codec.read_limit(_head_with_limits()) is None
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        (b"",),
+        (b"-1",),
+        (b"2.",),
+        (b".5",),
+        (b"nan",),
+        (b"inf",),
+        (b"1e9",),
+        (b"9" * 400,),
+        (b"2,8",),
+        (b"2.8", b"2.8"),
+    ],
+)
+def test_limit_that_is_not_one_decimal_number_is_a_typed_error(
+    values: tuple[bytes, ...],
+) -> None:
+    with pytest.raises(errors.MalformedLimitError) as raised:
+        worker_calls.ServerCodec().read_limit(_head_with_limits(*values))
+    assert len(str(raised.value)) < 200
+
+
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"handle": 3}', b"\xff"])
 def test_prefill_without_a_handle_is_a_typed_error(body: bytes) -> None:
     with pytest.raises(errors.MalformedAnswerError):
--- a/tests/test_stream_run.py
+++ b/tests/test_stream_run.py
@@ -1,5 +1,6 @@
 """Tests of what a stream concludes from rejections."""
 
+from nutmegscale import backend
 from nutmegscale import caller_request
 from nutmegscale import http_message
 from nutmegscale import stream_run
@@ -36,7 +37,8 @@
     assert run.record_rejection(0.5, "d0", had_source=True)
     assert run.avoid == ["d0"]
     assert not run.local_prefill
-    source = caller_request.KvHandle("p:1", "x")
+    server = backend.Backend("p", 1, "s", "p:1", "z", 6, False, "prefill")
+    source = caller_request.KvHandle(server, "x")
     assert run.keep_source(source, 0.5)
     assert run.take_source(0.6) == source
 
