--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -16,15 +16,19 @@
 
     Attributes:
       address: Listening address of the connection, the same at both ends.
+      source: Name of the host that opened the connection, or "".
       peer: The other end.
       is_closed: Whether this end is closed.
       is_paused: Whether incoming bytes are buffered.
     """
 
-    def __init__(self, net: "MemoryNet", owner: Any, address: str) -> None:
+    def __init__(
+        self, net: "MemoryNet", owner: Any, address: str, source: str = ""
+    ) -> None:
         self._net = net
         self._owner = owner
         self.address = address
+        self.source = source
         self.peer: MemoryTransport | None = None
         self.is_closed = False
         self.is_paused = False
@@ -133,9 +137,16 @@
         """Stop accepting connections at an address; return its factory."""
         return self._listeners.pop(address, None)
 
-    def connect(self, address: str, factory: Any) -> "defer.Deferred[Any]":
+    def connect(
+        self, address: str, factory: Any, source: str = ""
+    ) -> "defer.Deferred[Any]":
         """Connect to an address.
 
+        Args:
+          address: The listening address.
+          factory: Factory of the client protocol.
+          source: Name of the host that connects, or "".
+
         Returns:
           A Deferred of the client protocol. It fails after `DELAY_S` if
           nothing listens, after `CONNECT_TIMEOUT_S` if the address is
@@ -156,11 +167,14 @@
             self.clock.callLater(DELAY_S, _refuse)
         else:
             self.clock.callLater(
-                DELAY_S, lambda: self._accept(address, factory, connected)
+                DELAY_S,
+                lambda: self._accept(address, factory, connected, source),
             )
         return connected
 
-    def _accept(self, address: str, factory: Any, connected: Any) -> None:
+    def _accept(
+        self, address: str, factory: Any, connected: Any, source: str
+    ) -> None:
         listener = self._listeners.get(address)
         if listener is None:
             connected.errback(error.ConnectionRefusedError())
@@ -168,8 +182,8 @@
         client: Any = factory.buildProtocol(None)
         server: Any = listener.buildProtocol(None)
         ends = [
-            MemoryTransport(self, client, address),
-            MemoryTransport(self, server, address),
+            MemoryTransport(self, client, address, source),
+            MemoryTransport(self, server, address, source),
         ]
         ends[0].peer, ends[1].peer = ends[1], ends[0]
         server.makeConnection(ends[1])
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -13,6 +13,7 @@
 
 from nutmegscale import http_ingress
 from nutmegscale import http_message
+from tools import limit_window
 
 HANDLE_TTL_S = 0.5
 PREFILL_S = 0.1
@@ -49,6 +50,11 @@
         of this; none if 0.
       is_unresponsive: Whether it runs requests but never answers.
       status: Status of its plain answers.
+      limit: Requests a second that its answers state as its limit, as text
+        and possibly malformed; "" for none.
+      limit_statements: Changes of that limit.
+      limit_contacts: Answers that stated it.
+      arrivals: All requests that reached it, with the hosts that sent them.
       raw_response: Bytes to send instead of a plain answer, or b"".
       trailing_bytes: Bytes to send after a plain answer.
       break_after_events: Number of events after which a stream breaks off,
@@ -86,6 +92,10 @@
         self.rejects_every = 0
         self.is_unresponsive = False
         self.status = 200
+        self._limit = ""
+        self.limit_statements: list[limit_window.Statement] = []
+        self.limit_contacts: list[limit_window.Contact] = []
+        self.arrivals: list[limit_window.Contact] = []
         self.raw_response = b""
         self.trailing_bytes = b""
         self.break_after_events: int | None = None
@@ -109,6 +119,28 @@
         self._prefills = 0
         self.sources: dict[str, PlatformWorker] = {}
 
+    @property
+    def limit(self) -> str:
+        """Limit that its answers state, or ""."""
+        return self._limit
+
+    @limit.setter
+    def limit(self, value: str) -> None:
+        self._limit = value
+        try:
+            per_s = float(value) if value else None
+        except ValueError:
+            return
+        self.limit_statements.append(
+            limit_window.Statement(self._clock.seconds(), per_s)
+        )
+
+    def worst_limit_window(self) -> limit_window.WorstWindow | None:
+        """Return the window that comes closest to its limit."""
+        return limit_window.worst_window(
+            self.limit_statements, self.arrivals, self.limit_contacts
+        )
+
     @property
     def prefills(self) -> int:
         """Number of prefills that it began."""
@@ -129,6 +161,7 @@
         """Handle a request."""
         head = request.head
         self.request_heads.append(head)
+        self.arrivals.append(self._contact(request))
         if head.method == b"DELETE":
             name = head.target.rpartition(b"/")[2].decode()
             self.freed.append(name)
@@ -142,7 +175,7 @@
             Received(self._clock.seconds(), _request_id(request))
         )
         if head.get(b"target-instance") != self.id.encode():
-            request.respond(421, [(b"Instance-Id", self.id.encode())], b"")
+            self._misdirect(request)
         elif self._must_reject():
             self._reject(request)
         elif self.stage == "":
@@ -150,10 +183,31 @@
         elif head.get(b"stage") == b"prefill":
             self._prefill(request)
         elif self.stage == "prefill":
-            request.respond(421, [(b"Instance-Id", self.id.encode())], b"")
+            self._misdirect(request)
         else:
             self._decode(request)
 
+    def _contact(
+        self, request: http_ingress.IncomingRequest
+    ) -> limit_window.Contact:
+        transport = request._connection.transport
+        source = getattr(transport, "source", "")
+        return limit_window.Contact(self._clock.seconds(), source)
+
+    def _limit_headers(
+        self, request: http_ingress.IncomingRequest
+    ) -> list[http_message.Header]:
+        """Return the headers that state its limit in an answer sent now."""
+        if not self._limit:
+            return []
+        self.limit_contacts.append(self._contact(request))
+        return [(b"Server-Limit", self._limit.encode())]
+
+    def _misdirect(self, request: http_ingress.IncomingRequest) -> None:
+        headers = self._limit_headers(request)
+        instance = (b"Instance-Id", self.id.encode())
+        request.respond(421, [instance, *headers], b"")
+
     def _apply_order(self, request: http_ingress.IncomingRequest) -> None:
         order = json.loads(request.body)
         self.orders.append(order)
@@ -170,10 +224,10 @@
     ) -> None:
         """Answer a call of a host with an empty body, or one without end."""
         if self.endless:
-            request.start(status, [])
+            request.start(status, self._limit_headers(request))
             self._send_without_end(request)
         else:
-            request.respond(status, [], b"")
+            request.respond(status, self._limit_headers(request), b"")
 
     def _send_without_end(self, request: http_ingress.IncomingRequest) -> None:
         self.endless_answers += 1
@@ -197,7 +251,13 @@
 
     def _reject(self, request: http_ingress.IncomingRequest) -> None:
         request.respond(
-            503, [(b"Not-Executed", b"1"), self._load_header()], b""
+            503,
+            [
+                (b"Not-Executed", b"1"),
+                self._load_header(),
+                *self._limit_headers(request),
+            ],
+            b"",
         )
 
     def _load_header(self) -> http_message.Header:
@@ -243,6 +303,7 @@
             (b"Request-Id", _request_id(request).encode()),
             (b"Response-Signature", b"proof-" + self.id.encode()),
             self._load_header(),
+            *self._limit_headers(request),
         ]
 
     def _run_plain(self, request: http_ingress.IncomingRequest) -> None:
@@ -280,7 +341,8 @@
             ttl_s = 0.0 if self.handles_expire_at_once else HANDLE_TTL_S
             self.handles[name] = self._clock.seconds() + ttl_s
             body = {"handle": name, "tokens": 1, "version": 1}
-            request.respond(200, [], json.dumps(body).encode())
+            headers = self._limit_headers(request)
+            request.respond(200, headers, json.dumps(body).encode())
 
         self._clock.callLater(PREFILL_S, _answer)
 
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -1,5 +1,6 @@
 """Simulated hosts, backend servers, store and callers, without sockets."""
 
+import functools
 import random
 from typing import Any
 from typing import NamedTuple
@@ -60,7 +61,12 @@
     """
 
     def __init__(
-        self, *, hosts: int = 1, seed: int = 1, retry_extra: float = 56.0
+        self,
+        *,
+        hosts: int = 1,
+        seed: int = 1,
+        retry_extra: float = 56.0,
+        failure_domains: tuple[str, ...] = ("maadi",),
     ) -> None:
         """Create the hosts without starting them.
 
@@ -68,6 +74,7 @@
           hosts: Number of hosts.
           seed: Seed of all random choices.
           retry_extra: Fixed part of the retry budget of all hosts, in retries.
+          failure_domains: Failure domains, given to the hosts in turn.
         """
         self.clock = task.Clock()
         self.net = memory_net.MemoryNet(self.clock)
@@ -82,15 +89,20 @@
         self.suspended_s = 0.0
         self.hosts: list[Host] = []
         for number in range(hosts):
-            self.add_host(f"host-{number}")
+            domain = failure_domains[number % len(failure_domains)]
+            self.add_host(f"host-{number}", domain)
 
-    def add_host(self, name: str) -> Host:
+    def add_host(self, name: str, failure_domain: str = "maadi") -> Host:
         """Create a host without starting it."""
-        pool = upstream.UpstreamPool(None, self.clock, connect=self.net.connect)
+        pool = upstream.UpstreamPool(
+            None,
+            self.clock,
+            connect=functools.partial(self.net.connect, source=name),
+        )
         host_router = router.Router(
             router_settings.RouterSettings(
                 host=name,
-                failure_domain="maadi",
+                failure_domain=failure_domain,
                 peer_address=f"tcp://{name}",
                 link_mbps=1000.0,
                 grace_s=8.0,
@@ -122,7 +134,8 @@
         factory = self.net.close(before.address)
         for connection in list(factory.connections):
             connection.transport.abortConnection()
-        self.hosts[index] = self.add_host(before.router.board.host)
+        board = before.router.board
+        self.hosts[index] = self.add_host(board.host, board.failure_domain)
         self.hosts.pop()
         self.hosts[index].router.start()
 
--- /dev/null
+++ b/tests/test_limits_over_hosts.py
@@ -0,0 +1,124 @@
+"""Tests that all hosts together keep to the limits that servers state.
+
+Servers state how many requests a second they take from all hosts, while more
+are asked for, hosts are cut off from each other or restart, and limits change.
+What counts is what arrives at the servers from hosts that were told.
+"""
+
+from standins import raw_caller
+from standins import router_world
+
+DOMAINS = ("maadi", "nasr", "giza", "shorouk")
+PLAIN = ("w1", "w2", "w3", "w4")
+USED_S = 10.0
+
+
+def _simulation(hosts: int = 8) -> router_world.Simulation:
+    simulation = router_world.Simulation(hosts=hosts, failure_domains=DOMAINS)
+    simulation.start_default_workers()
+    simulation.add_worker("w3")
+    simulation.add_worker("w4")
+    simulation.start(5.0)
+    return simulation
+
+
+def _send_for(
+    simulation: router_world.Simulation,
+    route: str,
+    *,
+    seconds: float,
+    per_second: int,
+    hosts: list[int] | None = None,
+) -> list[raw_caller.Caller]:
+    """Send requests to the hosts in turn, at a constant rate."""
+    targets = hosts or list(range(len(simulation.hosts)))
+    callers = []
+    for number in range(round(seconds * per_second)):
+        host = targets[number % len(targets)]
+        callers.append(simulation.send(route, host=host))
+        simulation.run(1.0 / per_second - 0.01)
+    return callers
+
+
+def _check_limits(simulation: router_world.Simulation) -> None:
+    for name, worker in sorted(simulation.workers.items()):
+        worst = worker.worst_limit_window()
+        assert worst is None or not worst.is_exceeded, f"{name}: {worst}"
+
+
+def _used(simulation: router_world.Simulation, name: str) -> float:
+    """Return the part of a server's limit that was used lately."""
+    worker = simulation.workers[name]
+    since = simulation.clock.seconds() - USED_S
+    count = sum(arrival.at > since for arrival in worker.arrivals)
+    return count / USED_S / float(worker.limit)
+
+
+def _served(callers: list[raw_caller.Caller]) -> float:
+    """Return the part of the callers that got a complete answer."""
+    served = [c for c in callers if c.replies and c.replies[-1].status == 200]
+    return len(served) / len(callers)
+
+
+def test_two_limited_servers_of_four_get_what_they_take() -> None:
+    simulation = _simulation()
+    simulation.workers["w1"].limit = "2.8"
+    simulation.workers["w2"].limit = "3.3"
+    _send_for(simulation, "slot", seconds=4.0, per_second=25)
+    callers = _send_for(simulation, "slot", seconds=USED_S, per_second=25)
+    _check_limits(simulation)
+    assert _used(simulation, "w1") >= 0.8
+    assert _used(simulation, "w2") >= 0.8
+    assert _served(callers) >= 0.99
+
+
+def test_hosts_that_hear_no_other_keep_to_the_limit() -> None:
+    simulation = _simulation()
+    names = [host.router.board.host for host in simulation.hosts]
+    for name in names:
+        simulation.peer_network.cut_off([name], names)
+    simulation.workers["w1"].limit = "2.8"
+    _send_for(simulation, "slot", seconds=12.0, per_second=25)
+    _check_limits(simulation)
+
+
+def test_a_failure_domain_cut_off_in_the_middle_keeps_to_the_limit() -> None:
+    simulation = _simulation()
+    simulation.workers["w1"].limit = "2.8"
+    _send_for(simulation, "slot", seconds=6.0, per_second=25)
+    cut = ["host-0", "host-4"]
+    others = [f"host-{number}" for number in (1, 2, 3, 5, 6, 7)]
+    simulation.peer_network.cut_off(cut, others)
+    callers = _send_for(simulation, "slot", seconds=USED_S, per_second=25)
+    _check_limits(simulation)
+    assert _used(simulation, "w1") >= 0.5
+    assert _served(callers) >= 0.99
+
+
+def test_hosts_that_restart_in_series_keep_to_the_limit() -> None:
+    simulation = _simulation(3)
+    for name in PLAIN:
+        simulation.workers[name].limit = "1.5"
+    for number in range(12):
+        _send_for(simulation, "slot", seconds=1.0, per_second=20)
+        simulation.restart_host(number % 3)
+    _check_limits(simulation)
+
+
+def test_limits_that_come_and_go_are_kept_while_they_are_in_force() -> None:
+    simulation = _simulation()
+    for number in range(12):
+        simulation.workers["w1"].limit = "3.0" if number % 2 else ""
+        simulation.workers["w2"].limit = "3.0" if number % 4 < 2 else "8.0"
+        _send_for(simulation, "slot", seconds=1.0, per_second=25)
+    _check_limits(simulation)
+
+
+def test_model_workers_get_what_they_take() -> None:
+    simulation = _simulation(4)
+    simulation.workers["d1"].limit = "1.0"
+    simulation.workers["p1"].limit = "1.0"
+    callers = _send_for(simulation, "brief", seconds=14.0, per_second=6)
+    simulation.run(2.0)
+    _check_limits(simulation)
+    assert _served(callers) >= 0.8
