All hosts together keep to the limits that servers state

Cause: nothing read or kept the limit; a limit on what all hosts do together had no owner. Evidence: rates at the servers were the same before and after 8.0 s. Ruled out: a limit that each host keeps for itself (one host sent 12 requests where 12.0 were allowed to all), one that is learned late (no fall at all). Change: each request to a server with a limit needs a permit. Four hosts for each server, which follow from all known hosts, hold token buckets of a quarter of the limit each, and give permits to hosts that ask. Calls, prefills, runs, orders and frees go through one place that uses permits; the planner uses them for grants.

--- /dev/null
+++ b/nutmegscale/allocator_view.py
@@ -0,0 +1,86 @@
+"""Which hosts hold the shares of a server's limit, as one host sees it."""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from nutmegscale import membership
+from nutmegscale import rendezvous
+
+# Hosts that hold a share of the limit of one server.
+ALLOCATORS = 4
+
+
+class AllocatorView:
+    """The hosts that hold the shares of each server's limit; does no I/O.
+
+    They follow from all known hosts, alive or not, so that two hosts don't hold
+    the same share when they don't hear each other.
+    """
+
+    def __init__(
+        self, members: membership.Membership, failure_domain: str
+    ) -> None:
+        self._members = members
+        self._failure_domain = failure_domain
+        self._known: dict[str, tuple[int, list[str]]] = {}
+
+    def allocators(self, server: str) -> list[str]:
+        """Return the hosts that hold a share of a server's limit.
+
+        They are the first host of each failure domain in rendezvous order, and
+        further hosts if there are few domains.
+
+        Args:
+          server: Key of the server.
+        """
+        known = self._known.get(server)
+        if known is not None and known[0] == self._members.version:
+            return known[1]
+        hosts = {m.host: m.failure_domain for m in self._members.members()}
+        ranked = rendezvous.rank(server.encode(), hosts)
+        chosen = _spread_over_domains(ranked, hosts)[:ALLOCATORS]
+        self._known[server] = (self._members.version, chosen)
+        return chosen
+
+    def preferred(self, server: str, silent: Collection[str]) -> list[str]:
+        """Return the allocators in the order in which this host asks them.
+
+        That of its own failure domain goes first. The others follow in an order
+        that differs from host to host.
+
+        Args:
+          server: Key of the server.
+          silent: Hosts that don't answer, which are left out.
+        """
+        key = f"{server} {self._members.host}".encode()
+        hosts = [h for h in self.allocators(server) if h not in silent]
+        return sorted(rendezvous.rank(key, hosts), key=self._is_distant)
+
+    def holds_share(self, server: str) -> bool:
+        """Whether this host holds a share of a server's limit."""
+        return self._members.host in self.allocators(server)
+
+    def forget(self, server: str) -> None:
+        """Forget the hosts of a server that has no limit any more."""
+        self._known.pop(server, None)
+
+    def _is_distant(self, host: str) -> bool:
+        member = self._members.get(host)
+        return member is None or member.failure_domain != self._failure_domain
+
+
+def _spread_over_domains(
+    ranked: Sequence[str], domains: Mapping[str, str]
+) -> list[str]:
+    """Move the first host of each failure domain to the front.
+
+    Args:
+      ranked: Hosts, the first ones first.
+      domains: Failure domain of each host.
+    """
+    first: dict[str, str] = {}
+    for host in ranked:
+        first.setdefault(domains[host], host)
+    chosen = list(first.values())
+    return chosen + [host for host in ranked if host not in chosen]
--- a/nutmegscale/decode_slots.py
+++ b/nutmegscale/decode_slots.py
@@ -6,9 +6,11 @@
 from nutmegscale import backend
 from nutmegscale import held_slots
 from nutmegscale import kv_memory
+from nutmegscale import permit_allocator
 from nutmegscale import request_costs
 from nutmegscale import slot_types
 from nutmegscale import stage_plan
+from nutmegscale import worker_limits
 from nutmegscale import worker_pauses
 
 # Pause between two local prefills of a decode worker, seconds. Its other runs
@@ -77,10 +79,12 @@
         held: held_slots.HeldSlots,
         pauses: worker_pauses.WorkerPauses,
         costs: request_costs.RequestCosts,
+        limits: worker_limits.WorkerLimits | None = None,
     ) -> None:
         self._held = held
         self._pauses = pauses
         self._costs = costs
+        self._limits = limits or worker_limits.Unlimited()
         self._workers: dict[str, backend.Backend] = {}
         self._kv_tokens = 0
         self._local_prefill_until: dict[str, float] = {}
@@ -146,6 +150,8 @@
             count = self._held.count(worker.id)
             if worker.id in request.avoid or count >= worker.slots:
                 continue
+            if self._limits.permits(worker.id) == 0:
+                continue
             # Two prefills at once would delay the other runs of the worker.
             if (
                 local_prefill
@@ -218,27 +224,45 @@
         ]
         return self._costs.local_prefill_s(tokens) + min(waits, default=0.0)
 
+    def want_permits(self, count: int) -> None:
+        """Ask for permits for the workers that state a limit.
+
+        Args:
+          count: Number of streams that wait.
+        """
+        for name in self._workers:
+            self._limits.want(name, count)
+
     def free_slots(self, now: float) -> int:
-        """Return the number of slots that no run holds on unpaused workers."""
+        """Return the number of slots of unpaused workers that may be granted.
+
+        No run holds them, and the limits of the workers allow them now.
+        """
         return sum(
-            max(0, worker.slots - self._held.count(worker.id))
+            self._within_limit(
+                worker.id, max(0, worker.slots - self._held.count(worker.id))
+            )
             for worker in self._usable(now)
         )
 
+    def _within_limit(self, worker: str, runs: int) -> int:
+        """Return how many of some runs a worker's limit allows now."""
+        permits = self._limits.permits(worker)
+        return runs if permits is None else min(runs, permits)
+
     def has_capacity(self, now: float, count: int) -> bool:
         """Whether there is free capacity for a number of typical runs."""
         found = 0
         for worker in self._usable(now):
             if found >= count:
                 break
-            found += self._worker_free_capacity(now, worker)
+            found += self._startable_runs(now, worker)
         return found >= count
 
     def free_capacity(self, now: float) -> int:
         """Return the number of typical runs that can be started now."""
         return sum(
-            self._worker_free_capacity(now, worker)
-            for worker in self._usable(now)
+            self._startable_runs(now, worker) for worker in self._usable(now)
         )
 
     def capacity_times(self, now: float) -> list[float]:
@@ -252,7 +276,7 @@
             token_s = self._costs.token_s(worker.id)
             runs = self._held.runs(worker.id)
             free = self._worker_free_capacity(now, worker)
-            times += [now] * free
+            times += self._start_times(now, worker.id, free)
             capacity = (
                 len(runs) + free if free else self._worker_capacity(worker)
             )
@@ -265,6 +289,21 @@
         times.sort()
         return times
 
+    def _startable_runs(self, now: float, worker: backend.Backend) -> int:
+        """Return the typical runs that can be started now on a worker."""
+        free = self._worker_free_capacity(now, worker)
+        return self._within_limit(worker.id, free)
+
+    def _start_times(self, now: float, worker: str, runs: int) -> list[float]:
+        """Return when runs that there is room for may start on a worker.
+
+        The ones that its limit doesn't allow now follow at its rate.
+        """
+        allowed = self._within_limit(worker, runs)
+        per_s = max(permit_allocator.MIN_PER_S, self._limits.per_s(worker))
+        later = range(1, runs - allowed + 1)
+        return [now] * allowed + [now + number / per_s for number in later]
+
     def _usable(self, now: float) -> list[backend.Backend]:
         return [
             worker
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -71,6 +71,10 @@
     """A backend server rejected a request without running it."""
 
 
+class LimitedError(NutmegscaleError):
+    """A backend server's limit allows no request to it now; none was sent."""
+
+
 class RetryDeniedError(NutmegscaleError):
     """The retry budget allows no further send of a request; none was made."""
 
--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -12,6 +12,10 @@
     ),
     "no_decode_worker": "refused: no decode worker could be reached",
     "no_server": "refused: no server of the service could take it",
+    "limited": (
+        "refused: each server of the service takes only so many requests a"
+        " second from all hosts, and they were reached"
+    ),
     "too_little_time": (
         "refused: too little time was left before the caller's deadline to try"
         " a server"
--- /dev/null
+++ b/nutmegscale/limit_controller.py
@@ -0,0 +1,317 @@
+"""Keeps this host to the limits that backend servers state."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+from typing import Any
+
+from nutmegscale import allocator_view
+from nutmegscale import backend
+from nutmegscale import limit_shares
+from nutmegscale import mesh
+from nutmegscale import messages
+from nutmegscale import permit_allocator
+from nutmegscale import permit_waiters
+from nutmegscale import routing_board
+from nutmegscale import send_permits
+
+# Longest wait of a call for the reply to the permit request that it caused,
+# seconds: two trips between failure domains.
+REPLY_WAIT_S = 0.01
+# Part of the time that a call has left up to which a permit must be expected
+# if the call is to wait for it: the time between permits varies.
+EXPECTED_WAIT_FRACTION = 0.5
+# Period in which permits are asked for while calls wait for them, seconds.
+POLL_PERIOD_S = 0.02
+# Period in which a planner is told again of a limit in force, seconds.
+REPORT_PERIOD_S = 1.0
+# Span of received permits from which their rate is estimated, seconds.
+RATE_SPAN_S = 4.0
+# Bounds of the Retry-After of a call that no server may be sent, seconds.
+MIN_RETRY_AFTER_S = 0.3
+MAX_RETRY_AFTER_S = 10.0
+
+
+class LimitController:
+    """Decides how many requests this host sends to servers with a limit.
+
+    Each request to such a server needs a permit, which expires soon. Permits
+    come from the hosts that hold the shares of its limit.
+
+    Args:
+      board: State of this host.
+      link: Messages between hosts.
+      planner_of: Returns the host that plans for a service, or "" if none does.
+      rng: Source of random numbers.
+    """
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        link: mesh.Mesh,
+        *,
+        planner_of: Callable[[str], str],
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._mesh = link
+        self._planner_of = planner_of
+        self._view = allocator_view.AllocatorView(
+            board.membership, board.failure_domain
+        )
+        self._shares = limit_shares.LimitShares(
+            board,
+            link,
+            self._view,
+            rng=rng,
+            deliver_local=lambda reply: self._receive_reply(board.host, reply),
+        )
+        self._permits = send_permits.SendPermits()
+        self._waiters = permit_waiters.PermitWaiters(board.clock)
+        self._reported: dict[str, tuple[str, float | None, float]] = {}
+        self._poll_timer: Any = None
+        self._return_at: dict[str, float] = {}
+        self._pruned_version = 0
+        link.on(messages.PermitReply, self._receive_reply)
+        link.on(messages.LimitUpdate, self._receive_update)
+
+    def record_joined(self) -> None:
+        """Record that this host knows the others and they know it."""
+        self._shares.record_joined()
+
+    def stop(self) -> None:
+        """Stop asking for permits."""
+        timer, self._poll_timer = self._poll_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def permits(self, server: backend.Backend) -> int | None:
+        """Return how many requests a server may be sent now; None if any."""
+        if self._board.server_limits.get(server.key) is None:
+            return None
+        return self._permits.count(self._board.now(), server.key)
+
+    def may_send(self, server: backend.Backend) -> bool:
+        """Whether a server may be sent a request now."""
+        return self.permits(server) != 0
+
+    def take(self, server: backend.Backend) -> bool:
+        """Use a permit for a server; return False if there is none."""
+        is_taken = self._permits.take(self._board.now(), server.key)
+        self._board.metrics.record_limited_send(is_sent=is_taken)
+        return is_taken
+
+    def give_back(self, server: backend.Backend) -> None:
+        """Return a permit whose request wasn't sent."""
+        self._permits.give_back(self._board.now(), server.key)
+
+    def want(self, server: backend.Backend, count: int = 1) -> bool:
+        """Ask for permits if a server states a limit.
+
+        Args:
+          server: The server.
+          count: Number of requests that could use one.
+
+        Returns:
+          Whether another host was asked, which replies soon.
+        """
+        if self._board.server_limits.get(server.key) is None:
+            return False
+        self._permits.record_demand(self._board.now(), server.key, count)
+        return self._ask(server.key)
+
+    async def prepare(self, servers: Sequence[backend.Backend]) -> None:
+        """Ask for permits for a call, and wait shortly for the replies.
+
+        Permits that are used at once aren't lost to other hosts.
+
+        Args:
+          servers: Servers that the call may be sent to.
+        """
+        asked = {server.key for server in servers if self.want(server)}
+        if asked:
+            await self._waiters.wait(asked, priority=0, limit_s=REPLY_WAIT_S)
+
+    def _ask(self, server: str) -> bool:
+        """Ask the next host that holds a share of a server's limit.
+
+        Returns:
+          Whether another host was asked.
+        """
+        limit = self._board.server_limits.get(server)
+        if limit is None:
+            return False
+        self._prune()
+        now = self._board.now()
+        allocators = self._view.preferred(server, self._mesh.silent)
+        host = self._permits.next_allocator(now, server, allocators)
+        if host is None:
+            return False
+        wanted = self._permits.wanted(now, server)
+        request = messages.PermitRequest(server, limit.per_s, wanted)
+        if host == self._board.host:
+            self._shares.receive(host, request)
+            return False
+        self._mesh.send(host, request)
+        return True
+
+    def _receive_reply(self, sender: str, reply: messages.PermitReply) -> None:
+        now, server = self._board.now(), reply.server
+        self._permits.record_reply(now, server, sender, reply.wait_s)
+        if reply.permits > 0:
+            self._permits.add(now, server, reply.permits)
+            self._waiters.wake(
+                server,
+                lambda: self._permits.count(self._board.now(), server) > 0,
+            )
+        elif self._permits.has_demand(now, server):
+            self._ask(server)
+
+    async def wait(
+        self,
+        servers: Sequence[backend.Backend],
+        *,
+        priority: int,
+        limit_s: float,
+    ) -> bool:
+        """Wait for a permit for one of some servers; urgent requests go first.
+
+        Args:
+          servers: Servers that the request may be sent to; each has a limit.
+          priority: Rank of the request; 0 goes first.
+          limit_s: Longest wait, seconds.
+
+        Returns:
+          Whether there is a permit now, to be used at once; False without a
+          wait if none is expected in time.
+        """
+        ahead = self._waiters.ahead_of(priority)
+        expected_s = (ahead + 1) / self._permits_per_s(servers)
+        if expected_s > EXPECTED_WAIT_FRACTION * limit_s:
+            return False
+        self._poll()
+        return await self._waiters.wait(
+            [server.key for server in servers],
+            priority=priority,
+            limit_s=limit_s,
+        )
+
+    def _poll(self) -> None:
+        """Ask for permits while calls wait for them."""
+        if self._poll_timer is not None and self._poll_timer.active():
+            return
+        self._poll_timer = self._board.clock.callLater(
+            POLL_PERIOD_S, self._poll_once
+        )
+
+    def _poll_once(self) -> None:
+        servers = self._waiters.servers
+        for server in sorted(servers):
+            self._permits.record_demand(self._board.now(), server)
+            self._ask(server)
+        if servers:
+            self._poll()
+
+    def retry_after_s(
+        self, service: str, servers: Sequence[backend.Backend]
+    ) -> float:
+        """Return when a refused caller is to come back, seconds from now.
+
+        Callers are spread at the rate at which this host gets permits.
+
+        Args:
+          service: Service of the servers.
+          servers: Servers that the request may be sent to; each has a limit.
+        """
+        now = self._board.now()
+        due = max(now, self._return_at.get(service, 0.0))
+        due += 1.0 / self._permits_per_s(servers)
+        due = min(due, now + MAX_RETRY_AFTER_S)
+        self._return_at[service] = due
+        return max(MIN_RETRY_AFTER_S, due - now)
+
+    def _permits_per_s(self, servers: Sequence[backend.Backend]) -> float:
+        """Return the permits a second that this host gets for some servers.
+
+        Without any in the last time, it is this host's part of the limits.
+        """
+        now = self._board.now()
+        received = sum(
+            self._permits.received_per_s(now, server.key, RATE_SPAN_S)
+            for server in servers
+        )
+        if received:
+            return received
+        limits = [
+            self._board.server_limits.per_s(s.key) or 0.0 for s in servers
+        ]
+        hosts = len(self._board.membership.members())
+        return max(permit_allocator.MIN_PER_S, sum(limits)) / hosts
+
+    def record(
+        self,
+        server: backend.Backend,
+        per_s: float | None,
+        *,
+        has_changed: bool,
+        was_permitted: bool,
+    ) -> None:
+        """Tell other hosts what the answer of a server states.
+
+        Args:
+          server: The server.
+          per_s: Its limit, requests a second; None if it states none.
+          has_changed: Whether that is new to this host.
+          was_permitted: Whether a planner used a permit for the request, and so
+            believes in a limit.
+        """
+        if per_s is not None:
+            self.report(server)
+        elif has_changed or was_permitted:
+            update = messages.LimitUpdate(server.key, None)
+            for host in self._view.allocators(server.key):
+                if host == self._board.host:
+                    self._shares.end_limit(server.key)
+                else:
+                    self._mesh.send(host, update)
+            self.report(server)
+
+    def report(self, server: backend.Backend) -> None:
+        """Tell the planner of a server's limit, unless it was told just now."""
+        planner = self._planner_of(server.service)
+        if planner in ("", self._board.host):
+            return
+        per_s = self._board.server_limits.per_s(server.key)
+        now = self._board.now()
+        known = self._reported.get(server.key)
+        is_known = known is not None and known[:2] == (planner, per_s)
+        if known is None or not is_known or now - known[2] >= REPORT_PERIOD_S:
+            self._reported[server.key] = (planner, per_s, now)
+            self._mesh.send(planner, messages.LimitUpdate(server.key, per_s))
+
+    def _receive_update(
+        self, sender: str, update: messages.LimitUpdate
+    ) -> None:
+        """Handle what a server stated to another host."""
+        if update.per_s is None:
+            self._shares.end_limit(update.server)
+        server = self._board.backends.get(update.server.rpartition("@")[0])
+        if (
+            server is not None
+            and server.key == update.server
+            and self._planner_of(server.service) == self._board.host
+        ):
+            now = self._board.now()
+            self._board.server_limits.record(now, server.key, now, update.per_s)
+
+    def _prune(self) -> None:
+        """Forget the servers that are gone."""
+        version = self._board.backends.version
+        if version == self._pruned_version:
+            return
+        self._pruned_version = version
+        keys = {server.key for server in self._board.backends.all()}
+        self._permits.keep_only(keys)
+        self._reported = {
+            key: known for key, known in self._reported.items() if key in keys
+        }
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -344,6 +344,8 @@
       retry_after_s: Time after which a refused caller should retry, seconds.
       reason: Reason of a refusal.
       planner: Host that plans for the service now, if the state is "moved".
+      permitted: Workers of a grant that state a limit and may be sent one
+        request each.
     """
 
     exchange: str
@@ -354,6 +356,7 @@
     retry_after_s: float = 0.0
     reason: str = ""
     planner: str = ""
+    permitted: tuple[str, ...] = ()
 
 
 class SlotUpdate(NamedTuple):
@@ -433,6 +436,46 @@
     incarnation: int
 
 
+class PermitRequest(NamedTuple):
+    """Request for permits to send requests to a server that states a limit.
+
+    Attributes:
+      server: Key of the server.
+      per_s: Its limit as the sender knows it, requests a second.
+      wanted: Number of permits that the sender can use at once.
+    """
+
+    server: str
+    per_s: float
+    wanted: int
+
+
+class PermitReply(NamedTuple):
+    """Permits to send requests to a server, or when to ask for them.
+
+    Attributes:
+      server: Key of the server.
+      permits: Number of requests that the receiver may send.
+      wait_s: Time after which the receiver may ask again, seconds.
+    """
+
+    server: str
+    permits: int
+    wait_s: float
+
+
+class LimitUpdate(NamedTuple):
+    """Notice of the limit that an answer of a server stated.
+
+    Attributes:
+      server: Key of the server.
+      per_s: Requests a second that it takes; None if it stated no limit.
+    """
+
+    server: str
+    per_s: float | None
+
+
 class Ping(NamedTuple):
     """Query whether the receiver answers, replied to by a `Pong`.
 
@@ -487,6 +530,9 @@
     SuspectsRequest,
     SuspectsReply,
     SuspectTried,
+    PermitRequest,
+    PermitReply,
+    LimitUpdate,
 )
 TYPE_BY_NUMBER: dict[int, Any] = dict(enumerate(_MESSAGE_TYPES, start=1))
 NUMBER_BY_TYPE: dict[Any, int] = {
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -5,6 +5,7 @@
 from nutmegscale import crash_watch
 from nutmegscale import errors
 from nutmegscale import http_message
+from nutmegscale import limit_controller
 from nutmegscale import request_context
 from nutmegscale import routing_board
 from nutmegscale import server_calls
@@ -47,18 +48,20 @@
         calls: server_calls.ServerCalls,
         codec: caller_request.ServerCodec,
         crashes: crash_watch.CrashWatch,
+        limits: limit_controller.LimitController,
     ) -> None:
         self._board = board
         self._pool = pool
         self._calls = calls
         self._codec = codec
         self._crashes = crashes
+        self._limits = limits
 
     async def run(self, context: request_context.RequestContext) -> None:
         """Run a call until it is answered, refused or failed."""
         attempt = _Attempt()
         for offer in range(MAX_OFFERS):
-            server = self._choose(context)
+            server = await self._choose_or_wait(context)
             if server is None or context.left_s < MIN_TIME_LEFT_S:
                 break
             if not context.sends.reserve():
@@ -67,7 +70,11 @@
             attempt.began_at = self._board.now()
             try:
                 head, body = await self._offer(context, server)
-            except (errors.ConnectError, errors.RejectedError) as exc:
+            except (
+                errors.ConnectError,
+                errors.LimitedError,
+                errors.RejectedError,
+            ) as exc:
                 context.record_failure_event(
                     "server_rejected", server=server.id, why=str(exc)
                 )
@@ -131,11 +138,50 @@
                 return False
         return self._may_retry(context, attempt)
 
+    async def _choose_or_wait(
+        self, context: request_context.RequestContext
+    ) -> backend.Backend | None:
+        """Choose a server, after a wait if all have reached their limits."""
+        if self._board.server_limits:
+            await self._limits.prepare(
+                self._board.reachable_servers(context.service)
+            )
+        server = self._choose(context)
+        limited = self._limited_servers(context) if server is None else ()
+        if not limited:
+            return server
+        time_to_objective_s = (
+            context.incoming.arrived
+            + context.route.objective_s
+            - self._board.now()
+        )
+        is_permitted = await self._limits.wait(
+            limited,
+            priority=context.route.priority,
+            limit_s=min(context.left_s, time_to_objective_s),
+        )
+        return self._choose(context) if is_permitted else None
+
+    def _limited_servers(
+        self, context: request_context.RequestContext
+    ) -> tuple[backend.Backend, ...]:
+        """Return the servers that only their limits keep from being chosen."""
+        loads, now = self._board.loads, self._board.now()
+        return tuple(
+            server
+            for server in self._board.reachable_servers(context.service)
+            if server.id not in context.tries
+            and not self._limits.may_send(server)
+            and not loads.is_paused(now, server)
+        )
+
     def _choose(
         self, context: request_context.RequestContext
     ) -> backend.Backend | None:
         loads, now = self._board.loads, self._board.now()
         servers = self._board.reachable_servers(context.service)
+        if self._board.server_limits:
+            servers = tuple(s for s in servers if self._limits.may_send(s))
         healthy = {
             server.id: server
             for server in servers
@@ -150,6 +196,10 @@
             servers,
             self._board.failure_domain,
             avoid=frozenset(context.tries),
+            # A permit is lost if it isn't used soon.
+            preferred=frozenset(
+                server.id for server in servers if self._limits.permits(server)
+            ),
         )
 
     def _may_retry(
@@ -220,5 +270,8 @@
             # No server ran it, so the caller may safely retry, even a call
             # that must not run twice.
             context.refuse("too_little_time", REJECTED_RETRY_AFTER_S)
+        elif limited := self._limited_servers(context):
+            retry_after_s = self._limits.retry_after_s(context.service, limited)
+            context.refuse("limited", retry_after_s)
         else:
             context.refuse("no_server", REJECTED_RETRY_AFTER_S)
--- a/nutmegscale/prefill_runner.py
+++ b/nutmegscale/prefill_runner.py
@@ -52,6 +52,7 @@
         worker: backend.Backend,
         *,
         forecast_s: float,
+        is_permitted: bool,
     ) -> caller_request.KvHandle:
         """Prefill a prompt, and report the end to the planner.
 
@@ -60,6 +61,8 @@
           run: State of its stream.
           worker: Prefill worker.
           forecast_s: Time that the planner expects it to take, seconds.
+          is_permitted: Whether the planner has used a permit of a worker that
+            states a limit.
 
         Returns:
           The KV cache.
@@ -74,13 +77,21 @@
         loads.record_sent(worker)
         try:
             handle = await self._request(
-                context, worker, TIMEOUT_MARGIN_S + TIMEOUT_FACTOR * forecast_s
+                context,
+                worker,
+                TIMEOUT_MARGIN_S + TIMEOUT_FACTOR * forecast_s,
+                is_permitted=is_permitted,
             )
             took_s = self._board.now() - began
             loads.record_success(worker)
             run.prefill_worker, run.prefill_s = worker.id, took_s
             run.handle_expires_at = self._board.now() + HANDLE_REUSE_S
             return handle
+        except errors.LimitedError as exc:
+            context.record_failure_event(
+                "prefill_limited", prefill=worker.id, why=str(exc)
+            )
+            raise errors.PrefillFailedError(str(exc)) from exc
         except (errors.TransportError, errors.RejectedError) as exc:
             self._record_failure(context, run, worker, exc)
             if crash_watch.is_disconnect(exc):
@@ -104,13 +115,17 @@
         context: request_context.RequestContext,
         worker: backend.Backend,
         timeout_s: float,
+        *,
+        is_permitted: bool,
     ) -> caller_request.KvHandle:
         request = self._codec.prefill(context.request, worker, context.left_s)
         timeout_s = min(timeout_s, max(0.0, context.left_s))
         call: upstream_call.Call | None = None
         try:
             with context.sends.send() as send:
-                call = await self._calls.send(worker, request)
+                call = await self._calls.send(
+                    worker, request, is_permitted=is_permitted
+                )
                 head = await call.head(timeout_s)
                 if head.status == 200:
                     send.accept_prefill()
@@ -154,7 +169,8 @@
                 handle.server, self._codec.free(handle)
             )
             await call.body(FREE_TIMEOUT_S, MAX_HANDLE_BYTES)
-        except errors.TransportError as exc:
+        except (errors.LimitedError, errors.TransportError) as exc:
+            # Without a permit the server frees it by itself soon.
             logs.get().info(
                 "handle_not_freed", server=handle.server.id, why=str(exc)
             )
--- a/nutmegscale/prefill_workers.py
+++ b/nutmegscale/prefill_workers.py
@@ -9,6 +9,7 @@
 from nutmegscale import backend
 from nutmegscale import held_slots
 from nutmegscale import request_costs
+from nutmegscale import worker_limits
 from nutmegscale import worker_pauses
 
 # Wait that is worth keeping a prompt's KV cache in one failure domain, seconds:
@@ -24,10 +25,12 @@
         held: held_slots.HeldSlots,
         pauses: worker_pauses.WorkerPauses,
         costs: request_costs.RequestCosts,
+        limits: worker_limits.WorkerLimits | None = None,
     ) -> None:
         self._held = held
         self._pauses = pauses
         self._costs = costs
+        self._limits = limits or worker_limits.Unlimited()
         self._workers: dict[str, backend.Backend] = {}
 
     def set_workers(self, workers: Iterable[backend.Backend]) -> None:
@@ -38,6 +41,15 @@
         """Whether a worker is a prefill worker."""
         return worker in self._workers
 
+    def want_permits(self, count: int) -> None:
+        """Ask for permits for the workers that state a limit.
+
+        Args:
+          count: Number of prompts that wait.
+        """
+        for name in self._workers:
+            self._limits.want(name, count)
+
     def choose(self, now: float, failure_domain: str = "") -> str | None:
         """Return the unpaused worker with the shortest queue, or None.
 
@@ -51,6 +63,7 @@
             worker
             for name, worker in self._workers.items()
             if not self._pauses.is_paused(now, name)
+            and self._limits.permits(name) != 0
         ]
 
         def _cost_s(worker: backend.Backend) -> float:
--- a/nutmegscale/request_sends.py
+++ b/nutmegscale/request_sends.py
@@ -91,7 +91,7 @@
     """One send of a request, as a context manager around it.
 
     Entering pays for it and raises `errors.RetryDeniedError` if the retry
-    budget is spent. It counts as arrived unless no connection could be made.
+    budget is spent. It counts as arrived unless it wasn't sent.
     """
 
     def __init__(self, sends: RequestSends) -> None:
@@ -112,5 +112,5 @@
         exception: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        if not isinstance(exception, errors.ConnectError):
+        if not isinstance(exception, errors.ConnectError | errors.LimitedError):
             self._sends.end(is_accepted_prefill=self._is_accepted_prefill)
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -20,6 +20,7 @@
 from nutmegscale import host_rows
 from nutmegscale import http_ingress
 from nutmegscale import lease_rows
+from nutmegscale import limit_controller
 from nutmegscale import logs
 from nutmegscale import membership
 from nutmegscale import membership_controller
@@ -181,10 +182,15 @@
         self._domains = domain_watch.DomainWatch(
             self.board, self.mesh, pool, rng=self._rng
         )
+        self._limits = limit_controller.LimitController(
+            self.board, self.mesh, planner_of=self._planner_of, rng=self._rng
+        )
         self.slots = slot_controller.SlotController(
-            self.board, self.mesh, self._peers
+            self.board, self.mesh, self._peers, self._limits
+        )
+        calls = server_calls.ServerCalls(
+            self.board, pool, codecs.servers, self._limits
         )
-        calls = server_calls.ServerCalls(self.board, pool, codecs.servers)
         self.stages = stage_controller.StageController(
             self.board,
             self.slots,
@@ -208,7 +214,12 @@
             clock, self._suspects, pool.check_connection
         )
         self._plain = plain_runner.PlainRunner(
-            self.board, pool, calls, codecs.servers, self.crashes
+            self.board,
+            pool,
+            calls,
+            codecs.servers,
+            self.crashes,
+            self._limits,
         )
         self._streams = stream_runner.StreamRunner(
             self.board,
@@ -228,6 +239,7 @@
     def _on_joined(self) -> None:
         if self._joined_at is None:
             self._joined_at = self.board.now()
+            self._limits.record_joined()
         self.members.announce()
         self.configs.ask_peers()
         self._suspects.ask_peers()
@@ -270,6 +282,7 @@
 
     def stop(self) -> None:
         """Stop every component without waiting for requests."""
+        self._limits.stop()
         self._rows.stop()
         if self._joining is not None:
             self._joining.cancel()
@@ -395,6 +408,12 @@
                 errors.Failure(502, "internal", "no answer", "maybe_run")
             )
 
+    def _planner_of(self, service: str) -> str:
+        """Return the host that plans for a service, "" if none does."""
+        return (
+            self.slots.planner_of(service) if self._has_engine(service) else ""
+        )
+
     def _has_engine(self, service: str) -> bool:
         config = self.board.config
         spec = config.services.get(service) if config else None
--- a/nutmegscale/router_metrics.py
+++ b/nutmegscale/router_metrics.py
@@ -23,6 +23,10 @@
             "nutmegscale_router_limited_servers",
             description="backend servers that state a limit on their requests",
         )
+        self._limited_sends = meter.create_counter(
+            "nutmegscale_router_limited_sends",
+            description="requests to servers that state a limit, by result",
+        )
         self._first_event = meter.create_histogram(
             "nutmegscale_router_first_event_seconds",
             explicit_bucket_boundaries_advisory=FIRST_EVENT_BOUNDS_S,
@@ -48,6 +52,11 @@
         """Record how many servers state a limit, as this host knows it."""
         self._limited_servers.set(count)
 
+    def record_limited_send(self, *, is_sent: bool) -> None:
+        """Count a request to a server with a limit: sent or held back."""
+        result = "sent" if is_sent else "held_back"
+        self._limited_sends.add(1, {"result": result})
+
     def record_answer(self, kind: str, seconds: float) -> None:
         """Record the time to a complete answer of a plain service."""
         self._answer.record(seconds, {"kind": kind})
--- a/nutmegscale/server_loads.py
+++ b/nutmegscale/server_loads.py
@@ -128,6 +128,7 @@
         failure_domain: str,
         *,
         avoid: frozenset[str] = frozenset(),
+        preferred: frozenset[str] = frozenset(),
     ) -> backend.Backend | None:
         """Choose the server with the least load per slot.
 
@@ -138,6 +139,8 @@
           servers: Candidates.
           failure_domain: Failure domain that is preferred at equal load.
           avoid: Ids of servers that must not be chosen.
+          preferred: Ids of servers that are preferred at equal load, before
+            those of the failure domain.
 
         Returns:
           The server, or None if all are unreachable or to be avoided.
@@ -147,10 +150,11 @@
         ]
         healthy = [s for s in candidates if not self.is_paused(now, s)]
         best: backend.Backend | None = None
-        best_key = (0.0, False, 0.0)
+        best_key = (0.0, False, False, 0.0)
         for server in healthy or candidates:
             key = (
                 self._load_per_slot(now, server),
+                server.id not in preferred,
                 server.failure_domain != failure_domain,
                 self._rng.random(),
             )
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -5,11 +5,13 @@
 from twisted.internet import defer
 
 from nutmegscale import errors
+from nutmegscale import limit_controller
 from nutmegscale import logs
 from nutmegscale import mesh
 from nutmegscale import messages
 from nutmegscale import peer_watch
 from nutmegscale import periodic
+from nutmegscale import planned_limits
 from nutmegscale import planner_view
 from nutmegscale import routing_board
 from nutmegscale import slot_planner
@@ -93,6 +95,7 @@
         board: routing_board.RoutingBoard,
         link: mesh.Mesh,
         peers: peer_watch.PeerWatch,
+        limits: limit_controller.LimitController,
     ) -> None:
         self._board = board
         self._mesh = link
@@ -103,6 +106,7 @@
             link,
             self._view,
             peers,
+            planned_limits.PlannedLimits(board, limits),
             deliver_local=lambda reply: self._receive_reply(board.host, reply),
         )
         self._waiters: dict[str, _Waiter] = {}
--- a/nutmegscale/slot_planner.py
+++ b/nutmegscale/slot_planner.py
@@ -15,6 +15,7 @@
 from nutmegscale import slot_queue
 from nutmegscale import slot_types
 from nutmegscale import stage_plan
+from nutmegscale import worker_limits
 
 # Period at which waiting streams are dispatched, seconds.
 DISPATCH_PERIOD_S = 0.05
@@ -36,6 +37,7 @@
         link: mesh.Mesh,
         view: planner_view.PlannerView,
         peers: peer_watch.PeerWatch,
+        limits: worker_limits.WorkerLimits,
         *,
         deliver_local: Callable[[messages.SlotReply], None],
     ) -> None:
@@ -43,6 +45,7 @@
         self._mesh = link
         self._view = view
         self._peers = peers
+        self._limits = limits
         self._silent_hosts: frozenset[str] = frozenset()
         self._deliver_local = deliver_local
         self._queues: dict[str, slot_queue.SlotQueue] = {}
@@ -118,7 +121,7 @@
     def _queue_of(self, service: str) -> slot_queue.SlotQueue:
         queue = self._queues.get(service)
         if queue is None:
-            queue = slot_queue.SlotQueue(self._costs_of(service))
+            queue = slot_queue.SlotQueue(self._costs_of(service), self._limits)
             self._queues[service] = queue
             self._request_lists(service, queue)
         config = self._board.config
@@ -334,6 +337,7 @@
             prefill=decision.prefill,
             decode=decision.decode,
             prefill_s=decision.prefill_s,
+            permitted=decision.permitted,
         )
     return messages.SlotReply(
         decision.exchange,
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -16,6 +16,7 @@
 from nutmegscale import request_costs
 from nutmegscale import slot_types
 from nutmegscale import stage_plan
+from nutmegscale import worker_limits
 from nutmegscale import worker_pauses
 
 # Time from the grant to the first event, without the prefill, seconds: three
@@ -50,18 +51,24 @@
 
     Args:
       costs: Estimated costs of the service, which outlive the queue.
+      limits: Limits that the workers state; none by default.
     """
 
-    def __init__(self, costs: request_costs.RequestCosts | None = None) -> None:
+    def __init__(
+        self,
+        costs: request_costs.RequestCosts | None = None,
+        limits: worker_limits.WorkerLimits | None = None,
+    ) -> None:
         self._waiting: dict[str, slot_types.SlotRequest] = {}
         self._held = held_slots.HeldSlots()
         self._pauses = worker_pauses.WorkerPauses()
         self._costs = costs or request_costs.RequestCosts()
+        self._limits = limits or worker_limits.Unlimited()
         self._prefill_workers = prefill_workers.PrefillWorkers(
-            self._held, self._pauses, self._costs
+            self._held, self._pauses, self._costs, self._limits
         )
         self._slots = decode_slots.DecodeSlots(
-            self._held, self._pauses, self._costs
+            self._held, self._pauses, self._costs, self._limits
         )
         self._refused_requests = refused_requests.RefusedRequests()
         self._arrivals: deque[float] = deque()
@@ -151,7 +158,12 @@
                 held.prefill, 0
             )
         return slot_types.Grant(
-            held.exchange, held.host, held.prefill, held.decode, prefill_s
+            held.exchange,
+            held.host,
+            held.prefill,
+            held.decode,
+            prefill_s,
+            held.permitted,
         )
 
     def _restore_first_attempt(
@@ -275,6 +287,8 @@
         decisions: list[slot_types.Decision] = []
         if now < self._no_grants_before:
             return decisions
+        self._slots.want_permits(len(self._waiting))
+        self._prefill_workers.want_permits(len(self._waiting))
         in_time, late = self._split_by_deadline(now)
         bypassed = 0
         for request in in_time:
@@ -366,6 +380,11 @@
             if prefill_worker
             else 0.0
         )
+        permitted = tuple(
+            worker
+            for worker in (decode, prefill_worker)
+            if worker and self._limits.take(worker)
+        )
         del self._waiting[request.exchange]
         held = slot_types.HeldSlot(
             request.exchange,
@@ -379,6 +398,7 @@
             self._held.queued_tokens(prefill_worker) + request.prompt_tokens
             if prefill_worker
             else 0,
+            permitted,
         )
         self._held.put(held)
         return slot_types.Grant(
@@ -387,6 +407,7 @@
             prefill_worker or "",
             decode,
             prefill_s,
+            permitted,
         )
 
     def is_paused(self, now: float, worker: str) -> bool:
--- a/nutmegscale/slot_types.py
+++ b/nutmegscale/slot_types.py
@@ -53,6 +53,7 @@
         the host hasn't listed it yet.
       queued_tokens: Tokens in the queue of the prefill worker when the slot
         was granted, those of this prompt included; 0 without such a worker.
+      permitted: Workers that state a limit and for which a permit was used.
     """
 
     exchange: str
@@ -64,6 +65,7 @@
     since: float
     confirmed: float
     queued_tokens: int = 0
+    permitted: tuple[str, ...] = ()
 
 
 class Grant(NamedTuple):
@@ -76,6 +78,7 @@
       decode: Decode worker.
       prefill_s: Expected time until the end of the prefill, seconds; 0 if the
         decode worker prefills the prompt.
+      permitted: Workers that state a limit and for which a permit was used.
     """
 
     exchange: str
@@ -83,6 +86,7 @@
     prefill: str
     decode: str
     prefill_s: float = 0.0
+    permitted: tuple[str, ...] = ()
 
 
 class Refusal(NamedTuple):
--- a/nutmegscale/stage_controller.py
+++ b/nutmegscale/stage_controller.py
@@ -105,6 +105,11 @@
         if fence is not None:
             await self._send_order(service, chosen, fence)
 
+    def _end_move(self, service: str, worker: backend.Backend) -> None:
+        """Plan with a worker again that doesn't carry out an order."""
+        self._moving_until.pop(worker.key, None)
+        self._slots.planner.pause_worker(service, worker.id, self._board.now())
+
     def _lease(self, service: str) -> lease.Lease:
         found = self._leases.get(service)
         if found is None:
@@ -135,6 +140,9 @@
             head = await call.head(ORDER_TIMEOUT_S)
             await call.body(ORDER_TIMEOUT_S, MAX_ANSWER_BYTES)
             status = head.status
+        except errors.LimitedError as exc:
+            why = str(exc)
+            self._end_move(service, worker)
         except errors.TransportError as exc:
             why = str(exc)
         finally:
@@ -143,10 +151,7 @@
         # Without an answer the pause stays: the worker may have received the
         # order.
         if status and status not in ACCEPTED_STATUSES:
-            self._moving_until.pop(worker.key, None)
-            self._slots.planner.pause_worker(
-                service, worker.id, self._board.now()
-            )
+            self._end_move(service, worker)
         logs.get().info(
             "stage_ordered",
             service=service,
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -161,6 +161,7 @@
             )
             return True
         source = self._reuse_source(context, run, grant)
+        is_permitted = decode.id in grant.permitted
         try:
             # Connect to the decode worker first: if it is unreachable, the
             # prefill would be wasted.
@@ -169,10 +170,21 @@
                 if source is None and self._may_prefill(context, prefill):
                     assert prefill is not None
                     source = await self._prefills.prefill(
-                        context, run, prefill, forecast_s=grant.prefill_s
+                        context,
+                        run,
+                        prefill,
+                        forecast_s=grant.prefill_s,
+                        is_permitted=prefill.id in grant.permitted,
                     )
                 self._check_not_draining(decode)
-                await self._decode(context, run, decode, source, connection)
+                await self._decode(
+                    context,
+                    run,
+                    decode,
+                    source,
+                    connection,
+                    is_permitted=is_permitted,
+                )
             finally:
                 connection.release()
             return True
@@ -205,9 +217,12 @@
                 # The planner knows a better worker than a local prefill beside
                 # the runs of the decode worker, which it would delay.
                 pass
-            case errors.BackendLeftError():
+            case errors.BackendLeftError() | errors.LimitedError():
+                is_left = isinstance(exc, errors.BackendLeftError)
                 context.record_failure_event(
-                    "decode_left", decode=decode.id, why=str(exc)
+                    "decode_left" if is_left else "decode_limited",
+                    decode=decode.id,
+                    why=str(exc),
                 )
                 run.record_rejection(
                     self._board.now(), decode.id, had_source=False
@@ -346,6 +361,8 @@
         worker: backend.Backend,
         source: caller_request.KvHandle | None,
         connection: upstream.ReservedConnection,
+        *,
+        is_permitted: bool,
     ) -> None:
         loads = self._board.loads
         last_event = run.last_event or context.request.last_event
@@ -363,7 +380,10 @@
         try:
             with context.sends.send():
                 call = await self._calls.send(
-                    worker, request, reserved=connection
+                    worker,
+                    request,
+                    reserved=connection,
+                    is_permitted=is_permitted,
                 )
                 head = await call.head(max(0.0, context.left_s))
             info = self._codec.read_head(head)
--- a/tests/test_limits_over_hosts.py
+++ b/tests/test_limits_over_hosts.py
@@ -72,6 +72,32 @@
     assert _served(callers) >= 0.99
 
 
+def test_a_limit_is_used_where_only_some_hosts_get_requests() -> None:
+    simulation = _simulation()
+    simulation.workers["w1"].limit = "2.8"
+    for seconds in (4.0, USED_S):
+        _send_for(
+            simulation, "slot", seconds=seconds, per_second=25, hosts=[0, 4]
+        )
+    _check_limits(simulation)
+    assert _used(simulation, "w1") >= 0.8
+
+
+def test_calls_beyond_all_limits_are_refused_at_once() -> None:
+    simulation = _simulation()
+    for name in PLAIN:
+        simulation.workers[name].limit = "3"
+    _send_for(simulation, "slot", seconds=4.0, per_second=25)
+    callers = _send_for(simulation, "slot", seconds=USED_S, per_second=25)
+    simulation.run(0.2)
+    assert all(caller.replies for caller in callers)
+    _check_limits(simulation)
+    assert all(_used(simulation, name) >= 0.8 for name in PLAIN)
+    refused = [c.replies[-1] for c in callers if c.replies[-1].status == 503]
+    assert refused
+    assert all(float(r.headers[b"retry-after"]) >= 0.3 for r in refused)
+
+
 def test_hosts_that_hear_no_other_keep_to_the_limit() -> None:
     simulation = _simulation()
     names = [host.router.board.host for host in simulation.hosts]
@@ -122,3 +148,41 @@
     simulation.run(2.0)
     _check_limits(simulation)
     assert _served(callers) >= 0.8
+
+
+def test_all_hosts_use_a_server_again_once_its_limit_has_ended() -> None:
+    simulation = _simulation()
+    for name in PLAIN:
+        simulation.workers[name].limit = "0.5"
+    _send_for(simulation, "slot", seconds=8.0, per_second=25)
+    for name in PLAIN:
+        simulation.workers[name].limit = ""
+    _send_for(simulation, "slot", seconds=4.0, per_second=25)
+    callers = _send_for(simulation, "slot", seconds=4.0, per_second=25)
+    simulation.run(0.1)
+    assert _served(callers) >= 0.99
+
+
+def test_servers_that_take_nothing_are_asked_now_and_then() -> None:
+    simulation = _simulation()
+    for name in PLAIN:
+        simulation.workers[name].limit = "0"
+    _send_for(simulation, "slot", seconds=12.0, per_second=25)
+    _check_limits(simulation)
+    for name in PLAIN:
+        simulation.workers[name].limit = ""
+    _send_for(simulation, "slot", seconds=12.0, per_second=25)
+    callers = _send_for(simulation, "slot", seconds=4.0, per_second=25)
+    simulation.run(0.1)
+    assert _served(callers) >= 0.99
+
+
+def test_a_limit_that_cannot_be_read_changes_nothing() -> None:
+    simulation = _simulation(2)
+    for value in ("-1", "nan", "inf", "", "1e9", "2.8.1"):
+        simulation.workers["w1"].limit = value
+        callers = _send_for(simulation, "slot", seconds=1.0, per_second=10)
+        simulation.run(0.1)
+        assert _served(callers) == 1.0
+    for host in simulation.hosts:
+        assert not host.router.board.server_limits
