Logs tell the software version of streams and which attempt they resume

Cause of the gap: entries of servers name the version of their software and nothing decoded it; Resumes wasn't decoded, so logs couldn't tell whether a stream went on at another version, within one answer or at another host.

--- a/nutmegscale/backend.py
+++ b/nutmegscale/backend.py
@@ -22,6 +22,7 @@
       slots: Number of requests that the server handles concurrently.
       is_draining: Whether the server accepts no new work.
       stage: "prefill" or "decode" for a model engine, else "".
+      version: Version of its software, "" if unknown. Versions have no order.
     """
 
     id: str
@@ -32,6 +33,7 @@
     slots: int
     is_draining: bool
     stage: str
+    version: str = ""
 
     @property
     def key(self) -> str:
--- a/nutmegscale/backend_controller.py
+++ b/nutmegscale/backend_controller.py
@@ -140,6 +140,7 @@
                 address=entry.address,
                 draining=entry.is_draining,
                 stage=entry.stage,
+                software=entry.version,
                 version=version,
             )
             if entry.is_draining:
--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -29,6 +29,8 @@
       prompt_parts: Names of the prompt's parts in order, empty if the caller
         states none. Requests share parts, but for the last one.
       last_event: Id of the event after which to resume a stream, or b"".
+      resumes: Name of the attempt that brought the first event of the stream
+        to resume, or "".
       head: Request line and headers as received.
       body: The complete body.
     """
@@ -42,6 +44,7 @@
     expected_tokens: int
     prompt_parts: tuple[bytes, ...]
     last_event: bytes
+    resumes: str
     head: http_message.RequestHead
     body: bytes
 
--- a/nutmegscale/platform/ingress.py
+++ b/nutmegscale/platform/ingress.py
@@ -33,6 +33,7 @@
     b"token-count",
     b"length-hint",
     b"last-event-id",
+    b"resumes",
 )
 
 
@@ -62,6 +63,7 @@
             expected_tokens=max(1, min(expected, max_tokens or expected)),
             prompt_parts=_parse_parts(head.get(b"prompt-prefix") or b""),
             last_event=head.get(b"last-event-id") or b"",
+            resumes=(head.get(b"resumes") or b"").decode("latin-1"),
             head=head,
             body=body,
         )
--- a/nutmegscale/platform/worker_entries.py
+++ b/nutmegscale/platform/worker_entries.py
@@ -1,5 +1,7 @@
 """Decoder for the entries by which backend servers register in the store."""
 
+from typing import Any
+
 import msgspec
 
 from nutmegscale import backend
@@ -9,6 +11,8 @@
 TABLE = "servers"
 _STATES = {"ready": False, "draining": True}
 _STAGES = ("prefill", "decode")
+# Longest version of a server's software that is kept, characters.
+_MAX_VERSION_LENGTH = 100
 
 
 class _Entry(msgspec.Struct):
@@ -19,6 +23,7 @@
     slots: int = 1
     born: int = 0
     stage: str = ""
+    version: Any = ""
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -57,4 +62,11 @@
         slots=max(1, entry.slots),
         is_draining=_STATES[entry.state],
         stage=entry.stage,
+        version=_known_version(entry.version),
     )
+
+
+def _known_version(value: Any) -> str:
+    """Return a version; "" if it isn't text of a sensible length."""
+    is_text = isinstance(value, str) and len(value) <= _MAX_VERSION_LENGTH
+    return value if is_text else ""
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -159,6 +159,8 @@
         """Log an event of this request."""
         now = self._board.now()
         config = self._board.config
+        if self.request.resumes:
+            fields["resumes"] = self.request.resumes
         logs.get().info(
             event,
             request=self.request.id,
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -398,7 +398,7 @@
                     f"rejected with status {head.status}"
                 )
             run.is_source_used = source is not None
-            await self._relay(context, run, call, head, info)
+            await self._relay(context, run, worker, call, head, info)
             loads.record_success(worker)
         finally:
             loads.record_ended(worker)
@@ -409,6 +409,7 @@
         self,
         context: request_context.RequestContext,
         run: stream_run.StreamRun,
+        worker: backend.Backend,
         call: upstream_call.Call,
         head: http_message.ResponseHead,
         info: caller_request.ResponseInfo,
@@ -432,6 +433,8 @@
             complete = splitter.feed(data)
             if complete:
                 had_begun = run.run_events >= BEGUN_EVENTS
+                if not run.run_events:
+                    self._log_begin(context, run, worker)
                 run.record_events(self._board.now(), splitter.count(complete))
                 run.last_event = splitter.last_id or run.last_event
                 if run.run_events >= BEGUN_EVENTS and not had_begun:
@@ -462,6 +465,21 @@
             longest_gap_ms=_ms(run.longest_gap_s),
         )
 
+    def _log_begin(
+        self,
+        context: request_context.RequestContext,
+        run: stream_run.StreamRun,
+        worker: backend.Backend,
+    ) -> None:
+        """Log that the first events of a run are forwarded."""
+        last_event = run.last_event or context.request.last_event
+        context.log(
+            "stream_begun",
+            decode=worker.id,
+            software=worker.version,
+            after=last_event.decode("latin-1"),
+        )
+
     def _record_unreachable(
         self,
         context: request_context.RequestContext,
--- a/tests/test_stream_run.py
+++ b/tests/test_stream_run.py
@@ -18,6 +18,7 @@
         max_tokens=2_000,
         expected_tokens=792,
         last_event=b"",
+        resumes="",
         prompt_parts=(),
     )
     run = stream_run.StreamRun(request)
