--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -36,6 +36,20 @@
     is_accepted_prefill: bool = False
 
 
+class StreamEvent(NamedTuple):
+    """An event of a stream that a backend server wrote.
+
+    Attributes:
+      stream: Name of the attempt that began the stream.
+      version: Version of the server's software.
+      number: Id of the event.
+    """
+
+    stream: str
+    version: str
+    number: int
+
+
 class PlatformWorker:
     """One incarnation of a backend server.
 
@@ -43,6 +57,9 @@
       id: Name under which it registered.
       stage: "prefill", "decode", or "" for a plain service.
       slots: Number of requests that it runs at once.
+      version: Version of its software.
+      stream_events: All events of streams that it wrote, in order.
+      handle_versions: Versions of the workers whose prefills it ran from.
       event_count: Number of events of each stream.
       service_time_s: Time that a plain call takes, seconds.
       is_full: Whether it rejects every request.
@@ -86,6 +103,9 @@
         self.id = worker_id
         self.stage = stage
         self.slots = slots
+        self.version = "v1"
+        self.stream_events: list[StreamEvent] = []
+        self.handle_versions: list[str] = []
         self.event_count = 3
         self.service_time_s = 0.03
         self.is_full = False
@@ -360,6 +380,7 @@
             if expires_at <= self._clock.seconds():
                 self._reject(request)
                 return
+            self.handle_versions.append(self.sources[address].version)
             wait_s = 0.001
         release_slot = self._occupy_slot(request)
         first = int(request.head.get(b"last-event-id") or b"0") + 1
@@ -390,6 +411,10 @@
             self._clock.callLater(0, request.abort)
             release_slot()
             return
+        first = request.head.get(b"resumes") or _request_id(request).encode()
+        self.stream_events.append(
+            StreamEvent(first.decode(), self.version, number)
+        )
         request.write(b"id: %d\ndata: token\n\n" % number)
         if self.endless:
             release_slot()
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -140,12 +140,19 @@
         self.hosts[index].router.start()
 
     def add_worker(
-        self, name: str, *, stage: str = "", slots: int = 4, born: int = 1
+        self,
+        name: str,
+        *,
+        stage: str = "",
+        slots: int = 4,
+        born: int = 1,
+        version: str = "v1",
     ) -> platform_worker.PlatformWorker:
         """Start a backend server and write its entry to the store."""
         added = platform_worker.PlatformWorker(
             self.clock, name, stage=stage, slots=slots
         )
+        added.version = version
         added.on_stage_change = lambda: self.write_entry(name, born=born)
         address = f"{name}:{len(self.addresses) + 1000}"
         self.addresses[name] = address
@@ -179,7 +186,7 @@
             self.addresses[name],
             stage=worker.stage,
             slots=worker.slots,
-            **changes,
+            **{"version": worker.version, **changes},
         )
         self.store.put(worker_entries.TABLE, name, row)
 
