A stream goes on at the software version that began it, and nowhere else

Cause: the version in the entries of workers was dropped, and both the host's own resumption and the caller's went to any worker that the planner granted. Evidence: three failing tests, one for each way, and stream_begun lines. The planner grants workers of that version only, before new streams, and holds up no other for it. KV caches are run at the version that wrote them.

--- a/nutmegscale/decode_slots.py
+++ b/nutmegscale/decode_slots.py
@@ -1,5 +1,6 @@
 """Decode workers of a service, and their free slots and memory; no I/O."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -129,20 +130,24 @@
         request: slot_types.SlotRequest,
         *,
         local_prefill: bool,
+        prefill_versions: Collection[str] | None = None,
     ) -> str | None:
         """Return the least loaded worker that a run fits on, or None.
 
         Workers in the failure domain of the stream's host go before others: a
         partition cuts off the streams that cross the border of a domain. A
-        long local prefill goes to the worker with the fewest runs.
+        long local prefill goes to the worker with the fewest runs. Workers for
+        which a prefill worker has the same software version go first.
 
         Args:
           now: Monotonic time in seconds.
           request: Request for the slot.
           local_prefill: Whether the worker must prefill the prompt.
+          prefill_versions: Software versions of the prefill workers; a worker
+            of another one must prefill the prompt. None if they don't matter.
         """
-        candidates: list[tuple[int, bool, float, str]] = []
-        breaks_pauses = local_prefill and (
+        candidates: list[tuple[bool, int, bool, float, str]] = []
+        is_long = (
             self._costs.local_prefill_s(request.prompt_tokens)
             > MAX_LOCAL_PREFILL_S
         )
@@ -150,18 +155,21 @@
             count = self._held.count(worker.id)
             if worker.id in request.avoid or count >= worker.slots:
                 continue
+            if request.version not in ("", worker.version):
+                continue
             if self._limits.permits(worker.id) == 0:
                 continue
+            is_local = local_prefill or (
+                prefill_versions is not None
+                and worker.version not in prefill_versions
+            )
             # Two prefills at once would delay the other runs of the worker.
-            if (
-                local_prefill
-                and self._local_prefill_until.get(worker.id, 0.0) > now
-            ):
+            if is_local and self._local_prefill_until.get(worker.id, 0.0) > now:
                 continue
             is_distant = worker.failure_domain != request.failure_domain
-            delayed = count if breaks_pauses else 0
+            delayed = count if is_local and is_long else 0
             load = count / worker.slots
-            candidates.append((delayed, is_distant, load, worker.id))
+            candidates.append((is_local, delayed, is_distant, load, worker.id))
         candidates.sort()
         # Memory is checked last, since this check is the most expensive.
         for *_, name in candidates:
@@ -202,6 +210,15 @@
             return 0.0
         return found.tokens * left
 
+    def has_version(self, version: str) -> bool:
+        """Whether a worker has a software version, even a paused one."""
+        return any(w.version == version for w in self._workers.values())
+
+    def version(self, worker: str) -> str:
+        """Return the software version of a worker, "" if it is unknown."""
+        known = self._workers.get(worker)
+        return known.version if known else ""
+
     def failure_domain(self, worker: str) -> str:
         """Return the failure domain of a decode worker, "" if it is unknown."""
         known = self._workers.get(worker)
@@ -265,14 +282,20 @@
             self._startable_runs(now, worker) for worker in self._usable(now)
         )
 
-    def capacity_times(self, now: float) -> list[float]:
+    def capacity_times(self, now: float, version: str = "") -> list[float]:
         """Return when capacity for each further run is expected to be free.
 
+        Args:
+          now: Monotonic time in seconds.
+          version: Software version of the workers; "" for any.
+
         Returns:
           Times in ascending order; `now` for each unit of free capacity.
         """
         times: list[float] = []
         for worker in self._usable(now):
+            if version not in ("", worker.version):
+                continue
             token_s = self._costs.token_s(worker.id)
             runs = self._held.runs(worker.id)
             free = self._worker_free_capacity(now, worker)
--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -10,6 +10,14 @@
         "refused: every decode slot was held, and none was expected free"
         " before the caller would leave"
     ),
+    "stream_unknown": (
+        "refused: no host that was asked knows which version of the workers'"
+        " software began the stream; it can only begin anew"
+    ),
+    "no_worker_of_version": (
+        "refused: no worker is left of the software version that began the"
+        " stream; it can only begin anew"
+    ),
     "no_decode_worker": "refused: no decode worker could be reached",
     "no_server": "refused: no server of the service could take it",
     "limited": (
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -314,6 +314,7 @@
       content: Digest that identifies a refused caller when it retries.
       silent: Hosts that don't answer the sender and would plan instead of the
         receiver.
+      version: Software version that the decode worker must have; "" for any.
     """
 
     service: str
@@ -328,6 +329,7 @@
     reads_itself: bool
     content: str = ""
     silent: tuple[str, ...] = ()
+    version: str = ""
 
 
 class SlotReply(NamedTuple):
@@ -436,6 +438,43 @@
     incarnation: int
 
 
+class StreamBegan(NamedTuple):
+    """Notice of where a resumable stream began.
+
+    Attributes:
+      stream: Name of the caller's attempt that began it.
+      service: Service of the worker.
+      version: Version of the worker's software.
+      content: Digest of the request.
+    """
+
+    stream: str
+    service: str
+    version: str
+    content: bytes
+
+
+class StreamQuery(NamedTuple):
+    """Query for where a stream began, replied to by a `StreamReply`.
+
+    Attributes:
+      stream: Name of the caller's attempt that began it.
+    """
+
+    stream: str
+
+
+class StreamReply(NamedTuple):
+    """Where a stream began; `version` is "" if the sender doesn't know.
+
+    The attributes are those of `StreamBegan`.
+    """
+
+    service: str = ""
+    version: str = ""
+    content: bytes = b""
+
+
 class PermitRequest(NamedTuple):
     """Request for permits to send requests to a server that states a limit.
 
@@ -533,6 +572,9 @@
     PermitRequest,
     PermitReply,
     LimitUpdate,
+    StreamBegan,
+    StreamQuery,
+    StreamReply,
 )
 TYPE_BY_NUMBER: dict[int, Any] = dict(enumerate(_MESSAGE_TYPES, start=1))
 NUMBER_BY_TYPE: dict[Any, int] = {
--- a/nutmegscale/prefill_workers.py
+++ b/nutmegscale/prefill_workers.py
@@ -50,7 +50,21 @@
         for name in self._workers:
             self._limits.want(name, count)
 
-    def choose(self, now: float, failure_domain: str = "") -> str | None:
+    def versions(self, now: float) -> set[str]:
+        """Return the software versions of the workers that can be chosen."""
+        return {worker.version for worker in self._usable(now)}
+
+    def _usable(self, now: float) -> list[backend.Backend]:
+        return [
+            worker
+            for name, worker in self._workers.items()
+            if not self._pauses.is_paused(now, name)
+            and self._limits.permits(name) != 0
+        ]
+
+    def choose(
+        self, now: float, failure_domain: str = "", version: str | None = None
+    ) -> str | None:
         """Return the unpaused worker with the shortest queue, or None.
 
         Args:
@@ -58,12 +72,13 @@
           failure_domain: Failure domain of the decode worker. A worker in
             another one is chosen only if its queue is shorter by
             `DISTANT_PENALTY_S`.
+          version: Software version of the decode worker, which the worker must
+            have: another one can't use its KV caches. None for any.
         """
         usable = [
             worker
-            for name, worker in self._workers.items()
-            if not self._pauses.is_paused(now, name)
-            and self._limits.permits(name) != 0
+            for worker in self._usable(now)
+            if version in (None, worker.version)
         ]
 
         def _cost_s(worker: backend.Backend) -> float:
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -67,6 +67,19 @@
         )
         self._content: quarantine.Content | None = None
 
+    def move_to(self, service: str, retries: retry_share.RetryShare) -> None:
+        """Serve the request by another service; nothing may have been sent.
+
+        Args:
+          service: The service, a target of the route.
+          retries: Share of the retry budget of that service.
+        """
+        self.service = service
+        self._retries = retries
+        self.sends = request_sends.RequestSends(
+            retries, now=self._board.now, on_retry=self._record_retry
+        )
+
     def content(self) -> quarantine.Content:
         """Return the content of the request; see `CallerRequest`."""
         if self._content is None:
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -42,6 +42,7 @@
 from nutmegscale import slot_controller
 from nutmegscale import stage_controller
 from nutmegscale import store_era
+from nutmegscale import stream_registry
 from nutmegscale import stream_runner
 from nutmegscale import table_follower
 from nutmegscale import upstream
@@ -228,6 +229,8 @@
             codecs.servers,
             self.slots,
             self.crashes,
+            stream_registry.StreamRegistry(self.board, self.mesh),
+            retries_of=self._retry_share,
         )
         self._reachability = reach_controller.ReachController(self.board, pool)
         self._patience = patience.PatienceEstimator()
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -42,6 +42,7 @@
       avoid: Ids of workers that must not be used.
       local_prefill: Whether the decode worker must prefill locally.
       content: Digest of the request; "" if there is none.
+      version: Software version that the worker must have; "" for any.
     """
 
     service: str
@@ -55,6 +56,7 @@
     avoid: tuple[str, ...] = ()
     local_prefill: bool = False
     content: str = ""
+    version: str = ""
 
 
 class _HeldSlot(NamedTuple):
@@ -230,6 +232,7 @@
             demand.local_prefill,
             demand.content,
             self._view.silent_before(demand.service, planner),
+            demand.version,
         )
         return await self._mesh.call(
             planner, request, messages.SlotReply, timeout_s=REQUEST_TIMEOUT_S
--- a/nutmegscale/slot_planner.py
+++ b/nutmegscale/slot_planner.py
@@ -207,6 +207,7 @@
                 local_prefill=request.reads_itself,
                 content=request.content,
                 failure_domain=member.failure_domain if member else "",
+                version=request.version,
             ),
         )
         answer = messages.SlotReply(request.exchange, "queued")
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -5,6 +5,7 @@
 ones fill slots that no other stream needs.
 """
 
+from collections import Counter
 from collections import deque
 import math
 
@@ -299,6 +300,9 @@
             grant = self._try_grant(now, request)
             if grant is not None:
                 decisions.append(grant)
+            elif request.version:
+                # It waits for few workers, and others need not wait for it.
+                continue
             elif now - request.requested_at > MAX_BYPASS_S:
                 break
             else:
@@ -339,7 +343,12 @@
         """Split the queue into streams that can be in time and late ones."""
         ordered = sorted(
             self._waiting.values(),
-            key=lambda stream: (stream.priority, stream.requested_at),
+            # Few workers can go on with a stream that has begun.
+            key=lambda stream: (
+                stream.priority,
+                not stream.version,
+                stream.requested_at,
+            ),
         )
         # With free capacity for the whole queue no forecast is needed. Else
         # streams beyond the forecast aren't late, but `_refuse` refuses them.
@@ -352,7 +361,10 @@
             start = times[position] if position < len(times) else now
             first_at = start + self.first_event_s(now, request)
             slack_s = FORECAST_SLACK_S if start > now else 0.0
-            is_in_time = first_at <= request.in_time_by + slack_s
+            is_in_time = (
+                bool(request.version)
+                or first_at <= request.in_time_by + slack_s
+            )
             (in_time if is_in_time else late).append(request)
         late.sort(key=lambda stream: stream.requested_at)
         return in_time, late
@@ -364,13 +376,19 @@
             None if request.local_prefill else self._prefill_workers.choose(now)
         )
         decode = self._slots.choose(
-            now, request, local_prefill=prefill_worker is None
+            now,
+            request,
+            local_prefill=prefill_worker is None,
+            prefill_versions=self._prefill_workers.versions(now),
         )
         if decode is None:
             return None
         if prefill_worker is not None:
-            domain = self._slots.failure_domain(decode)
-            prefill_worker = self._prefill_workers.choose(now, domain)
+            prefill_worker = self._prefill_workers.choose(
+                now,
+                self._slots.failure_domain(decode),
+                self._slots.version(decode),
+            )
         if prefill_worker is None:
             self._slots.record_local_prefill(now, decode, request.prompt_tokens)
         prefill_s = (
@@ -425,8 +443,10 @@
         in_time, late = self._split_by_deadline(now)
         times = self._slots.capacity_times(now)
         late_times = self._late_start_times(now, times, len(in_time))
-        decisions: list[slot_types.Decision] = []
+        decisions = self._refuse_of_version(now, in_time)
         for request, start in _pair_starts(in_time, times):
+            if request.version:
+                continue
             if start is None or not self._is_worth_waiting(now, request, start):
                 decisions.append(self._refusal(now, request, times))
         has_free = bool(times) and times[0] <= now
@@ -439,6 +459,31 @@
                 decisions.append(self._refusal(now, request, times))
         return decisions
 
+    def _refuse_of_version(
+        self, now: float, requests: list[slot_types.SlotRequest]
+    ) -> list[slot_types.Decision]:
+        """Refuse streams with no worker of their version early enough."""
+        decisions: list[slot_types.Decision] = []
+        ahead: Counter[str] = Counter()
+        for request in requests:
+            version = request.version
+            if not version:
+                continue
+            times = self._slots.capacity_times(now, version)
+            position = ahead[version]
+            ahead[version] += 1
+            start = times[position] if position < len(times) else None
+            if not self._slots.has_version(version):
+                decisions.append(
+                    self._refusal(now, request, [], "no_worker_of_version")
+                )
+            elif now > request.give_up_at or (
+                start is not None
+                and not self._is_worth_waiting(now, request, start)
+            ):
+                decisions.append(self._refusal(now, request, times))
+        return decisions
+
     def _is_worth_waiting(
         self, now: float, request: slot_types.SlotRequest, start: float
     ) -> bool:
@@ -473,7 +518,11 @@
         return len(self._arrivals) / RATE_WINDOW_S
 
     def _refusal(
-        self, now: float, request: slot_types.SlotRequest, times: list[float]
+        self,
+        now: float,
+        request: slot_types.SlotRequest,
+        times: list[float],
+        reason: str = "",
     ) -> slot_types.Refusal:
         del self._waiting[request.exchange]
         first = refused_requests.FirstAttempt(
@@ -481,7 +530,8 @@
         )
         self._refused_requests.record(now, request.content, first)
         self._refusal_count += 1
-        reason = "no_slot_in_time" if times else "no_decode_worker"
+        if not reason:
+            reason = "no_slot_in_time" if times else "no_decode_worker"
         wait_s = times[-1] - now if times else NO_WORKER_RETRY_AFTER_S
         wait_s += RETRY_SPREAD_STEP_S * (self._refusal_count % 8)
         return slot_types.Refusal(
--- a/nutmegscale/slot_types.py
+++ b/nutmegscale/slot_types.py
@@ -20,6 +20,8 @@
       content: Digest of the request's content, by which a retry is
         recognized; "" if there is none.
       failure_domain: Failure domain of the host; "" if it is unknown.
+      version: Software version that the decode worker must have, since it began
+        the stream; "" for any.
     """
 
     exchange: str
@@ -34,6 +36,7 @@
     local_prefill: bool = False
     content: str = ""
     failure_domain: str = ""
+    version: str = ""
 
 
 class HeldSlot(NamedTuple):
@@ -96,7 +99,8 @@
       exchange: The stream.
       host: Host that serves it.
       retry_after_s: Time after which the caller should retry, seconds.
-      reason: "no_slot_in_time" or "no_decode_worker".
+      reason: "no_slot_in_time", "no_decode_worker" or
+        "no_worker_of_version".
       waiting: Number of other streams in the queue at the time of the refusal.
       held: Number of slots held at the time of the refusal.
       rate: Recent arrivals of streams per second.
--- a/nutmegscale/stream_run.py
+++ b/nutmegscale/stream_run.py
@@ -19,6 +19,8 @@
       events: Events forwarded to the caller.
       run_events: Those of the current run.
       last_event: Id of the last of them that has one, or b"".
+      version: Software version of the workers that brought its events; "" if
+        unknown, or if there are none yet.
       granted_at: When the current slot was granted, seconds.
       prefill_worker: Worker of the last successful prefill, or "".
       prefill_s: Duration of that prefill, seconds.
@@ -43,6 +45,7 @@
         self.events = 0
         self.run_events = 0
         self.last_event = b""
+        self.version = ""
         self.granted_at = 0.0
         self.prefill_worker = ""
         self.prefill_s = 0.0
@@ -88,6 +91,8 @@
         """Return whether another run of the stream is allowed."""
         if self.runs == 0:
             return True
+        if self.events and not self.version:
+            return False
         return route.is_resumable and self.runs < route.max_attempts
 
     def keep_source(
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -1,5 +1,6 @@
 """Runs streams of model services: decode slot, prefill, KV transfer, decode."""
 
+from collections.abc import Callable
 import hashlib
 
 from nutmegscale import backend
@@ -12,9 +13,12 @@
 from nutmegscale import periodic
 from nutmegscale import prefill_runner
 from nutmegscale import request_context
+from nutmegscale import retry_share
 from nutmegscale import routing_board
 from nutmegscale import server_calls
 from nutmegscale import slot_controller
+from nutmegscale import stream_origins
+from nutmegscale import stream_registry
 from nutmegscale import stream_run
 from nutmegscale import upstream
 from nutmegscale import upstream_call
@@ -32,8 +36,12 @@
 # Retry-After of a request for which the retry budget allowed no further run,
 # seconds.
 NO_BUDGET_RETRY_AFTER_S = 1.0
+# Retry-After of a caller that takes up a stream of which no host knows where it
+# began, seconds. A host that has just started may know it after that time.
+UNKNOWN_RETRY_AFTER_S = 0.5
 # Length of a content digest, bytes: enough to distinguish the refused requests
-# that a planner remembers for `refused_requests.RETENTION_S`.
+# that a planner remembers for `refused_requests.RETENTION_S`, and the streams
+# that hosts remember for `stream_origins.RETENTION_S`.
 DIGEST_BYTES = 8
 # Events of a run after which its answer is past its beginning, where a part of
 # the prompt may crash the worker.
@@ -54,6 +62,9 @@
         codec: caller_request.ServerCodec,
         slots: slot_controller.SlotController,
         crashes: crash_watch.CrashWatch,
+        registry: stream_registry.StreamRegistry,
+        *,
+        retries_of: Callable[[str], retry_share.RetryShare],
     ) -> None:
         self._board = board
         self._pool = pool
@@ -61,6 +72,8 @@
         self._codec = codec
         self._slots = slots
         self._crashes = crashes
+        self._registry = registry
+        self._retries_of = retries_of
         self._prefills = prefill_runner.PrefillRunner(
             board, pool, calls, codec, slots, crashes
         )
@@ -68,6 +81,11 @@
     async def run(self, context: request_context.RequestContext) -> None:
         """Run a stream until it is answered, refused or failed."""
         run = stream_run.StreamRun(context.request)
+        if context.request.last_event and not await self._find_origin(
+            context, run
+        ):
+            context.refuse("stream_unknown", UNKNOWN_RETRY_AFTER_S)
+            return
         for _ in range(MAX_OFFERS):
             grant = await self._slots.acquire(self._slot_demand(context, run))
             if grant.state != "granted":
@@ -98,6 +116,26 @@
             context, run, "rejected_by_servers", REJECTED_RETRY_AFTER_S
         )
 
+    async def _find_origin(
+        self, context: request_context.RequestContext, run: stream_run.StreamRun
+    ) -> bool:
+        """Find out at which service and version a stream is to go on.
+
+        Returns:
+          Whether it is known, and a target of the route.
+        """
+        request = context.request
+        origin = await self._registry.find(
+            request.resumes, _origin_digest(request)
+        )
+        targets = {target.service for target in context.route.targets}
+        if origin is None or origin.service not in targets:
+            return False
+        if origin.service != context.service:
+            context.move_to(origin.service, self._retries_of(origin.service))
+        run.version = origin.version
+        return True
+
     async def _is_quarantined(
         self, context: request_context.RequestContext, run: stream_run.StreamRun
     ) -> bool:
@@ -134,6 +172,7 @@
             avoid=tuple(run.avoid),
             local_prefill=run.local_prefill,
             content=_content_digest(request),
+            version=run.version,
         )
 
     async def _run_granted(
@@ -155,19 +194,30 @@
             run.avoid.append(grant.decode)
             context.record_failure_event("grant_outdated", decode=grant.decode)
             return False
+        if run.version not in ("", decode.version):
+            run.avoid.append(decode.id)
+            context.record_failure_event(
+                "grant_of_other_version",
+                decode=decode.id,
+                software=decode.version,
+                expected=run.version,
+            )
+            return False
         if not context.sends.reserve():
             self._give_up(
                 context, run, "retry_budget_spent", NO_BUDGET_RETRY_AFTER_S
             )
             return True
-        source = self._reuse_source(context, run, grant)
+        source = self._reuse_source(context, run, grant, decode)
         is_permitted = decode.id in grant.permitted
         try:
             # Connect to the decode worker first: if it is unreachable, the
             # prefill would be wasted.
             connection = await self._pool.reserve(decode.address)
             try:
-                if source is None and self._may_prefill(context, prefill):
+                if source is None and self._may_prefill(
+                    context, prefill, decode
+                ):
                     assert prefill is not None
                     source = await self._prefills.prefill(
                         context,
@@ -265,15 +315,17 @@
             )
 
     def _check_not_draining(self, worker: backend.Backend) -> None:
-        """Check that a worker wasn't drained or removed during the prefill.
+        """Check that a worker didn't leave or restart during the prefill.
+
+        A restarted one may have another software version.
 
         Raises:
           errors.BackendLeftError: It was; nothing was sent to it.
         """
         entry = self._board.backends.get(worker.id)
-        if entry is None or entry.is_draining:
+        if entry is None or entry.is_draining or entry.key != worker.key:
             raise errors.BackendLeftError(
-                f"decode worker {worker.id} left during the prefill"
+                f"decode worker {worker.id} left or restarted meanwhile"
             )
 
     def _reuse_source(
@@ -281,13 +333,20 @@
         context: request_context.RequestContext,
         run: stream_run.StreamRun,
         grant: messages.SlotReply,
+        decode: backend.Backend,
     ) -> caller_request.KvHandle | None:
-        """Return the KV cache of an earlier offer if it hasn't expired.
+        """Return the KV cache of an earlier offer if it can be used.
+
+        It can't if it has expired or if the decode worker has another software
+        version than the worker that wrote it.
 
         In that case, the planner is informed that the prefill worker of the
         grant isn't needed.
         """
         source = run.take_source(self._board.now())
+        if source is not None and source.server.version != decode.version:
+            periodic.spawn(self._prefills.free(source))
+            return None
         if source is not None and grant.prefill:
             self._slots.report(
                 context.service,
@@ -301,9 +360,12 @@
         self,
         context: request_context.RequestContext,
         prefill: backend.Backend | None,
+        decode: backend.Backend,
     ) -> bool:
         if prefill is None or prefill.is_draining:
             return False
+        if prefill.version != decode.version:
+            return False
         # Both a further prefill and the run after it count as arrivals.
         return not context.sends.has_prefilled or context.sends.reserve(2)
 
@@ -434,7 +496,7 @@
             if complete:
                 had_begun = run.run_events >= BEGUN_EVENTS
                 if not run.run_events:
-                    self._log_begin(context, run, worker)
+                    self._record_begin(context, run, worker)
                 run.record_events(self._board.now(), splitter.count(complete))
                 run.last_event = splitter.last_id or run.last_event
                 if run.run_events >= BEGUN_EVENTS and not had_begun:
@@ -465,13 +527,22 @@
             longest_gap_ms=_ms(run.longest_gap_s),
         )
 
-    def _log_begin(
+    def _record_begin(
         self,
         context: request_context.RequestContext,
         run: stream_run.StreamRun,
         worker: backend.Backend,
     ) -> None:
-        """Log that the first events of a run are forwarded."""
+        """Record that the first events of a run are about to be forwarded."""
+        request = context.request
+        is_first = not run.events and not request.last_event
+        if is_first and worker.version:
+            run.version = worker.version
+        if is_first and worker.version and context.route.is_resumable:
+            origin = stream_origins.Origin(
+                context.service, worker.version, _origin_digest(request)
+            )
+            self._registry.record(request.id, origin)
         last_event = run.last_event or context.request.last_event
         context.log(
             "stream_begun",
@@ -520,6 +591,11 @@
             context.refuse(reason, retry_after_s)
 
 
+def _origin_digest(request: caller_request.CallerRequest) -> bytes:
+    """Return a digest by which hosts know the request of a stream again."""
+    return request.content_digest()[:DIGEST_BYTES]
+
+
 def _content_digest(request: caller_request.CallerRequest) -> str:
     """Return a digest that is equal for all attempts of a caller.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -161,6 +161,23 @@
     return row_store.Row("i-1", json.dumps(kept).encode(), 1)
 
 
+@pytest.mark.parametrize(
+    ("stated", "version"),
+    [
+        ("v1", "v1"),
+        ("v1.1", "v1.1"),
+        (None, ""),
+        (3, ""),
+        (["v1"], ""),
+        ("v" * 500, ""),
+    ],
+)
+def test_version_of_another_type_is_unknown(
+    stated: object, version: str
+) -> None:
+    assert worker_entries.decode(_entry(version=stated)).version == version
+
+
 def test_entry_is_decoded() -> None:
     entry = worker_entries.decode(_entry(born=17, state="draining"))
     assert (entry.id, entry.incarnation, entry.stage) == ("i-1", 17, "decode")
--- a/tests/test_slot_queue.py
+++ b/tests/test_slot_queue.py
@@ -436,3 +436,65 @@
     assert isinstance(first, slot_types.Grant)
     assert isinstance(again, slot_types.Grant)
     assert again.prefill_s == first.prefill_s > 0.1
+
+
+def _queue_of_versions(slots: int = 1) -> slot_queue.SlotQueue:
+    """Return a queue with a prefill and a decode worker of each version."""
+    workers = [
+        _worker(f"{stage[0]}-{version}", stage, slots)._replace(version=version)
+        for version in ("v1", "v2")
+        for stage in ("prefill", "decode")
+    ]
+    queue = slot_queue.SlotQueue()
+    queue.set_workers(0.0, tuple(workers), kv_tokens=100_000)
+    return queue
+
+
+def _request_of(name: str, now: float, version: str) -> slot_types.SlotRequest:
+    return _request(name, now, expected=500)._replace(version=version)
+
+
+def test_a_stream_that_has_begun_gets_workers_of_its_version() -> None:
+    for version in ("v1", "v2"):
+        queue = _queue_of_versions()
+        (grant,) = queue.submit(0.0, _request_of("a", 0.0, version))
+        assert isinstance(grant, slot_types.Grant)
+        assert grant.decode == f"d-{version}"
+        assert grant.prefill == f"p-{version}"
+
+
+def test_a_prompt_is_prefilled_at_the_version_of_its_decode_worker() -> None:
+    queue = _queue_of_versions()
+    for name in ("a", "b"):
+        (grant,) = queue.submit(0.0, _request(name, 0.0))
+        assert isinstance(grant, slot_types.Grant)
+        assert grant.prefill[1:] == grant.decode[1:]
+
+
+def test_a_stream_that_waits_for_its_version_holds_up_no_other() -> None:
+    queue = _queue_of_versions()
+    queue.submit(0.0, _request_of("held", 0.0, "v1"))
+    assert queue.submit(0.1, _request_of("waits", 0.1, "v1")) == []
+    (grant,) = queue.submit(0.5, _request("other", 0.5))
+    assert isinstance(grant, slot_types.Grant)
+    assert grant.decode == "d-v2"
+    queue.release("held")
+    assert _granted(queue.dispatch(0.6)) == ["waits"]
+
+
+def test_a_stream_goes_before_new_ones_to_the_workers_of_its_version() -> None:
+    queue = _queue_of_versions()
+    for name in ("a", "b"):
+        queue.submit(0.0, _request(name, 0.0, expected=500))
+    assert queue.submit(0.1, _request("new", 0.1, expected=500)) == []
+    assert queue.submit(0.2, _request_of("begun", 0.2, "v1")) == []
+    held = [n for n in ("a", "b") if queue._held.get(n).decode == "d-v1"]  # type: ignore[union-attr]
+    queue.release(held[0])
+    assert _granted(queue.dispatch(0.3)) == ["begun"]
+
+
+def test_a_stream_without_a_worker_of_its_version_is_refused_at_once() -> None:
+    queue = _queue_of_versions()
+    (refusal,) = queue.submit(0.0, _request_of("a", 0.0, "v1.1"))
+    assert isinstance(refusal, slot_types.Refusal)
+    assert refusal.reason == "no_worker_of_version"
--- a/tests/test_streams_across_versions.py
+++ b/tests/test_streams_across_versions.py
@@ -169,3 +169,116 @@
     for worker in _decode_workers(simulation):
         assert set(worker.handle_versions) <= {worker.version}
     assert sum(stream.is_whole for stream in streams) >= 28
+
+
+def test_half_of_the_streams_go_on_when_most_hosts_die() -> None:
+    simulation = _simulation(12)
+    resumed = _kill_and_resume(simulation, list(range(10)))
+    _check_versions(simulation)
+    assert len(resumed) >= 12
+    assert sum(stream.is_whole for stream in resumed) >= 0.5 * len(resumed)
+
+
+def _begin_and_break(simulation: router_world.Simulation) -> Stream:
+    """Begin a stream at host 0, and break its answer off midway."""
+    _set_events(simulation, 80)
+    (stream,) = _send(simulation, 1, [0])
+    simulation.run(1.0)
+    assert stream.events
+    stream.caller.transport.abortConnection()
+    _set_events(simulation, EVENTS)
+    simulation.run(0.2)
+    return stream
+
+
+def _is_refused_at_once(
+    simulation: router_world.Simulation, resumed: Stream
+) -> bool:
+    """Whether a stream was refused without a run, with a time to come back."""
+    ran = sum(len(w.ran) for w in _decode_workers(simulation))
+    simulation.run(0.4)
+    replies = resumed.caller.replies
+    still = sum(len(w.ran) for w in _decode_workers(simulation))
+    return (
+        bool(replies)
+        and replies[-1].status == 503
+        and b"retry-after" in replies[-1].headers
+        and still == ran
+    )
+
+
+def test_a_host_that_cannot_ask_any_other_refuses_to_resume() -> None:
+    simulation = _simulation()
+    stream = _begin_and_break(simulation)
+    names = [host.router.board.host for host in simulation.hosts]
+    # It starts without contact to the hosts that know the stream.
+    simulation.restart_host(7)
+    simulation.peer_network.cut_off(["host-7"], names)
+    simulation.run(1.0)
+    resumed = _resume(simulation, stream, host=7)
+    assert _is_refused_at_once(simulation, resumed)
+    _check_versions(simulation)
+
+
+def test_a_stream_is_refused_once_no_worker_of_its_version_is_left() -> None:
+    simulation = _simulation()
+    stream = _begin_and_break(simulation)
+    (version,) = _versions(simulation)[stream.name]
+    for name, worker in simulation.workers.items():
+        if worker.stage == "decode" and worker.version == version:
+            simulation.write_entry(name, state="draining")
+    simulation.run(0.5)
+    resumed = _resume(simulation, stream, host=1)
+    assert _is_refused_at_once(simulation, resumed)
+    _check_versions(simulation)
+
+
+def test_a_stream_without_the_name_of_its_attempt_is_refused() -> None:
+    simulation = _simulation()
+    stream = _begin_and_break(simulation)
+    unnamed = stream._replace(name="")
+    resumed = _resume(simulation, unnamed, host=0)
+    assert _is_refused_at_once(simulation, resumed)
+
+
+def test_a_stream_of_another_request_is_refused() -> None:
+    simulation = _simulation()
+    stream = _begin_and_break(simulation)
+    other = stream._replace(resource="other")
+    resumed = _resume(simulation, other, host=0)
+    assert _is_refused_at_once(simulation, resumed)
+
+
+def test_a_stream_goes_on_over_several_attempts() -> None:
+    simulation = _simulation()
+    _set_events(simulation, 400)
+    (stream,) = _send(simulation, 1, [0])
+    for host in (1, 2, 3):
+        simulation.run(0.8)
+        events = stream.events
+        stream.caller.transport.abortConnection()
+        simulation.restart_host(host - 1)
+        simulation.run(0.5)
+        caller = simulation.send(
+            "digest",
+            host=host,
+            Prompt_Prefix=PARTS,
+            resource=stream.resource,
+            Last_Event_Id=str(events),
+            Resumes=stream.name,
+        )
+        stream = stream._replace(caller=caller)
+    simulation.run(1.0)
+    assert stream.events
+    _check_versions(simulation)
+
+
+def test_streams_of_a_worker_without_a_version_are_not_resumed() -> None:
+    simulation = _simulation(2)
+    for name in simulation.workers:
+        if name != "w1":
+            simulation.write_entry(name, version=7)
+    simulation.run(0.5)
+    stream = _begin_and_break(simulation)
+    resumed = _resume(simulation, stream, host=0)
+    assert _is_refused_at_once(simulation, resumed)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -21,6 +21,7 @@
 from tools import soak_callers
 from tools import soak_grey
 from tools import soak_poison
+from tools import soak_resumes
 from tools import soak_world
 
 reactor: Any = _reactor
@@ -73,6 +74,9 @@
             self.deployment, random.Random(arguments.seed + 3)
         )
         self._has_grey_servers = arguments.grey
+        self._resumes = soak_resumes.ResumingCallers(
+            self.deployment, self.callers, random.Random(arguments.seed + 4)
+        )
         self.deployment.on_poison = self._crash_on_poison
         self._log_file = open(folder / f"soak-{arguments.seed}.jsonl", "w")  # noqa: SIM115
         self._disturbed_at: dict[str, float] = {}
@@ -97,6 +101,7 @@
         self._poison.start()
         if self._has_grey_servers:
             self._grey.start()
+        self._resumes.start()
         end = self._started_at + WARM_UP_S + self._duration_s
         while reactor.seconds() < end:
             # Faults come in bursts and overlap.
@@ -105,6 +110,7 @@
             await periodic.sleep(reactor, self._rng.uniform(0.3, 3.0))
         self._poison.stop()
         self._grey.stop()
+        self._resumes.stop()
         self._heal_all()
         await periodic.sleep(reactor, RECOVERY_S)
         healed_at = reactor.seconds()
@@ -352,6 +358,7 @@
         self.callers.check_final_state()
         self._poison.check()
         self._check_retries()
+        self._resumes.check()
         for host in self.deployment.hosts:
             if not host.is_running:
                 self._record_violation(
@@ -379,11 +386,15 @@
             crashing_contents=self._poison.contents,
             statuses=statuses,
             violations=len(self.callers.violations),
+            resumed=self._resumes.resumed,
+            went_on=self._resumes.went_on,
         )
 
     def _check_retries(self) -> None:
         """Check that the retries of all hosts stay within the budget."""
-        windows = self.callers.worst_retry_windows(self._poison.sent_at)
+        windows = self.callers.worst_retry_windows(
+            self._poison.sent_at, self._resumes.sent_at
+        )
         for window in windows:
             self.log_event("retries", **window._asdict())
             if window.is_exceeded:
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -231,14 +231,21 @@
         """Return the id of the request of each run."""
         return [name for server in self._all_servers() for name in server.ran]
 
+    def all_stream_events(self) -> list[platform_worker.StreamEvent]:
+        """Return the events of all streams that servers wrote."""
+        return [
+            e for server in self._all_servers() for e in server.stream_events
+        ]
+
     def worst_retry_windows(
-        self, plain_sent_at: list[float]
+        self, plain_sent_at: list[float], model_sent_at: list[float]
     ) -> list[retry_window.WorstWindow]:
         """Return the worst window of retries of each service.
 
         Args:
           plain_sent_at: When others sent requests to the plain service,
             seconds of the reactor clock.
+          model_sent_at: The same for the model service.
         """
         model, plain = platform_rows.MODEL_SERVICE, platform_rows.PLAIN_SERVICE
         arrivals = [
@@ -252,6 +259,7 @@
             for received in server.received
         ]
         requests = [retry_window.Event(at, plain) for at in plain_sent_at]
+        requests += [retry_window.Event(at, model) for at in model_sent_at]
         for record in self.records:
             is_stream = ROUTES[record.route] == "stream"
             service = model if is_stream else plain
--- /dev/null
+++ b/tools/soak_resumes.py
@@ -0,0 +1,120 @@
+"""Callers of the soak test that take up streams which broke off."""
+
+import random
+
+from twisted.internet import defer
+
+from nutmegscale import periodic
+from standins import raw_caller
+from tools import soak_callers
+from tools import soak_world
+
+PROMISE = "a stream stays at one software version"
+ANSWER_TIMEOUT_S = 6.0
+MAX_ATTEMPTS = 3
+# Parts of the streams whose callers break off by themselves.
+LEAVING_SHARE = 0.5
+
+
+class ResumingCallers:
+    """Sends streams that may be resumed, and resumes them at other hosts.
+
+    Many callers close their connection midway. A stream that they take up is
+    sent to a random host, with the name of the attempt that began it.
+
+    Attributes:
+      resumed: Number of attempts to take up a stream.
+      went_on: Number of those that brought events.
+      sent_at: When each attempt was sent, seconds of the reactor clock.
+    """
+
+    def __init__(
+        self,
+        deployment: soak_world.SoakDeployment,
+        callers: soak_callers.Callers,
+        rng: random.Random,
+    ) -> None:
+        self._deployment = deployment
+        self._callers = callers
+        self._rng = rng
+        self._count = 0
+        self.resumed = 0
+        self.went_on = 0
+        self.sent_at: list[float] = []
+        self._running: defer.Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Start sending."""
+        self._running = periodic.spawn(self._run())
+
+    def stop(self) -> None:
+        """Stop sending."""
+        if self._running is not None:
+            self._running.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await self._send_stream()
+
+    async def _send_stream(self) -> None:
+        """Send a stream, and take it up until it is whole."""
+        self._count += 1
+        first = f"resumable-{self._count}"
+        events = await self._send(first, "")
+        for attempt in range(1, MAX_ATTEMPTS):
+            if not events:
+                return
+            self.resumed += 1
+            headers = f"Resumes: {first}\r\nLast-Event-Id: {events}\r\n"
+            further = await self._send(f"{first}-{attempt}", headers)
+            self.went_on += further > 0
+            events += further
+
+    async def _send(self, request: str, headers: str) -> int:
+        """Send one attempt to a random host; return the events it brought."""
+        host = self._rng.choice(self._deployment.hosts)
+        leaves_s = ANSWER_TIMEOUT_S
+        if self._rng.random() < LEAVING_SHARE:
+            leaves_s = self._rng.uniform(0.3, 1.5)
+        connection = await self._callers.connect(host)
+        if connection is None:
+            await periodic.sleep(self._deployment.reactor, soak_callers.POLL_S)
+            return 0
+        self.sent_at.append(self._deployment.reactor.seconds())
+        body = request.split("-")[1].encode()
+        connection.transport.write(
+            (
+                "POST /digest/x HTTP/1.1\r\nHost: clubs.example\r\n"
+                f"Request-Id: {request}\r\nDeadline-Ms: 8000\r\n"
+                f"Token-Count: 5000,4000\r\nModel: m\r\n{headers}"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            ).encode()
+            + body
+        )
+        await self._wait(connection, leaves_s)
+        connection.transport.abortConnection()
+        reply = connection.replies[0] if connection.replies else None
+        if reply is None or reply.status != 200:
+            return 0
+        return reply.body.count(b"\n\n")
+
+    async def _wait(
+        self, connection: raw_caller.Caller, limit_s: float
+    ) -> None:
+        reactor = self._deployment.reactor
+        give_up_at = reactor.seconds() + limit_s
+        while not connection.is_closed and reactor.seconds() < give_up_at:
+            if connection.replies and connection.replies[0].is_complete:
+                return
+            await periodic.sleep(reactor, soak_callers.POLL_S)
+
+    def check(self) -> None:
+        """Check that no stream holds events of two versions."""
+        versions: dict[str, set[str]] = {}
+        for event in self._callers.all_stream_events():
+            versions.setdefault(event.stream, set()).add(event.version)
+        for name, seen in versions.items():
+            if len(seen) > 1:
+                self._callers.record_violation(
+                    PROMISE, name, ",".join(sorted(seen))
+                )
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -263,6 +263,7 @@
         server = platform_worker.PlatformWorker(
             self.reactor, name, stage=stage, slots=6
         )
+        server.version = f"v{1 + self._last_incarnation % 2}"
         server.poison_prefix = POISON_PREFIX.encode()
         server.on_crash = lambda: self.on_poison(name)
         server.event_count = self.rng.choice((8, 20, 40))
@@ -306,6 +307,7 @@
             slots=worker.server.slots,
             state=state,
             born=worker.born,
+            version=worker.server.version,
         )
         self.store.put(worker_entries.TABLE, name, row)
 
