--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,6 +61,15 @@
     assert not found, output[-2_000:]
 
 
+def test_soak_of_limited_servers_keeps_to_their_limits(
+    tmp_path: pathlib.Path,
+) -> None:
+    options = ("--minutes", "0.15", "--hosts", "8", "--callers", "90")
+    output = _run_soak(tmp_path, SEED, *options, "--limits")
+    found = _without_poison(_violations(output))
+    assert not found, output[-2_000:]
+
+
 def test_soak_of_failing_servers_keeps_retries_within_the_budget(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,6 +1,7 @@
 """Randomized soak test: checks guarantees of real daemons under faults.
 
-    python -m tools.soak --seed N --minutes M [--hosts N] [--callers N] [--grey]
+    python -m tools.soak --seed N --minutes M [--hosts N] [--callers N]
+        [--grey] [--limits]
 
 All random choices come from the seed. Writes faults and results as JSON lines
 to out/soak-SEED/soak-SEED.jsonl; ends only the processes that it started.
@@ -20,6 +21,7 @@
 from nutmegscale import periodic
 from tools import soak_callers
 from tools import soak_grey
+from tools import soak_limits
 from tools import soak_poison
 from tools import soak_resumes
 from tools import soak_world
@@ -77,6 +79,8 @@
         self._resumes = soak_resumes.ResumingCallers(
             self.deployment, self.callers, random.Random(arguments.seed + 4)
         )
+        self._limits = soak_limits.LimitedServers(self.deployment, self.callers)
+        self._has_limits = arguments.limits
         self.deployment.on_poison = self._crash_on_poison
         self._log_file = open(folder / f"soak-{arguments.seed}.jsonl", "w")  # noqa: SIM115
         self._disturbed_at: dict[str, float] = {}
@@ -102,11 +106,14 @@
         if self._has_grey_servers:
             self._grey.start()
         self._resumes.start()
+        if self._has_limits:
+            self._limits.start()
         end = self._started_at + WARM_UP_S + self._duration_s
         while reactor.seconds() < end:
             # Faults come in bursts and overlap.
             for _ in range(self._rng.choice((1, 1, 2, 3))):
-                self._inject_fault()
+                if not self._has_limits:
+                    self._inject_fault()
             await periodic.sleep(reactor, self._rng.uniform(0.3, 3.0))
         self._poison.stop()
         self._grey.stop()
@@ -358,6 +365,7 @@
         self.callers.check_final_state()
         self._poison.check()
         self._check_retries()
+        self._check_limits()
         self._resumes.check()
         for host in self.deployment.hosts:
             if not host.is_running:
@@ -402,6 +410,12 @@
                     "retries stay within the budget", "", str(window)
                 )
 
+    def _check_limits(self) -> None:
+        """Check that all hosts keep to the limits of servers."""
+        if self._has_limits:
+            for name, window in self._limits.check():
+                self.log_event("limit", server=name, worst=str(window))
+
     def _check_planned_stops(self) -> None:
         """Check that planned stops cut off no answer in progress."""
         for name, stopped_at in self._planned_stops:
@@ -457,6 +471,11 @@
         action="store_true",
         help="let backend servers fail while hosts restart and don't join",
     )
+    parser.add_argument(
+        "--limits",
+        action="store_true",
+        help="let servers state limits, without any fault",
+    )
     parser.add_argument("--out", default="out")
     arguments = parser.parse_args()
     folder = pathlib.Path(arguments.out) / f"soak-{arguments.seed}"
