A run isn't sent once its content is quarantined during its prefill

Ruled out: late news between hosts (the crash was known 0.03 s before the run was sent). Change: the check is repeated right before a run is sent; trials are let through.

--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -152,7 +152,7 @@
 
 
 class QuarantinedError(NutmegscaleError):
-    """A call wasn't sent, because its content crashes backend servers."""
+    """A request wasn't sent, because its content crashes backend servers."""
 
 
 class PeerError(NutmegscaleError):
--- a/nutmegscale/stream_run.py
+++ b/nutmegscale/stream_run.py
@@ -16,6 +16,7 @@
       runs: Runs that started and ended early.
       source_rejections: Rejected runs from the KV cache of the last prefill.
       disconnects: Prefills and runs whose server broke the connection.
+      is_trial: Whether it tries content after its quarantine.
       events: Events forwarded to the caller.
       run_events: Those of the current run.
       last_event: Id of the last of them that has one, or b"".
@@ -42,6 +43,7 @@
         self.runs = 0
         self.source_rejections = 0
         self.disconnects = 0
+        self.is_trial = False
         self.events = 0
         self.run_events = 0
         self.last_event = b""
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -81,6 +81,8 @@
     async def run(self, context: request_context.RequestContext) -> None:
         """Run a stream until it is answered, refused or failed."""
         run = stream_run.StreamRun(context.request)
+        # The router admits a request in quarantine only if it is a trial.
+        run.is_trial = self._crashes.refused_for_s(context.content) > 0.0
         if context.request.last_event and not await self._find_origin(
             context, run
         ):
@@ -226,6 +228,7 @@
                         forecast_s=grant.prefill_s,
                         is_permitted=prefill.id in grant.permitted,
                     )
+                self._check_not_quarantined(context, run)
                 self._check_not_draining(decode)
                 await self._decode(
                     context,
@@ -267,6 +270,17 @@
                 # The planner knows a better worker than a local prefill beside
                 # the runs of the decode worker, which it would delay.
                 pass
+            case errors.QuarantinedError():
+                context.record_failure_event(
+                    "quarantined_meanwhile", decode=decode.id, why=str(exc)
+                )
+                self._give_up(
+                    context,
+                    run,
+                    "quarantined",
+                    self._crashes.refused_for_s(context.content),
+                )
+                return True
             case errors.BackendLeftError() | errors.LimitedError():
                 is_left = isinstance(exc, errors.BackendLeftError)
                 context.record_failure_event(
@@ -314,6 +328,20 @@
                 tokens=context.request.prompt_tokens,
             )
 
+    def _check_not_quarantined(
+        self, context: request_context.RequestContext, run: stream_run.StreamRun
+    ) -> None:
+        """Check that the content wasn't quarantined during the prefill.
+
+        Raises:
+          errors.QuarantinedError: It was; it isn't run.
+        """
+        refused_for_s = self._crashes.refused_for_s(context.content)
+        if refused_for_s and not run.is_trial:
+            raise errors.QuarantinedError(
+                f"quarantined for {refused_for_s:.1f} s during the prefill"
+            )
+
     def _check_not_draining(self, worker: backend.Backend) -> None:
         """Check that a worker didn't leave or restart during the prefill.
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -59,6 +59,21 @@
     assert _run_count(simulation) == 2
 
 
+def test_poison_quarantined_during_its_prefill_crashes_no_decode_worker() -> (
+    None
+):
+    """A resumable stream is prefilled for its second run meanwhile."""
+    simulation = _simulation()
+    for name in ("d3", "d4", "d5"):
+        simulation.add_worker(name, stage="decode")
+    _set_poison(simulation)
+    simulation.send("digest", host=0, body=POISON)
+    simulation.run(0.08)
+    simulation.send("digest", host=1, body=POISON)
+    simulation.run(3.0)
+    assert _run_count(simulation) == 2
+
+
 def test_poison_without_a_body_takes_two_servers() -> None:
     simulation = _simulation()
     for worker in simulation.workers.values():
