Permits are asked for as many requests as wait, urgent ones first

Found by reading: a planner's queue counted each waiting stream again every 0.05 s, and a waiting call every 0.02 s, so that a host asked for up to 64 permits that it couldn't use; and a call that waited for the reply to its own request for permits went before waiting calls that are more urgent. Change: queued requests are stated as a number, and calls wait with their rank.

--- a/nutmegscale/decode_slots.py
+++ b/nutmegscale/decode_slots.py
@@ -241,14 +241,14 @@
         ]
         return self._costs.local_prefill_s(tokens) + min(waits, default=0.0)
 
-    def want_permits(self, count: int) -> None:
+    def want_permits(self, queued: int) -> None:
         """Ask for permits for the workers that state a limit.
 
         Args:
-          count: Number of streams that wait.
+          queued: Number of streams that wait.
         """
         for name in self._workers:
-            self._limits.want(name, count)
+            self._limits.want(name, queued)
 
     def free_slots(self, now: float) -> int:
         """Return the number of slots of unpaused workers that may be granted.
--- a/nutmegscale/limit_controller.py
+++ b/nutmegscale/limit_controller.py
@@ -105,38 +105,44 @@
         """Return a permit whose request wasn't sent."""
         self._permits.give_back(self._board.now(), server.key)
 
-    def want(self, server: backend.Backend, count: int = 1) -> bool:
-        """Ask for permits if a server states a limit.
+    def want(self, server: backend.Backend, queued: int) -> None:
+        """Ask for permits for queued requests if a server states a limit.
 
         Args:
           server: The server.
-          count: Number of requests that could use one.
-
-        Returns:
-          Whether another host was asked, which replies soon.
+          queued: Number of requests that could use one now.
         """
-        if self._board.server_limits.get(server.key) is None:
-            return False
-        self._permits.record_demand(self._board.now(), server.key, count)
-        return self._ask(server.key)
+        if self._board.server_limits.get(server.key) is not None:
+            self._permits.record_queue(self._board.now(), server.key, queued)
+            self._ask(server.key)
 
-    async def prepare(self, servers: Sequence[backend.Backend]) -> None:
+    async def prepare(
+        self, servers: Sequence[backend.Backend], *, priority: int
+    ) -> None:
         """Ask for permits for a call, and wait shortly for the replies.
 
         Permits that are used at once aren't lost to other hosts.
 
         Args:
           servers: Servers that the call may be sent to.
+          priority: Rank of the call; 0 goes first.
         """
-        asked = {server.key for server in servers if self.want(server)}
+        asked = set()
+        for server in servers:
+            if self._board.server_limits.get(server.key) is not None:
+                self._permits.record_demand(self._board.now(), server.key)
+                if self._ask(server.key):
+                    asked.add(server.key)
         if asked:
-            await self._waiters.wait(asked, priority=0, limit_s=REPLY_WAIT_S)
+            await self._waiters.wait(
+                asked, priority=priority, limit_s=REPLY_WAIT_S
+            )
 
     def _ask(self, server: str) -> bool:
         """Ask the next host that holds a share of a server's limit.
 
         Returns:
-          Whether another host was asked.
+          Whether another host was asked, which replies soon.
         """
         limit = self._board.server_limits.get(server)
         if limit is None:
@@ -207,7 +213,6 @@
     def _poll_once(self) -> None:
         servers = self._waiters.servers
         for server in sorted(servers):
-            self._permits.record_demand(self._board.now(), server)
             self._ask(server)
         if servers:
             self._poll()
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -144,7 +144,8 @@
         """Choose a server, after a wait if all have reached their limits."""
         if self._board.server_limits:
             await self._limits.prepare(
-                self._board.reachable_servers(context.service)
+                self._board.reachable_servers(context.service),
+                priority=context.route.priority,
             )
         server = self._choose(context)
         limited = self._limited_servers(context) if server is None else ()
--- a/nutmegscale/planned_limits.py
+++ b/nutmegscale/planned_limits.py
@@ -37,11 +37,11 @@
             return 0.0
         return self._board.server_limits.per_s(limited.key) or 0.0
 
-    def want(self, worker: str, count: int) -> None:
+    def want(self, worker: str, queued: int) -> None:
         """Ask for permits for a worker; see `WorkerLimits`."""
         limited = self._limited(worker)
         if limited is not None:
-            self._limits.want(limited, count)
+            self._limits.want(limited, queued)
 
     def take(self, worker: str) -> bool:
         """Use a permit for a worker; see `WorkerLimits`."""
--- a/nutmegscale/prefill_workers.py
+++ b/nutmegscale/prefill_workers.py
@@ -41,14 +41,14 @@
         """Whether a worker is a prefill worker."""
         return worker in self._workers
 
-    def want_permits(self, count: int) -> None:
+    def want_permits(self, queued: int) -> None:
         """Ask for permits for the workers that state a limit.
 
         Args:
-          count: Number of prompts that wait.
+          queued: Number of prompts that wait.
         """
         for name in self._workers:
-            self._limits.want(name, count)
+            self._limits.want(name, queued)
 
     def versions(self, now: float) -> set[str]:
         """Return the software versions of the workers that can be chosen."""
--- a/nutmegscale/send_permits.py
+++ b/nutmegscale/send_permits.py
@@ -25,6 +25,8 @@
       no_reply_until: End of the wait for each allocator that was asked.
       ask_after: When each allocator that gave no permits is to be asked again.
       received: When permits were received.
+      queued: Number of queued requests that could use a permit.
+      queued_at: When that number was recorded.
     """
 
     def __init__(self) -> None:
@@ -33,6 +35,8 @@
         self.no_reply_until: dict[str, float] = {}
         self.ask_after: dict[str, float] = {}
         self.received: deque[float] = deque(maxlen=4 * MAX_WANTED)
+        self.queued = 0
+        self.queued_at = -math.inf
 
 
 class SendPermits:
@@ -73,20 +77,30 @@
         """Return a permit whose request wasn't sent."""
         self._of(server).expiries.append(now + PERMIT_TTL_S)
 
-    def record_demand(self, now: float, server: str, count: int = 1) -> None:
-        """Record requests that could use permits for a server."""
-        self._of(server).demands.extend([now] * min(count, MAX_WANTED))
+    def record_demand(self, now: float, server: str) -> None:
+        """Record a request that could use a permit for a server."""
+        self._of(server).demands.append(now)
+
+    def record_queue(self, now: float, server: str, queued: int) -> None:
+        """Record how many queued requests could use a permit for a server."""
+        known = self._of(server)
+        known.queued, known.queued_at = queued, now
 
     def has_demand(self, now: float, server: str) -> bool:
         """Whether a request could have used a permit lately."""
-        demands = self._of(server).demands
-        return bool(demands) and now - demands[-1] < DEMAND_S
+        known = self._of(server)
+        last = known.demands[-1] if known.demands else -math.inf
+        return now - max(last, known.queued_at) < DEMAND_S
 
     def wanted(self, now: float, server: str) -> int:
         """Return how many permits for a server can be used at once."""
-        demands = self._of(server).demands
-        recent = sum(now - at < DEMAND_S for at in demands)
-        return max(1, min(MAX_WANTED, math.ceil(recent * PREFETCH_S)))
+        known = self._of(server)
+        recent = sum(now - at < DEMAND_S for at in known.demands)
+        is_queued = now - known.queued_at < PREFETCH_S
+        wanted = max(
+            math.ceil(recent * PREFETCH_S), known.queued if is_queued else 0
+        )
+        return max(1, min(MAX_WANTED, wanted))
 
     def received_per_s(self, now: float, server: str, span_s: float) -> float:
         """Return the permits received a second over the last seconds."""
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -288,8 +288,9 @@
         decisions: list[slot_types.Decision] = []
         if now < self._no_grants_before:
             return decisions
-        self._slots.want_permits(len(self._waiting))
-        self._prefill_workers.want_permits(len(self._waiting))
+        if self._waiting:
+            self._slots.want_permits(len(self._waiting))
+            self._prefill_workers.want_permits(len(self._waiting))
         in_time, late = self._split_by_deadline(now)
         bypassed = 0
         for request in in_time:
--- a/nutmegscale/worker_limits.py
+++ b/nutmegscale/worker_limits.py
@@ -14,12 +14,12 @@
         """Return the limit of a worker, requests a second; 0 if none."""
         ...
 
-    def want(self, worker: str, count: int) -> None:
+    def want(self, worker: str, queued: int) -> None:
         """Ask for permits for a worker that states a limit.
 
         Args:
           worker: Id of the worker.
-          count: Number of requests that could use one.
+          queued: Number of requests that could use one now.
         """
         ...
 
@@ -43,7 +43,7 @@
         """Return 0; see `WorkerLimits`."""
         return 0.0
 
-    def want(self, worker: str, count: int) -> None:
+    def want(self, worker: str, queued: int) -> None:
         """Do nothing; see `WorkerLimits`."""
 
     def take(self, worker: str) -> bool:
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -41,7 +41,16 @@
 
 def test_no_host_is_asked_for_more_than_can_be_used() -> None:
     permits = send_permits.SendPermits()
-    permits.record_demand(0.0, "a", 8)
+    for _ in range(8):
+        permits.record_demand(0.0, "a")
     assert permits.wanted(0.1, "a") == 2
     permits.add(0.1, "a", 2)
     assert permits.next_allocator(0.1, "a", HOSTS) is None
+
+
+def test_permits_are_asked_for_queued_requests() -> None:
+    permits = send_permits.SendPermits()
+    permits.record_queue(0.0, "a", 5)
+    assert permits.wanted(0.1, "a") == 5
+    assert permits.has_demand(0.1, "a")
+    assert permits.wanted(send_permits.PREFETCH_S, "a") == 1
