--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -38,6 +38,7 @@
 from nutmegscale import routing_controller
 from nutmegscale import row_store
 from nutmegscale import server_calls
+from nutmegscale import server_loads
 from nutmegscale import shared_quarantine
 from nutmegscale import slot_controller
 from nutmegscale import stage_controller
@@ -114,6 +115,9 @@
             settings.failure_domain,
             clock,
             view=view,
+            loads=server_loads.ServerLoads(
+                rng=random.Random(self._rng.random())
+            ),
             metrics=metrics,
         )
         self._era = store_era.StoreEra(is_first_start=settings.is_first_start)
