The failed answer of a server is passed on if no other can be tried

Found by reading: between the choice of a server for a retry and the retry, a call may now wait 10 ms for a permit; if another call uses the permit meanwhile, the caller got 502 instead of the server's own answer. Change: the failed answer is kept and passed on.

--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -30,12 +30,17 @@
       runs: Runs that a server began.
       disconnects: Runs whose server broke the connection.
       began_at: When the last offer began, seconds of the host's clock.
+      failed_answer: Complete answer of a server that failed, which the caller
+        gets if no other server can be tried.
     """
 
     def __init__(self) -> None:
         self.runs = 0
         self.disconnects = 0
         self.began_at = 0.0
+        self.failed_answer: tuple[http_message.ResponseHead, bytes] | None = (
+            None
+        )
 
 
 class PlainRunner:
@@ -95,6 +100,7 @@
                 context.record_failure_event(
                     "server_failed", server=server.id, status=head.status
                 )
+                attempt.failed_answer = head, body
                 continue
             context.record_begun(self._crashes)
             self._crashes.record_success(context.content)
@@ -263,7 +269,9 @@
     def _end_without_answer(
         self, context: request_context.RequestContext, attempt: _Attempt
     ) -> None:
-        if attempt.runs:
+        if attempt.failed_answer is not None:
+            context.answer(*attempt.failed_answer)
+        elif attempt.runs:
             context.fail(
                 errors.Failure(502, "no_other_server", "failed", "maybe_run")
             )
--- a/tests/test_limits_over_hosts.py
+++ b/tests/test_limits_over_hosts.py
@@ -13,8 +13,10 @@
 USED_S = 10.0
 
 
-def _simulation(hosts: int = 8) -> router_world.Simulation:
-    simulation = router_world.Simulation(hosts=hosts, failure_domains=DOMAINS)
+def _simulation(hosts: int = 8, seed: int = 1) -> router_world.Simulation:
+    simulation = router_world.Simulation(
+        hosts=hosts, seed=seed, failure_domains=DOMAINS
+    )
     simulation.start_default_workers()
     simulation.add_worker("w3")
     simulation.add_worker("w4")
@@ -186,3 +188,20 @@
         assert _served(callers) == 1.0
     for host in simulation.hosts:
         assert not host.router.board.server_limits
+
+
+def test_a_failed_answer_is_passed_on_if_no_permit_is_left_to_retry() -> None:
+    simulation = _simulation()
+    simulation.workers["w1"].status = 500
+    for name in PLAIN:
+        simulation.workers[name].service_time_s = 0.005
+    for name in ("w2", "w3", "w4"):
+        simulation.workers[name].limit = "5"
+    callers = []
+    for _ in range(60):
+        callers += [simulation.send("slot", host=n % 2) for n in range(6)]
+        simulation.run(0.05)
+    simulation.run(0.5)
+    statuses = {c.replies[-1].status for c in callers if c.replies}
+    assert 500 in statuses
+    assert statuses <= {200, 500, 503}
