--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -131,6 +131,21 @@
         assert isinstance(connection, raw_caller.Caller)
         return connection
 
+    async def wait_for_answer(
+        self, connection: raw_caller.Caller, limit_s: float
+    ) -> None:
+        """Wait until the first answer on a connection is complete.
+
+        Args:
+          connection: The connection; the wait ends, too, if it is closed.
+          limit_s: Longest wait, seconds.
+        """
+        give_up_at = self._now() + limit_s
+        while not connection.is_closed and self._now() < give_up_at:
+            if connection.replies and connection.replies[0].is_complete:
+                return
+            await periodic.sleep(self._deployment.reactor, POLL_S)
+
     async def _use_connection(
         self, connection: raw_caller.Caller, host: soak_world.Host
     ) -> None:
--- a/tools/soak_poison.py
+++ b/tools/soak_poison.py
@@ -5,7 +5,6 @@
 from twisted.internet import defer
 
 from nutmegscale import periodic
-from standins import raw_caller
 from tools import soak_callers
 from tools import soak_world
 
@@ -82,17 +81,9 @@
             f"GET {path} HTTP/1.1\r\nHost: clubs.example\r\n"
             f"Request-Id: {request}\r\nDeadline-Ms: 1500\r\n\r\n".encode()
         )
-        await self._wait(connection)
+        await self._callers.wait_for_answer(connection, ANSWER_TIMEOUT_S)
         connection.transport.abortConnection()
 
-    async def _wait(self, connection: raw_caller.Caller) -> None:
-        reactor = self._deployment.reactor
-        give_up_at = reactor.seconds() + ANSWER_TIMEOUT_S
-        while not connection.is_closed and reactor.seconds() < give_up_at:
-            if connection.replies and connection.replies[0].is_complete:
-                return
-            await periodic.sleep(reactor, soak_callers.POLL_S)
-
     def check(self) -> None:
         """Check how many servers each content took down."""
         runs = self._callers.all_runs()
--- a/tools/soak_resumes.py
+++ b/tools/soak_resumes.py
@@ -1,19 +1,26 @@
 """Callers of the soak test that take up streams which broke off."""
 
 import random
+from typing import NamedTuple
 
 from twisted.internet import defer
 
 from nutmegscale import periodic
-from standins import raw_caller
 from tools import soak_callers
 from tools import soak_world
 
 PROMISE = "a stream stays at one software version"
 ANSWER_TIMEOUT_S = 6.0
 MAX_ATTEMPTS = 3
-# Parts of the streams whose callers break off by themselves.
-LEAVING_SHARE = 0.5
+# Part of the attempts whose callers break off by themselves.
+LEAVING_SHARE = 0.8
+
+
+class _Answer(NamedTuple):
+    """Answer to an attempt: its events, and whether it is whole."""
+
+    events: int
+    is_whole: bool
 
 
 class ResumingCallers:
@@ -60,26 +67,27 @@
         """Send a stream, and take it up until it is whole."""
         self._count += 1
         first = f"resumable-{self._count}"
-        events = await self._send(first, "")
+        answer = await self._send(first, "")
+        events = answer.events
         for attempt in range(1, MAX_ATTEMPTS):
-            if not events:
+            if not events or answer.is_whole:
                 return
             self.resumed += 1
             headers = f"Resumes: {first}\r\nLast-Event-Id: {events}\r\n"
-            further = await self._send(f"{first}-{attempt}", headers)
-            self.went_on += further > 0
-            events += further
+            answer = await self._send(f"{first}-{attempt}", headers)
+            self.went_on += answer.events > 0
+            events += answer.events
 
-    async def _send(self, request: str, headers: str) -> int:
-        """Send one attempt to a random host; return the events it brought."""
+    async def _send(self, request: str, headers: str) -> _Answer:
+        """Send one attempt to a random host."""
         host = self._rng.choice(self._deployment.hosts)
         leaves_s = ANSWER_TIMEOUT_S
         if self._rng.random() < LEAVING_SHARE:
-            leaves_s = self._rng.uniform(0.3, 1.5)
+            leaves_s = self._rng.uniform(0.3, 0.8)
         connection = await self._callers.connect(host)
         if connection is None:
             await periodic.sleep(self._deployment.reactor, soak_callers.POLL_S)
-            return 0
+            return _Answer(0, False)
         self.sent_at.append(self._deployment.reactor.seconds())
         body = request.split("-")[1].encode()
         connection.transport.write(
@@ -91,22 +99,12 @@
             ).encode()
             + body
         )
-        await self._wait(connection, leaves_s)
+        await self._callers.wait_for_answer(connection, leaves_s)
         connection.transport.abortConnection()
         reply = connection.replies[0] if connection.replies else None
         if reply is None or reply.status != 200:
-            return 0
-        return reply.body.count(b"\n\n")
-
-    async def _wait(
-        self, connection: raw_caller.Caller, limit_s: float
-    ) -> None:
-        reactor = self._deployment.reactor
-        give_up_at = reactor.seconds() + limit_s
-        while not connection.is_closed and reactor.seconds() < give_up_at:
-            if connection.replies and connection.replies[0].is_complete:
-                return
-            await periodic.sleep(reactor, soak_callers.POLL_S)
+            return _Answer(0, False)
+        return _Answer(reply.body.count(b"\n\n"), reply.is_complete)
 
     def check(self) -> None:
         """Check that no stream holds events of two versions."""
