Streams that are taken up without the name of their attempt go on

Ruled out: lost messages (no refused attempt bore a name). Change: the origin is told for the digest of the request as well; a caller without a name is found by it, and refused if streams of that digest began at two versions. All hosts that know a stream must agree.

--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -465,9 +465,10 @@
 
 
 class StreamReply(NamedTuple):
-    """Where a stream began; `version` is "" if the sender doesn't know.
+    """Where a stream began; `content` is empty if the sender doesn't know.
 
-    The attributes are those of `StreamBegan`.
+    The attributes are those of `StreamBegan`; `version` is "" if streams of the
+    name began at different ones.
     """
 
     service: str = ""
--- a/nutmegscale/stream_origins.py
+++ b/nutmegscale/stream_origins.py
@@ -13,7 +13,7 @@
 
     Attributes:
       service: Service of the worker that began it.
-      version: Version of that worker's software.
+      version: Version of that worker's software; "" if it is ambiguous.
       content: Digest of the request.
     """
 
@@ -32,7 +32,14 @@
         return len(self._origins)
 
     def record(self, now: float, name: str, origin: Origin) -> None:
-        """Remember the origin of a stream; the oldest ones are forgotten."""
+        """Remember the origin of a stream; the oldest ones are forgotten.
+
+        Streams of one name that began at different versions are ambiguous:
+        that happens if they are named by the content of their requests.
+        """
+        known = self.find(now, name)
+        if known is not None and known.version != origin.version:
+            origin = origin._replace(version="")
         self._origins.pop(name, None)
         self._origins[name] = (now, origin)
         while self._origins:
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -25,8 +25,9 @@
     """Tells some hosts where a stream began, and asks them for others.
 
     A stream may go on only at the software version that began it. Its caller
-    may take it up again at any host and knows only the name of its attempt. So
-    the hosts that are told follow from that name.
+    may take it up again at any host and knows only the name of its attempt, or
+    not even that. So the hosts that are told follow from that name, and others
+    from the digest of the request.
 
     Args:
       board: State of this host.
@@ -53,9 +54,10 @@
         """
         if not name:
             return
-        self._origins.record(self._board.now(), name, origin)
-        for host in self._keepers(name):
-            self._mesh.send(host, messages.StreamBegan(name, *origin))
+        for key in (name, origin.content.hex()):
+            self._origins.record(self._board.now(), key, origin)
+            for host in self._keepers(key):
+                self._mesh.send(host, messages.StreamBegan(key, *origin))
 
     async def find(
         self, name: str, content: bytes
@@ -63,51 +65,61 @@
         """Find out where a stream began.
 
         Args:
-          name: Name of the attempt that began it.
+          name: Name of the attempt that began it; "" if the caller didn't
+            state it.
           content: Digest of the request that takes it up again.
 
         Returns:
-          Its origin; None if no host that was asked knows it, or if the request
-          has another content.
+          Its origin; None if no host that was asked knows it, if the request
+          has another content, or if unnamed streams of this content began at
+          different versions.
         """
-        origin = self._origins.find(self._board.now(), name)
-        if origin is None and name:
-            origin = await self._ask(name)
-        if origin is None or origin.content != content:
+        key = name or content.hex()
+        origin = self._origins.find(self._board.now(), key)
+        if origin is None or not name:
+            origin = await self._ask(key, origin)
+        if origin is None or not origin.version or origin.content != content:
             return None
         return origin
 
-    async def _ask(self, name: str) -> stream_origins.Origin | None:
-        """Ask the hosts that may know a stream; the first answer counts."""
-        hosts = self._candidates(name)
+    async def _ask(
+        self, key: str, known: stream_origins.Origin | None
+    ) -> stream_origins.Origin | None:
+        """Ask the hosts that may know a stream; all of them must agree.
+
+        Args:
+          key: Name of the stream.
+          known: Its origin as this host knows it, if it does.
+        """
+        hosts = self._candidates(key)
         if not hosts:
-            return None
+            return known
         found: defer.Deferred[stream_origins.Origin | None] = defer.Deferred()
         pending = set(hosts)
+        origins = {known} if known is not None else set()
 
         async def _query(host: str) -> None:
             try:
                 reply = await self._mesh.call(
                     host,
-                    messages.StreamQuery(name),
+                    messages.StreamQuery(key),
                     messages.StreamReply,
                     timeout_s=QUERY_TIMEOUT_S,
                 )
             except errors.PeerError:
                 reply = messages.StreamReply()
             pending.discard(host)
-            if reply.version and not found.called:
-                origin = stream_origins.Origin(
-                    reply.service, reply.version, reply.content
-                )
-                self._origins.record(self._board.now(), name, origin)
-                found.callback(origin)
-            elif not pending and not found.called:
-                found.callback(None)
+            if reply.content:
+                origins.add(stream_origins.Origin(*reply))
+            if not pending:
+                found.callback(origins.pop() if len(origins) == 1 else None)
 
         for host in hosts:
             periodic.spawn(_query(host))
-        return await found
+        origin = await found
+        if origin is not None:
+            self._origins.record(self._board.now(), key, origin)
+        return origin
 
     def _receive(self, sender: str, message: messages.StreamBegan) -> None:
         origin = stream_origins.Origin(
