Calls no longer wait for permits until their objective

Cause: a call waited for a permit if one was expected within half the time to its objective, with a timer that asked again every 0.02 s. Measured: tests of permits and of limits over hosts pass.

--- a/nutmegscale/limit_controller.py
+++ b/nutmegscale/limit_controller.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import random
-from typing import Any
 
 from nutmegscale import allocator_view
 from nutmegscale import backend
@@ -18,11 +17,6 @@
 # Longest wait of a call for the reply to the permit request that it caused,
 # seconds: two trips between failure domains.
 REPLY_WAIT_S = 0.01
-# Part of the time that a call has left up to which a permit must be expected
-# if the call is to wait for it: the time between permits varies.
-EXPECTED_WAIT_FRACTION = 0.5
-# Period in which permits are asked for while calls wait for them, seconds.
-POLL_PERIOD_S = 0.02
 # Period in which a planner is told again of a limit in force, seconds.
 REPORT_PERIOD_S = 1.0
 # Span of received permits from which their rate is estimated, seconds.
@@ -69,7 +63,6 @@
         self._permits = send_permits.SendPermits()
         self._waiters = permit_waiters.PermitWaiters(board.clock)
         self._reported: dict[str, tuple[str, float | None, float]] = {}
-        self._poll_timer: Any = None
         self._return_at: dict[str, float] = {}
         self._pruned_version = 0
         link.on(messages.PermitReply, self._receive_reply)
@@ -79,12 +72,6 @@
         """Record that this host knows the others and they know it."""
         self._shares.record_joined()
 
-    def stop(self) -> None:
-        """Stop asking for permits."""
-        timer, self._poll_timer = self._poll_timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
-
     def permits(self, server: backend.Backend) -> int | None:
         """Return how many requests a server may be sent now; None if any."""
         if self._board.server_limits.get(server.key) is None:
@@ -173,50 +160,6 @@
         elif self._permits.has_demand(now, server):
             self._ask(server)
 
-    async def wait(
-        self,
-        servers: Sequence[backend.Backend],
-        *,
-        priority: int,
-        limit_s: float,
-    ) -> bool:
-        """Wait for a permit for one of some servers; urgent requests go first.
-
-        Args:
-          servers: Servers that the request may be sent to; each has a limit.
-          priority: Rank of the request; 0 goes first.
-          limit_s: Longest wait, seconds.
-
-        Returns:
-          Whether there is a permit now, to be used at once; False without a
-          wait if none is expected in time.
-        """
-        ahead = self._waiters.ahead_of(priority)
-        expected_s = (ahead + 1) / self._permits_per_s(servers)
-        if expected_s > EXPECTED_WAIT_FRACTION * limit_s:
-            return False
-        self._poll()
-        return await self._waiters.wait(
-            [server.key for server in servers],
-            priority=priority,
-            limit_s=limit_s,
-        )
-
-    def _poll(self) -> None:
-        """Ask for permits while calls wait for them."""
-        if self._poll_timer is not None and self._poll_timer.active():
-            return
-        self._poll_timer = self._board.clock.callLater(
-            POLL_PERIOD_S, self._poll_once
-        )
-
-    def _poll_once(self) -> None:
-        servers = self._waiters.servers
-        for server in sorted(servers):
-            self._ask(server)
-        if servers:
-            self._poll()
-
     def retry_after_s(
         self, service: str, servers: Sequence[backend.Backend]
     ) -> float:
--- a/nutmegscale/permit_waiters.py
+++ b/nutmegscale/permit_waiters.py
@@ -1,4 +1,4 @@
-"""Requests that wait for a permit, the most urgent ones first."""
+"""Requests that wait shortly for a permit, the most urgent ones first."""
 
 from collections.abc import Callable
 from collections.abc import Collection
@@ -37,19 +37,6 @@
         self._waiters: list[_Waiter] = []
         self._count = 0
 
-    @property
-    def servers(self) -> set[str]:
-        """Keys of the servers that the requests may be sent to."""
-        return {server for w in self._waiters for server in w.servers}
-
-    def ahead_of(self, priority: int) -> int:
-        """Return how many requests wait that go before a new one.
-
-        Args:
-          priority: Rank of the new one; 0 goes first.
-        """
-        return sum(waiter.order[0] <= priority for waiter in self._waiters)
-
     async def wait(
         self, servers: Collection[str], *, priority: int, limit_s: float
     ) -> bool:
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -66,7 +66,7 @@
         """Run a call until it is answered, refused or failed."""
         attempt = _Attempt()
         for offer in range(MAX_OFFERS):
-            server = await self._choose_or_wait(context)
+            server = await self._choose_with_permit(context)
             if server is None or context.left_s < MIN_TIME_LEFT_S:
                 break
             if not context.sends.reserve():
@@ -144,30 +144,16 @@
                 return False
         return self._may_retry(context, attempt)
 
-    async def _choose_or_wait(
+    async def _choose_with_permit(
         self, context: request_context.RequestContext
     ) -> backend.Backend | None:
-        """Choose a server, after a wait if all have reached their limits."""
+        """Choose a server, once permits for limited ones were asked for."""
         if self._board.server_limits:
             await self._limits.prepare(
                 self._board.reachable_servers(context.service),
                 priority=context.route.priority,
             )
-        server = self._choose(context)
-        limited = self._limited_servers(context) if server is None else ()
-        if not limited:
-            return server
-        time_to_objective_s = (
-            context.incoming.arrived
-            + context.route.objective_s
-            - self._board.now()
-        )
-        is_permitted = await self._limits.wait(
-            limited,
-            priority=context.route.priority,
-            limit_s=min(context.left_s, time_to_objective_s),
-        )
-        return self._choose(context) if is_permitted else None
+        return self._choose(context)
 
     def _limited_servers(
         self, context: request_context.RequestContext
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -289,7 +289,6 @@
 
     def stop(self) -> None:
         """Stop every component without waiting for requests."""
-        self._limits.stop()
         self._rows.stop()
         if self._joining is not None:
             self._joining.cancel()
