--- a/tests/test_limits_over_hosts.py
+++ b/tests/test_limits_over_hosts.py
@@ -5,6 +5,9 @@
 What counts is what arrives at the servers from hosts that were told.
 """
 
+import json
+
+from standins import platform_rows
 from standins import raw_caller
 from standins import router_world
 
@@ -100,6 +103,37 @@
     assert all(float(r.headers[b"retry-after"]) >= 0.3 for r in refused)
 
 
+def _set_priorities(
+    simulation: router_world.Simulation, **priorities: int
+) -> None:
+    """Write a configuration with the ranks of some routes."""
+    state = json.loads(platform_rows.config_row())
+    for route in state["routes"]:
+        route["priority"] = priorities.get(route["name"], route["priority"])
+    simulation.configure(2, routes=state["routes"])
+    simulation.run(1.0)
+
+
+def test_urgent_calls_go_first_beyond_all_limits() -> None:
+    simulation = _simulation()
+    _set_priorities(simulation, confirm=0, slot=2)
+    for name in PLAIN:
+        simulation.workers[name].limit = "3"
+    callers: dict[str, list[raw_caller.Caller]] = {"confirm": [], "slot": []}
+    for number in range(20 * 25):
+        route = "confirm" if number % 5 < 2 else "slot"
+        caller = simulation.send(route, host=number * 3 % 8)
+        if number >= 5 * 25:
+            callers[route].append(caller)
+        simulation.run(0.03)
+    simulation.run(0.2)
+    _check_limits(simulation)
+    assert all(_used(simulation, name) >= 0.8 for name in PLAIN)
+    # 10 urgent calls a second, for which the limits of 12 are enough.
+    assert _served(callers["confirm"]) >= 0.8
+    assert _served(callers["slot"]) > 0.0
+
+
 def test_hosts_that_hear_no_other_keep_to_the_limit() -> None:
     simulation = _simulation()
     names = [host.router.board.host for host in simulation.hosts]
