Hosts keep permits for the more urgent calls while those are refused

Cause: with all servers at their limits, a permit went to whichever call came next at its host. Change: a rank that was refused within a second keeps the host's permits for itself until they are 0.5 s old; a decision of its own (urgent_refusals).

--- a/nutmegscale/limit_controller.py
+++ b/nutmegscale/limit_controller.py
@@ -13,10 +13,14 @@
 from nutmegscale import permit_waiters
 from nutmegscale import routing_board
 from nutmegscale import send_permits
+from nutmegscale import urgent_refusals
 
 # Longest wait of a call for the reply to the permit request that it caused,
 # seconds: two trips between failure domains.
 REPLY_WAIT_S = 0.01
+# Age up to which a permit is kept for more urgent calls, seconds: half of the
+# time for which it is valid.
+URGENT_ONLY_S = send_permits.PERMIT_TTL_S / 2
 # Period in which a planner is told again of a limit in force, seconds.
 REPORT_PERIOD_S = 1.0
 # Span of received permits from which their rate is estimated, seconds.
@@ -63,6 +67,7 @@
         self._permits = send_permits.SendPermits()
         self._waiters = permit_waiters.PermitWaiters(board.clock)
         self._reported: dict[str, tuple[str, float | None, float]] = {}
+        self._refusals = urgent_refusals.UrgentRefusals()
         self._return_at: dict[str, float] = {}
         self._pruned_version = 0
         link.on(messages.PermitReply, self._receive_reply)
@@ -78,9 +83,18 @@
             return None
         return self._permits.count(self._board.now(), server.key)
 
-    def may_send(self, server: backend.Backend) -> bool:
-        """Whether a server may be sent a request now."""
-        return self.permits(server) != 0
+    def may_call(self, server: backend.Backend, priority: int) -> bool:
+        """Whether a server may be sent a call of a rank now; 0 goes first.
+
+        While more urgent calls are refused, permits are kept for them until
+        they are of a certain age.
+        """
+        if self._board.server_limits.get(server.key) is None:
+            return True
+        now = self._board.now()
+        is_kept = self._refusals.has_more_urgent(now, server.service, priority)
+        min_age_s = URGENT_ONLY_S if is_kept else 0.0
+        return self._permits.count(now, server.key, min_age_s=min_age_s) > 0
 
     def take(self, server: backend.Backend) -> bool:
         """Use a permit for a server; return False if there is none."""
@@ -116,10 +130,11 @@
         """
         asked = set()
         for server in servers:
-            if self._board.server_limits.get(server.key) is not None:
-                self._permits.record_demand(self._board.now(), server.key)
-                if self._ask(server.key):
-                    asked.add(server.key)
+            if self._board.server_limits.get(server.key) is None:
+                continue
+            self._permits.record_demand(self._board.now(), server.key)
+            if self._ask(server.key):
+                asked.add(server.key)
         if asked:
             await self._waiters.wait(
                 asked, priority=priority, limit_s=REPLY_WAIT_S
@@ -160,18 +175,27 @@
         elif self._permits.has_demand(now, server):
             self._ask(server)
 
-    def retry_after_s(
-        self, service: str, servers: Sequence[backend.Backend]
+    def refuse(
+        self,
+        service: str,
+        servers: Sequence[backend.Backend],
+        *,
+        priority: int,
     ) -> float:
-        """Return when a refused caller is to come back, seconds from now.
+        """Record a call that is refused since no server may be sent it.
 
         Callers are spread at the rate at which this host gets permits.
 
         Args:
           service: Service of the servers.
-          servers: Servers that the request may be sent to; each has a limit.
+          servers: Servers that the call may be sent to; each has a limit.
+          priority: Rank of the call; 0 goes first.
+
+        Returns:
+          When the caller is to come back, seconds from now.
         """
         now = self._board.now()
+        self._refusals.record(now, service, priority)
         due = max(now, self._return_at.get(service, 0.0))
         due += 1.0 / self._permits_per_s(servers)
         due = min(due, now + MAX_RETRY_AFTER_S)
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -164,7 +164,7 @@
             server
             for server in self._board.reachable_servers(context.service)
             if server.id not in context.tries
-            and not self._limits.may_send(server)
+            and not self._limits.may_call(server, context.route.priority)
             and not loads.is_paused(now, server)
         )
 
@@ -174,7 +174,10 @@
         loads, now = self._board.loads, self._board.now()
         servers = self._board.reachable_servers(context.service)
         if self._board.server_limits:
-            servers = tuple(s for s in servers if self._limits.may_send(s))
+            rank = context.route.priority
+            servers = tuple(
+                s for s in servers if self._limits.may_call(s, rank)
+            )
         healthy = {
             server.id: server
             for server in servers
@@ -266,7 +269,9 @@
             # that must not run twice.
             context.refuse("too_little_time", REJECTED_RETRY_AFTER_S)
         elif limited := self._limited_servers(context):
-            retry_after_s = self._limits.retry_after_s(context.service, limited)
+            retry_after_s = self._limits.refuse(
+                context.service, limited, priority=context.route.priority
+            )
             context.refuse("limited", retry_after_s)
         else:
             context.refuse("no_server", REJECTED_RETRY_AFTER_S)
--- a/nutmegscale/send_permits.py
+++ b/nutmegscale/send_permits.py
@@ -52,12 +52,19 @@
     def _of(self, server: str) -> _ServerPermits:
         return self._servers.setdefault(server, _ServerPermits())
 
-    def count(self, now: float, server: str) -> int:
-        """Return the number of valid permits for a server."""
+    def count(self, now: float, server: str, *, min_age_s: float = 0.0) -> int:
+        """Return the number of valid permits for a server.
+
+        Args:
+          now: Current time, seconds.
+          server: The server.
+          min_age_s: Age from which permits count.
+        """
         expiries = self._of(server).expiries
         while expiries and expiries[0] <= now:
             expiries.popleft()
-        return len(expiries)
+        latest = now + PERMIT_TTL_S - min_age_s
+        return sum(expiry <= latest for expiry in expiries)
 
     def add(self, now: float, server: str, count: int) -> None:
         """Add permits for a server."""
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -13,6 +13,15 @@
     assert not permits.take(send_permits.PERMIT_TTL_S, "a")
 
 
+def test_permits_of_an_age_are_counted() -> None:
+    permits = send_permits.SendPermits()
+    permits.add(0.0, "a", 1)
+    permits.add(0.4, "a", 1)
+    assert permits.count(0.4, "a", min_age_s=0.5) == 0
+    assert permits.count(0.5, "a", min_age_s=0.5) == 1
+    assert permits.count(0.9, "a", min_age_s=0.5) == 2
+
+
 def test_a_permit_that_was_given_back_can_be_used() -> None:
     permits = send_permits.SendPermits()
     permits.add(0.0, "a", 1)
