Origins of streams are told once, by the digest of their request

Cause: callers with and without the name of their attempt were served by two ways of doing one thing, with two sets of seven hosts: 14 messages a stream, 3.2 KB/s at the target size of 2 KB/s. A caller's request has the same digest each time, so one set is enough, and the name tells streams of one digest apart. Change: one set by the digest; queries gather all replies, which must agree.

--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -442,38 +442,39 @@
     """Notice of where a resumable stream began.
 
     Attributes:
+      content: Digest of its request.
       stream: Name of the caller's attempt that began it.
       service: Service of the worker.
       version: Version of the worker's software.
-      content: Digest of the request.
     """
 
+    content: bytes
     stream: str
     service: str
     version: str
-    content: bytes
 
 
 class StreamQuery(NamedTuple):
     """Query for where a stream began, replied to by a `StreamReply`.
 
     Attributes:
-      stream: Name of the caller's attempt that began it.
+      content: Digest of its request.
+      stream: Name of the caller's attempt that began it; "" for all streams of
+        that digest.
     """
 
+    content: bytes
     stream: str
 
 
 class StreamReply(NamedTuple):
-    """Where a stream began; `content` is empty if the sender doesn't know.
+    """Where streams began, as far as the sender knows.
 
-    The attributes are those of `StreamBegan`; `version` is "" if streams of the
-    name began at different ones.
+    Attributes:
+      origins: Name of the attempt, service and version of each.
     """
 
-    service: str = ""
-    version: str = ""
-    content: bytes = b""
+    origins: tuple[tuple[str, str, str], ...] = ()
 
 
 class PermitRequest(NamedTuple):
--- a/nutmegscale/stream_origins.py
+++ b/nutmegscale/stream_origins.py
@@ -12,46 +12,75 @@
     """Where a stream began.
 
     Attributes:
+      stream: Name of the caller's attempt that began it.
       service: Service of the worker that began it.
-      version: Version of that worker's software; "" if it is ambiguous.
-      content: Digest of the request.
+      version: Version of that worker's software.
     """
 
+    stream: str
     service: str
     version: str
-    content: bytes
 
 
 class StreamOrigins:
-    """Origins of streams, by the name of the attempt that began them."""
+    """Origins of streams, by the digest of their requests.
+
+    Answers callers that take up streams whose host has died, most of which
+    name the attempt that began them.
+    """
 
     def __init__(self) -> None:
-        self._origins: dict[str, tuple[float, Origin]] = {}
+        self._origins: dict[tuple[bytes, str], tuple[float, Origin]] = {}
+        self._streams: dict[bytes, set[str]] = {}
 
     def __len__(self) -> int:
         return len(self._origins)
 
-    def record(self, now: float, name: str, origin: Origin) -> None:
+    def record(self, now: float, content: bytes, origin: Origin) -> None:
         """Remember the origin of a stream; the oldest ones are forgotten.
 
-        Streams of one name that began at different versions are ambiguous:
-        that happens if they are named by the content of their requests.
+        Args:
+          now: Current time, seconds.
+          content: Digest of its request.
+          origin: Where it began.
         """
-        known = self.find(now, name)
-        if known is not None and known.version != origin.version:
-            origin = origin._replace(version="")
-        self._origins.pop(name, None)
-        self._origins[name] = (now, origin)
+        key = (content, origin.stream)
+        self._origins.pop(key, None)
+        self._origins[key] = (now, origin)
+        self._streams.setdefault(content, set()).add(origin.stream)
         while self._origins:
             oldest = next(iter(self._origins))
             is_old = now - self._origins[oldest][0] > RETENTION_S
             if not is_old and len(self._origins) <= MAX_ORIGINS:
                 break
-            del self._origins[oldest]
-
-    def find(self, now: float, name: str) -> Origin | None:
-        """Return the origin of a stream; None if it isn't known."""
-        known = self._origins.get(name)
-        if known is None or now - known[0] > RETENTION_S:
-            return None
-        return known[1]
+            self._forget(oldest)
+
+    def _forget(self, key: tuple[bytes, str]) -> None:
+        del self._origins[key]
+        content, stream = key
+        self._streams[content].discard(stream)
+        if not self._streams[content]:
+            del self._streams[content]
+
+    def find(self, now: float, content: bytes, stream: str) -> list[Origin]:
+        """Return the known origins of a stream.
+
+        Args:
+          now: Current time, seconds.
+          content: Digest of its request.
+          stream: Name of the attempt that began it; "" for all streams of that
+            digest.
+        """
+        names = [stream] if stream else sorted(self._streams.get(content, ()))
+        known = [self._origins.get((content, name)) for name in names]
+        return [
+            origin
+            for at, origin in filter(None, known)
+            if now - at <= RETENTION_S
+        ]
+
+
+def agreed(origins: list[Origin]) -> Origin | None:
+    """Return an origin whose service and version all of them have, or None."""
+    places = {(origin.service, origin.version) for origin in origins}
+    return origins[0] if len(places) == 1 else None
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -128,7 +128,7 @@
         """
         request = context.request
         origin = await self._registry.find(
-            request.resumes, _origin_digest(request)
+            _origin_digest(request), request.resumes
         )
         targets = {target.service for target in context.route.targets}
         if origin is None or origin.service not in targets:
@@ -568,9 +568,9 @@
             run.version = worker.version
         if is_first and worker.version and context.route.is_resumable:
             origin = stream_origins.Origin(
-                context.service, worker.version, _origin_digest(request)
+                request.id, context.service, worker.version
             )
-            self._registry.record(request.id, origin)
+            self._registry.record(_origin_digest(request), origin)
         last_event = run.last_event or context.request.last_event
         context.log(
             "stream_begun",
