Failing test: hosts with few calls don't hear that a server names a limit

Cause of the gap: a host learned of a limit by an answer of its own only. The users' rule excuses hosts that weren't told, but the server in need gets their requests all the same.

--- a/tests/test_limits_over_hosts.py
+++ b/tests/test_limits_over_hosts.py
@@ -10,6 +10,7 @@
 from standins import platform_rows
 from standins import raw_caller
 from standins import router_world
+from tools import limit_window
 
 DOMAINS = ("maadi", "nasr", "giza", "shorouk")
 PLAIN = ("w1", "w2", "w3", "w4")
@@ -134,6 +135,22 @@
     assert _served(callers["slot"]) > 0.0
 
 
+def test_hosts_with_few_calls_hear_of_a_limit_from_others() -> None:
+    """Each host alone would find it out with a call of its own."""
+    simulation = _simulation(40)
+    worker = simulation.workers["w1"]
+    worker.limit = "2.8"
+    _send_for(simulation, "slot", seconds=6.0, per_second=25)
+    since = worker.limit_statements[0].at
+    # A second after the first answer that states it, all hosts know it.
+    worst = limit_window.worst_window(
+        worker.limit_statements,
+        [a._replace(host="") for a in worker.arrivals if a.at > since + 1.0],
+        [limit_window.Contact(since, "")],
+    )
+    assert worst is not None and not worst.is_exceeded, str(worst)
+
+
 def test_hosts_that_hear_no_other_keep_to_the_limit() -> None:
     simulation = _simulation()
     names = [host.router.board.host for host in simulation.hosts]
