Hosts that answer for a share of a limit tell the other hosts of it

Cause: a host learned of a server's limit by its own first answer only.

Change: a host that begins to hold a share tells the hosts of its failure domain, the first allocator also those of domains without one; at most one message for each host and limit.

--- a/nutmegscale/allocator_view.py
+++ b/nutmegscale/allocator_view.py
@@ -57,6 +57,32 @@
         hosts = [h for h in self.allocators(server) if h not in silent]
         return sorted(rendezvous.rank(key, hosts), key=self._is_distant)
 
+    def nearest(self, server: str) -> list[str]:
+        """Return the other hosts that this allocator tells of a limit.
+
+        They are those of its failure domain; the first allocator also takes the
+        domains without one. If a domain has several, each tells all of it.
+
+        Args:
+          server: Key of the server.
+        """
+        hosts = self.allocators(server)
+        domains = {host: self._domain(host) for host in hosts}
+        is_first = hosts[0] == self._members.host
+        return [
+            member.host
+            for member in self._members.members()
+            if member.host != self._members.host
+            and (
+                member.failure_domain == self._failure_domain
+                or (is_first and member.failure_domain not in domains.values())
+            )
+        ]
+
+    def _domain(self, host: str) -> str:
+        member = self._members.get(host)
+        return member.failure_domain if member else ""
+
     def holds_share(self, server: str) -> bool:
         """Whether this host holds a share of a server's limit."""
         return self._members.host in self.allocators(server)
@@ -66,8 +92,7 @@
         self._known.pop(server, None)
 
     def _is_distant(self, host: str) -> bool:
-        member = self._members.get(host)
-        return member is None or member.failure_domain != self._failure_domain
+        return self._domain(host) != self._failure_domain
 
 
 def _spread_over_domains(
--- a/nutmegscale/limit_controller.py
+++ b/nutmegscale/limit_controller.py
@@ -7,6 +7,7 @@
 from nutmegscale import allocator_view
 from nutmegscale import backend
 from nutmegscale import limit_shares
+from nutmegscale import logs
 from nutmegscale import mesh
 from nutmegscale import messages
 from nutmegscale import permit_allocator
@@ -268,13 +269,20 @@
         if update.per_s is None:
             self._shares.end_limit(update.server)
         server = self._board.backends.get(update.server.rpartition("@")[0])
-        if (
-            server is not None
-            and server.key == update.server
-            and self._planner_of(server.service) == self._board.host
-        ):
-            now = self._board.now()
-            self._board.server_limits.record(now, server.key, now, update.per_s)
+        if server is None or server.key != update.server:
+            return
+        limits, now = self._board.server_limits, self._board.now()
+        is_planned_here = self._planner_of(server.service) == self._board.host
+        is_new = update.per_s is not None and limits.get(server.key) is None
+        if is_planned_here or is_new:
+            has_changed = limits.record(now, server.key, now, update.per_s)
+            if has_changed:
+                logs.get().info(
+                    "server_limit_heard",
+                    backend=server.id,
+                    per_s=update.per_s,
+                    told_by=sender,
+                )
 
     def _prune(self) -> None:
         """Forget the servers that are gone."""
--- a/nutmegscale/limit_shares.py
+++ b/nutmegscale/limit_shares.py
@@ -89,9 +89,16 @@
                 rng=self._rng,
             )
             self._shares[server] = share
+            self._announce(server, request.per_s)
         share.set_shares(now, count)
         return share
 
+    def _announce(self, server: str, per_s: float) -> None:
+        """Tell the hosts that this one answers first of a server's limit."""
+        update = messages.LimitUpdate(server, per_s)
+        for host in self._view.nearest(server):
+            self._mesh.send(host, update)
+
     def _forget_idle(self, now: float) -> None:
         for server, share in list(self._shares.items()):
             if now - share.last_asked_at > IDLE_S:
