An answer that a server repeats isn't taken for the next one's

Cause: a kept connection carried requests whose answers couldn't be told apart: the same id again (a prefill and its run at one worker, a second try), and requests without an id (orders, calls that free a cache), whose answer counted for any request. A refusal that a server wrote once more said 'not run' of a request that ran.

Change: a connection carries each request id once, one request without an id, and 200 requests in all. An answer without an id counts only for the first request of a connection or for one without an id; an answer with an id never counts for a request without one. Calls to the platform's store go on sharing connections (its answers have no ids and it isn't known to repeat them). The tests of the idle time in test_upstream.py use such trusted calls now; what they check is unchanged.

--- a/nutmegscale/platform/store_client.py
+++ b/nutmegscale/platform/store_client.py
@@ -143,7 +143,7 @@
     async def _call(
         self, head: http_message.RequestHead, body: bytes, wait_s: float
     ) -> tuple[http_message.ResponseHead, bytes]:
-        request = upstream_call.Request(head, body, b"")
+        request = upstream_call.Request(head, body, b"", is_trusted=True)
         timeout_s = wait_s + self._answer_timeout_s
         try:
             call = await self._pool.call(self._address, request)
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -215,7 +215,9 @@
         try:
             # Connect to the decode worker first: if it is unreachable, the
             # prefill would be wasted.
-            connection = await self._pool.reserve(decode.address)
+            connection = await self._pool.reserve(
+                decode.address, request_id=context.request.id.encode("latin-1")
+            )
             try:
                 if source is None and self._may_prefill(
                     context, prefill, decode
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -24,11 +24,17 @@
 # Bytes since a request was sent, or since the last part of its answer's body,
 # that aren't body: heads, trailers, and answers to other requests.
 MAX_OVERHEAD_BYTES = 256 << 10
+# Each connection remembers the ids of its requests.
+MAX_REQUESTS_PER_CONNECTION = 200
 
 
 class _Connection(protocol.Protocol):
     """Connection to a server that carries one call at a time.
 
+    A faulty server may write an earlier answer once more. So that it is told
+    from the answer to a later request, a connection carries each request id
+    once, and one request without an id.
+
     Attributes:
       address: IP and port of the server.
       served: Number of requests sent on the connection.
@@ -43,6 +49,8 @@
         self._parser: Any = None
         self._call: upstream_call.Call | None = None
         self._request_id = b""
+        self._carried_ids: set[bytes] = set()
+        self._is_trusted = False
         self._is_closed = False
         self._is_ignoring_message = False
         self._must_abort = False
@@ -61,6 +69,17 @@
         """Whether a request may be sent on the connection."""
         return not self._is_closed and self._call is None
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Whether the answer to a request could be told from earlier ones.
+
+        Args:
+          request_id: Id of the request, or b"".
+        """
+        return (
+            self.served < MAX_REQUESTS_PER_CONNECTION
+            and request_id not in self._carried_ids
+        )
+
     def connectionMade(self) -> None:  # noqa: N802
         """Set up a new connection."""
         tcp_options.apply(self.transport)
@@ -73,6 +92,8 @@
         self.served += 1
         self._call = call
         self._request_id = request.request_id
+        self._carried_ids.add(request.request_id)
+        self._is_trusted = request.is_trusted
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._is_ignoring_message = False
@@ -128,19 +149,20 @@
             return
         status = self._parser.get_status_code()
         head = http_message.ResponseHead(status, tuple(self._headers))
-        answered_id = head.get(b"request-id")
-        is_interim = status < 200
-        is_other = (
-            answered_id is not None
-            and self._request_id != b""
-            and answered_id != self._request_id
-        )
         # A late second response to an earlier request may arrive first.
-        self._is_ignoring_message = is_interim or is_other
+        self._is_ignoring_message = status < 200 or not self._is_own(head)
         if not self._is_ignoring_message:
             self._body_ends_at_close = _body_ends_at_close(head)
             self._call.got_head(head)
 
+    def _is_own(self, head: http_message.ResponseHead) -> bool:
+        """Whether a response can only belong to the current request."""
+        answered_id = head.get(b"request-id") or b""
+        is_unnamed = bool(self._request_id) and not answered_id
+        if self._is_trusted or (is_unnamed and self.served == 1):
+            return True
+        return answered_id == self._request_id
+
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body; see httptools."""
         if self._call is not None and not self._is_ignoring_message:
@@ -154,7 +176,14 @@
             return
         self._call = None
         self._completed_call = call
-        self._keeps_alive = self._parser.should_keep_alive()
+        self._keeps_alive = (
+            self._parser.should_keep_alive() and self._names_requests()
+        )
+
+    def _names_requests(self) -> bool:
+        """Whether the response has the id of its request, if that has one."""
+        is_named = http_message.find_header(self._headers, b"request-id")
+        return self._is_trusted or not self._request_id or bool(is_named)
 
     def _complete(self, call: upstream_call.Call) -> None:
         """End a completed call once all received data is parsed.
@@ -245,20 +274,30 @@
         self._pool = pool
         self._connection: _Connection | None = connection
 
-    def take(self) -> _Connection | None:
-        """Return the connection once; None if it was closed or taken."""
-        connection, self._connection = self._connection, None
-        if connection is None or not connection.is_usable:
+    def take(self, request: upstream_call.Request) -> _Connection | None:
+        """Return the connection once, if it may carry a request.
+
+        Returns:
+          The connection; None if it was closed or taken, or has carried a
+          request with the same id.
+        """
+        connection = self._connection
+        if connection is None or not _may_carry(connection, request):
             return None
-        return connection
+        self._connection = None
+        return connection if connection.is_usable else None
 
     def release(self) -> None:
         """Return the connection to the pool, unless it was taken."""
-        connection = self.take()
-        if connection is not None:
+        connection, self._connection = self._connection, None
+        if connection is not None and connection.is_usable:
             self._pool.add_idle(connection, IDLE_TIMEOUT_S)
 
 
+def _may_carry(connection: _Connection, request: upstream_call.Request) -> bool:
+    return request.is_trusted or connection.may_carry(request.request_id)
+
+
 def _body_ends_at_close(head: http_message.ResponseHead) -> bool:
     has_length = head.get(b"content-length") is not None
     is_chunked = head.get(b"transfer-encoding") is not None
@@ -332,9 +371,13 @@
         Raises:
           errors.ConnectError: No connection could be made; nothing was sent.
         """
-        connection = reserved.take() if reserved else None
+        connection = reserved.take(request) if reserved else None
+        if connection is None:
+            connection = self._take_idle(
+                address, lambda idle: _may_carry(idle, request)
+            )
         if connection is None:
-            connection = self._take_idle(address) or await self._open(address)
+            connection = await self._open(address)
         call = upstream_call.Call(
             connection, self._clock, self._bodies, on_head=on_head
         )
@@ -342,18 +385,28 @@
         return call
 
     async def reserve(
-        self, address: str, *, fresh: bool = False
+        self,
+        address: str,
+        *,
+        request_id: bytes | None = None,
+        fresh: bool = False,
     ) -> "ReservedConnection":
         """Reserve a connection before other work that depends on it starts.
 
         Args:
           address: IP and port of the server.
+          request_id: Id of the request that it is for, if known.
           fresh: Whether to open a new connection.
 
         Raises:
           errors.ConnectError: No connection could be made.
         """
-        connection = None if fresh else self._take_idle(address)
+        connection = None
+        if not fresh:
+            connection = self._take_idle(
+                address,
+                lambda idle: request_id is None or idle.may_carry(request_id),
+            )
         if connection is None:
             connection = await self._open(address)
         return ReservedConnection(self, connection)
@@ -367,12 +420,18 @@
         connection = await self.reserve(address, fresh=True)
         connection.release()
 
-    def _take_idle(self, address: str) -> _Connection | None:
+    def _take_idle(
+        self, address: str, is_suitable: Callable[[_Connection], bool]
+    ) -> _Connection | None:
+        """Return the idle connection used last that is suitable."""
         idle = self._idle.get(address, [])
         now = self._clock.seconds()
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable and now < connection.idle_until:
+        for connection in reversed(idle.copy()):
+            is_usable = connection.is_usable and now < connection.idle_until
+            if not is_usable:
+                idle.remove(connection)
+            elif is_suitable(connection):
+                idle.remove(connection)
                 connection.stop_idle_timer()
                 return connection
         return None
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -45,11 +45,14 @@
       head: Head with all headers except Content-Length.
       body: Complete body.
       request_id: Value that the server repeats in its response, or b"".
+      is_trusted: Whether the server never repeats a response, so that requests
+        without an id may share a connection.
     """
 
     head: http_message.RequestHead
     body: bytes
     request_id: bytes
+    is_trusted: bool = False
 
 
 class BodyMemory:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -23,7 +23,7 @@
 
 def _request() -> upstream_call.Request:
     head = http_message.RequestHead(b"GET", b"/", ())
-    return upstream_call.Request(head, b"", b"")
+    return upstream_call.Request(head, b"", b"", is_trusted=True)
 
 
 class _FakeNetwork:
@@ -129,7 +129,7 @@
     first: bytes, piece: bytes
 ) -> None:
     net = _FakeNetwork()
-    request = _request()._replace(request_id=b"own")
+    request = _request()._replace(request_id=b"own", is_trusted=False)
     call = net.run(net.pool.call(ADDRESS, request))
     taken = _feed_without_end(net, call.body(5.0, 1 << 20), first, piece)
     assert taken <= upstream.MAX_OVERHEAD_BYTES + 2 * 4_096
