Servers that leave or want a pause, as their answers say, get no requests

Cause: the header that a leaving server adds to its answers, and the time in a rejection for which it wants no request, were read nowhere. Only the entry in the store took a server out, and the next row undid what a host had heard.

Change: the adapter reads both, one holder (server_notices, with the limits) keeps them by the key of the server, server_calls as the one place that sends raises typed errors, and plain calls, runs and prefills choose other servers. The stand-in of a worker repeats the request id in all its answers, as workers do.

--- a/nutmegscale/backend_controller.py
+++ b/nutmegscale/backend_controller.py
@@ -131,6 +131,9 @@
             return None
 
     def _put(self, entry: backend.Backend, version: int) -> None:
+        if self._board.notices.is_leaving(entry.key):
+            # It has said so, whatever its entry says later.
+            entry = entry._replace(is_draining=True)
         if self._board.backends.put(entry):
             logs.get().info(
                 "backend_entry",
@@ -191,7 +194,7 @@
     def _prune_loads(self) -> None:
         servers = self._board.backends.all()
         self._board.loads.keep_only(servers)
-        self._board.server_limits.keep_only(
+        self._board.notices.keep_only(
             self._board.now(), {server.key for server in servers}
         )
 
--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -216,6 +216,21 @@
         """Decode what the head of an answer states."""
         ...
 
+    def is_leaving(self, head: http_message.ResponseHead) -> bool:
+        """Whether an answer says that its server leaves."""
+        ...
+
+    def read_pause(self, head: http_message.ResponseHead) -> float:
+        """Decode for how long a server wants no request of this host.
+
+        Returns:
+          The time in seconds; 0 if the answer states none.
+
+        Raises:
+          errors.MalformedPauseError: The stated time can't be read.
+        """
+        ...
+
     def read_limit(self, head: http_message.ResponseHead) -> float | None:
         """Decode the requests a second that a server takes from all hosts.
 
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -71,7 +71,19 @@
     """A backend server rejected a request without running it."""
 
 
-class LimitedError(NutmegscaleError):
+class MalformedPauseError(NutmegscaleError):
+    """A backend server asks for a pause whose length can't be read."""
+
+
+class NotSentError(NutmegscaleError):
+    """A request wasn't sent to a backend server, which doesn't want it."""
+
+
+class ServerPausedError(NotSentError):
+    """A backend server asked for a pause that goes on; nothing was sent."""
+
+
+class LimitedError(NotSentError):
     """A backend server's limit allows no request to it now; none was sent."""
 
 
@@ -83,7 +95,7 @@
     """A prefill worker gave no KV cache; no decode worker ran anything."""
 
 
-class BackendLeftError(NutmegscaleError):
+class BackendLeftError(NotSentError):
     """A backend server left before a request was sent to it."""
 
 
--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -24,6 +24,9 @@
         "refused: each server of the service takes only so many requests a"
         " second from all hosts, and they were reached"
     ),
+    "paused": (
+        "refused: each server of the service asked for a pause that goes on"
+    ),
     "too_little_time": (
         "refused: too little time was left before the caller's deadline to try"
         " a server"
--- a/nutmegscale/limit_controller.py
+++ b/nutmegscale/limit_controller.py
@@ -80,7 +80,7 @@
 
     def permits(self, server: backend.Backend) -> int | None:
         """Return how many requests a server may be sent now; None if any."""
-        if self._board.server_limits.get(server.key) is None:
+        if self._board.notices.limits.get(server.key) is None:
             return None
         return self._permits.count(self._board.now(), server.key)
 
@@ -90,7 +90,7 @@
         While more urgent calls are refused, permits are kept for them until
         they are of a certain age.
         """
-        if self._board.server_limits.get(server.key) is None:
+        if self._board.notices.limits.get(server.key) is None:
             return True
         now = self._board.now()
         is_kept = self._refusals.has_more_urgent(now, server.service, priority)
@@ -114,7 +114,7 @@
           server: The server.
           queued: Number of requests that could use one now.
         """
-        if self._board.server_limits.get(server.key) is not None:
+        if self._board.notices.limits.get(server.key) is not None:
             self._permits.record_queue(self._board.now(), server.key, queued)
             self._ask(server.key)
 
@@ -131,7 +131,7 @@
         """
         asked = set()
         for server in servers:
-            if self._board.server_limits.get(server.key) is None:
+            if self._board.notices.limits.get(server.key) is None:
                 continue
             self._permits.record_demand(self._board.now(), server.key)
             if self._ask(server.key):
@@ -147,7 +147,7 @@
         Returns:
           Whether another host was asked, which replies soon.
         """
-        limit = self._board.server_limits.get(server)
+        limit = self._board.notices.limits.get(server)
         if limit is None:
             return False
         self._prune()
@@ -216,7 +216,7 @@
         if received:
             return received
         limits = [
-            self._board.server_limits.per_s(s.key) or 0.0 for s in servers
+            self._board.notices.limits.per_s(s.key) or 0.0 for s in servers
         ]
         hosts = len(self._board.membership.members())
         return max(permit_allocator.MIN_PER_S, sum(limits)) / hosts
@@ -254,7 +254,7 @@
         planner = self._planner_of(server.service)
         if planner in ("", self._board.host):
             return
-        per_s = self._board.server_limits.per_s(server.key)
+        per_s = self._board.notices.limits.per_s(server.key)
         now = self._board.now()
         known = self._reported.get(server.key)
         is_known = known is not None and known[:2] == (planner, per_s)
@@ -271,7 +271,7 @@
         server = self._board.backends.get(update.server.rpartition("@")[0])
         if server is None or server.key != update.server:
             return
-        limits, now = self._board.server_limits, self._board.now()
+        limits, now = self._board.notices.limits, self._board.now()
         is_planned_here = self._planner_of(server.service) == self._board.host
         is_new = update.per_s is not None and limits.get(server.key) is None
         if is_planned_here or is_new:
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -517,6 +517,16 @@
     per_s: float | None
 
 
+class ServerLeaving(NamedTuple):
+    """Notice that an answer of a server said that it leaves.
+
+    Attributes:
+      server: Key of the server.
+    """
+
+    server: str
+
+
 class Ping(NamedTuple):
     """Query whether the receiver answers, replied to by a `Pong`.
 
@@ -577,6 +587,7 @@
     StreamBegan,
     StreamQuery,
     StreamReply,
+    ServerLeaving,
 )
 TYPE_BY_NUMBER: dict[int, Any] = dict(enumerate(_MESSAGE_TYPES, start=1))
 NUMBER_BY_TYPE: dict[Any, int] = {
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -1,5 +1,7 @@
 """Runs calls of plain services, with a retry elsewhere where that is safe."""
 
+import random
+
 from nutmegscale import backend
 from nutmegscale import caller_request
 from nutmegscale import crash_watch
@@ -54,6 +56,8 @@
         codec: caller_request.ServerCodec,
         crashes: crash_watch.CrashWatch,
         limits: limit_controller.LimitController,
+        *,
+        rng: random.Random,
     ) -> None:
         self._board = board
         self._pool = pool
@@ -61,6 +65,7 @@
         self._codec = codec
         self._crashes = crashes
         self._limits = limits
+        self._rng = rng
 
     async def run(self, context: request_context.RequestContext) -> None:
         """Run a call until it is answered, refused or failed."""
@@ -77,7 +82,7 @@
                 head, body = await self._offer(context, server)
             except (
                 errors.ConnectError,
-                errors.LimitedError,
+                errors.NotSentError,
                 errors.RejectedError,
             ) as exc:
                 context.record_failure_event(
@@ -148,9 +153,9 @@
         self, context: request_context.RequestContext
     ) -> backend.Backend | None:
         """Choose a server, once permits for limited ones were asked for."""
-        if self._board.server_limits:
+        if self._board.notices.limits:
             await self._limits.prepare(
-                self._board.reachable_servers(context.service),
+                self._board.wanted_servers(context.service),
                 priority=context.route.priority,
             )
         return self._choose(context)
@@ -162,7 +167,7 @@
         loads, now = self._board.loads, self._board.now()
         return tuple(
             server
-            for server in self._board.reachable_servers(context.service)
+            for server in self._board.wanted_servers(context.service)
             if server.id not in context.tries
             and not self._limits.may_call(server, context.route.priority)
             and not loads.is_paused(now, server)
@@ -172,8 +177,8 @@
         self, context: request_context.RequestContext
     ) -> backend.Backend | None:
         loads, now = self._board.loads, self._board.now()
-        servers = self._board.reachable_servers(context.service)
-        if self._board.server_limits:
+        servers = self._board.wanted_servers(context.service)
+        if self._board.notices.limits:
             rank = context.route.priority
             servers = tuple(
                 s for s in servers if self._limits.may_call(s, rank)
@@ -273,5 +278,9 @@
                 context.service, limited, priority=context.route.priority
             )
             context.refuse("limited", retry_after_s)
+        elif paused_s := self._board.paused_for_s(
+            context.service, priority=context.route.priority, rng=self._rng
+        ):
+            context.refuse("paused", paused_s)
         else:
             context.refuse("no_server", REJECTED_RETRY_AFTER_S)
--- a/nutmegscale/planned_limits.py
+++ b/nutmegscale/planned_limits.py
@@ -18,7 +18,7 @@
 
     def _limited(self, worker: str) -> backend.Backend | None:
         """Return a worker if it states a limit."""
-        if not self._board.server_limits:
+        if not self._board.notices.limits:
             return None
         found = self._board.backends.get(worker)
         if found is None or self._limits.permits(found) is None:
@@ -35,7 +35,7 @@
         limited = self._limited(worker)
         if limited is None:
             return 0.0
-        return self._board.server_limits.per_s(limited.key) or 0.0
+        return self._board.notices.limits.per_s(limited.key) or 0.0
 
     def want(self, worker: str, queued: int) -> None:
         """Ask for permits for a worker; see `WorkerLimits`."""
--- a/nutmegscale/platform/worker_calls.py
+++ b/nutmegscale/platform/worker_calls.py
@@ -13,6 +13,9 @@
 
 _SIGNATURE_HEADER = b"response-signature"
 _LIMIT_HEADER = b"server-limit"
+_LEAVING_HEADER = b"server-leaving"
+_PAUSE_HEADER = b"retry-after"
+_PAUSING_STATUS = 503
 _DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 # Longest part of a malformed value that an error names, bytes.
 _MAX_NAMED_BYTES = 40
@@ -111,17 +114,42 @@
             load=_parse_load(head.get(b"server-load")),
         )
 
+    def is_leaving(self, head: http_message.ResponseHead) -> bool:
+        """Whether a server leaves; see `caller_request.ServerCodec`."""
+        return head.get(_LEAVING_HEADER) == b"1"
+
+    def read_pause(self, head: http_message.ResponseHead) -> float:
+        """Decode a server's pause; see `caller_request.ServerCodec`."""
+        if head.status != _PAUSING_STATUS:
+            return 0.0
+        try:
+            return _read_decimal(head, _PAUSE_HEADER) or 0.0
+        except ValueError as exc:
+            raise errors.MalformedPauseError(f"pause {exc}") from exc
+
     def read_limit(self, head: http_message.ResponseHead) -> float | None:
         """Decode a server's limit; see `caller_request.ServerCodec`."""
-        values = [v for n, v in head.headers if n.lower() == _LIMIT_HEADER]
-        if not values:
-            return None
-        if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
-            raise errors.MalformedLimitError(
-                f"limit {values[0][:_MAX_NAMED_BYTES]!r}, stated "
-                f"{len(values)} times, expected one decimal number"
-            )
-        return float(values[0])
+        try:
+            return _read_decimal(head, _LIMIT_HEADER)
+        except ValueError as exc:
+            raise errors.MalformedLimitError(f"limit {exc}") from exc
+
+
+def _read_decimal(head: http_message.ResponseHead, name: bytes) -> float | None:
+    """Return the number in a header, None if the header is absent.
+
+    Raises:
+      ValueError: It isn't one decimal number.
+    """
+    values = [value for sent, value in head.headers if sent.lower() == name]
+    if not values:
+        return None
+    if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+        raise ValueError(
+            f"{values[0][:_MAX_NAMED_BYTES]!r}, stated {len(values)} times, "
+            "expected one decimal number"
+        )
+    return float(values[0])
 
 
 def _encode(
--- a/nutmegscale/prefill_runner.py
+++ b/nutmegscale/prefill_runner.py
@@ -87,9 +87,12 @@
             run.prefill_worker, run.prefill_s = worker.id, took_s
             run.handle_expires_at = self._board.now() + HANDLE_REUSE_S
             return handle
-        except errors.LimitedError as exc:
+        except errors.NotSentError as exc:
+            is_limited = isinstance(exc, errors.LimitedError)
             context.record_failure_event(
-                "prefill_limited", prefill=worker.id, why=str(exc)
+                "prefill_limited" if is_limited else "prefill_unwanted",
+                prefill=worker.id,
+                why=str(exc),
             )
             raise errors.PrefillFailedError(str(exc)) from exc
         except (errors.TransportError, errors.RejectedError) as exc:
@@ -169,8 +172,8 @@
                 handle.server, self._codec.free(handle)
             )
             await call.body(FREE_TIMEOUT_S, MAX_HANDLE_BYTES)
-        except (errors.LimitedError, errors.TransportError) as exc:
-            # Without a permit the server frees it by itself soon.
+        except (errors.NotSentError, errors.TransportError) as exc:
+            # A server that may not be asked frees it by itself soon.
             logs.get().info(
                 "handle_not_freed", server=handle.server.id, why=str(exc)
             )
--- a/nutmegscale/prefill_workers.py
+++ b/nutmegscale/prefill_workers.py
@@ -4,6 +4,7 @@
 schedules its prefills in `prefill_queue` instead.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from nutmegscale import backend
@@ -63,7 +64,12 @@
         ]
 
     def choose(
-        self, now: float, failure_domain: str = "", version: str | None = None
+        self,
+        now: float,
+        failure_domain: str = "",
+        version: str | None = None,
+        *,
+        avoid: Collection[str] = (),
     ) -> str | None:
         """Return the unpaused worker with the shortest queue, or None.
 
@@ -74,11 +80,12 @@
             `DISTANT_PENALTY_S`.
           version: Software version of the decode worker, which the worker must
             have: another one can't use its KV caches. None for any.
+          avoid: Ids of workers that must not be chosen.
         """
         usable = [
             worker
             for worker in self._usable(now)
-            if version in (None, worker.version)
+            if version in (None, worker.version) and worker.id not in avoid
         ]
 
         def _cost_s(worker: backend.Backend) -> float:
--- a/nutmegscale/request_sends.py
+++ b/nutmegscale/request_sends.py
@@ -112,5 +112,5 @@
         exception: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        if not isinstance(exception, errors.ConnectError | errors.LimitedError):
+        if not isinstance(exception, errors.ConnectError | errors.NotSentError):
             self._sends.end(is_accepted_prefill=self._is_accepted_prefill)
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -25,6 +25,7 @@
 from nutmegscale import membership
 from nutmegscale import membership_controller
 from nutmegscale import mesh
+from nutmegscale import notice_controller
 from nutmegscale import patience
 from nutmegscale import peer_watch
 from nutmegscale import periodic
@@ -194,7 +195,11 @@
             self.board, self.mesh, self._peers, self._limits
         )
         calls = server_calls.ServerCalls(
-            self.board, pool, codecs.servers, self._limits
+            self.board,
+            pool,
+            codecs.servers,
+            self._limits,
+            notice_controller.NoticeController(self.board, self.mesh),
         )
         self.stages = stage_controller.StageController(
             self.board,
@@ -225,6 +230,7 @@
             codecs.servers,
             self.crashes,
             self._limits,
+            rng=self._rng,
         )
         self._streams = stream_runner.StreamRunner(
             self.board,
@@ -235,6 +241,7 @@
             self.crashes,
             stream_registry.StreamRegistry(self.board, self.mesh),
             retries_of=self._retry_share,
+            rng=self._rng,
         )
         self._reachability = reach_controller.ReachController(self.board, pool)
         self._patience = patience.PatienceEstimator()
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -3,6 +3,7 @@
 As a rule an attribute has one writer, which its description names.
 """
 
+import random
 from typing import Any
 
 from nutmegscale import backend
@@ -10,8 +11,8 @@
 from nutmegscale import membership
 from nutmegscale import router_metrics
 from nutmegscale import routes
-from nutmegscale import server_limits
 from nutmegscale import server_loads
+from nutmegscale import server_notices
 from nutmegscale import timeline
 
 
@@ -32,8 +33,8 @@
       backends: Registered backend servers; backend controller.
       loads: Load and failures of backend servers; plain runner, stream runner
         and reach controller. The backend controller drops removed servers.
-      server_limits: Limits that backend servers state; server calls. The
-        backend controller drops removed servers.
+      notices: What backend servers ask of this host; server calls and notice
+        controller. The backend controller drops removed servers.
       unreachable_services: Names of services of which this host reaches no
         server; reach controller.
       cut_domains: Failure domains that this host is cut off from; domain
@@ -62,7 +63,7 @@
         self.table: routes.RouteTable | None = None
         self.backends = backend.BackendDirectory()
         self.loads = loads or server_loads.ServerLoads()
-        self.server_limits = server_limits.ServerLimits()
+        self.notices = server_notices.ServerNotices()
         self.unreachable_services: frozenset[str] = frozenset()
         self.cut_domains: frozenset[str] = frozenset()
         self.is_draining = False
@@ -95,6 +96,47 @@
         )
         return reachable or servers
 
+    def wanted_servers(self, service: str) -> tuple[backend.Backend, ...]:
+        """Return the reachable servers that want requests of this host."""
+        now = self.now()
+        return tuple(
+            server
+            for server in self.reachable_servers(service)
+            if not self.notices.is_paused(now, server.key)
+        )
+
+    def paused_for_s(
+        self,
+        service: str,
+        *,
+        priority: int,
+        rng: random.Random,
+        stage: str = "",
+    ) -> float:
+        """Return when a caller may come back while all servers want a pause.
+
+        Args:
+          service: Service of the servers.
+          priority: Rank of the call; 0 goes first.
+          rng: Source of random numbers.
+          stage: Stage of the servers that count.
+
+        Returns:
+          The time in seconds; 0 if some server wants requests, or if there are
+          no servers.
+        """
+        now = self.now()
+        keys = [
+            server.key
+            for server in self.reachable_servers(service)
+            if server.stage == stage
+        ]
+        if not keys or not all(self.notices.is_paused(now, k) for k in keys):
+            return 0.0
+        return self.notices.return_after_s(
+            now, keys, priority=priority, rng=rng
+        )
+
     def now(self) -> float:
         """Return monotonic time in seconds."""
         return float(self.clock.seconds())
--- a/nutmegscale/server_calls.py
+++ b/nutmegscale/server_calls.py
@@ -6,13 +6,18 @@
 from nutmegscale import http_message
 from nutmegscale import limit_controller
 from nutmegscale import logs
+from nutmegscale import notice_controller
 from nutmegscale import routing_board
 from nutmegscale import upstream
 from nutmegscale import upstream_call
 
 
 class ServerCalls:
-    """Sends requests to servers within the limits that their answers state."""
+    """Sends requests to servers as their answers ask for.
+
+    A server that leaves or wants a pause is sent nothing, and one that states
+    a limit only what this host has permits for.
+    """
 
     def __init__(
         self,
@@ -20,11 +25,13 @@
         pool: upstream.UpstreamPool,
         codec: caller_request.ServerCodec,
         limits: limit_controller.LimitController,
+        notices: notice_controller.NoticeController,
     ) -> None:
         self._board = board
         self._pool = pool
         self._codec = codec
         self._limits = limits
+        self._notices = notices
 
     async def send(
         self,
@@ -44,9 +51,12 @@
             otherwise this host uses one if the server states a limit.
 
         Raises:
+          errors.BackendLeftError: The server leaves; nothing was sent.
+          errors.ServerPausedError: It wants a pause; nothing was sent.
           errors.LimitedError: There is no permit; nothing was sent.
           errors.ConnectError: No connection could be made; nothing was sent.
         """
+        self._check_wanted(server)
         asked_at = self._board.now()
         is_limited = self._limits.permits(server) is not None
         needs_permit = is_limited and not is_permitted
@@ -54,7 +64,7 @@
             self._limits.report(server)
             raise errors.LimitedError(
                 f"{server.id} takes "
-                f"{self._board.server_limits.per_s(server.key)} requests a "
+                f"{self._board.notices.limits.per_s(server.key)} requests a "
                 "second from all hosts, and this one has no permit"
             )
         try:
@@ -62,7 +72,7 @@
                 server.address,
                 request,
                 reserved=reserved,
-                on_head=lambda head: self._record_limit(
+                on_head=lambda head: self._record_notices(
                     server, asked_at, is_permitted, head
                 ),
             )
@@ -71,6 +81,36 @@
                 self._limits.give_back(server)
             raise
 
+    def _check_wanted(self, server: backend.Backend) -> None:
+        notices = self._board.notices
+        if notices.is_leaving(server.key):
+            raise errors.BackendLeftError(f"{server.id} has said it leaves")
+        if notices.is_paused(self._board.now(), server.key):
+            raise errors.ServerPausedError(f"{server.id} wants a pause")
+
+    def _record_notices(
+        self,
+        server: backend.Backend,
+        asked_at: float,
+        is_permitted: bool,
+        head: http_message.ResponseHead,
+    ) -> None:
+        """Record what the head of an answer asks of this host."""
+        self._record_limit(server, asked_at, is_permitted, head)
+        if self._codec.is_leaving(head):
+            self._notices.record_leaving(server)
+        try:
+            self._notices.record_pause(server, self._codec.read_pause(head))
+        except errors.MalformedPauseError as exc:
+            # A pause that can't be read changes nothing.
+            self._record_malformed("server_pause_malformed", server, exc)
+
+    def _record_malformed(
+        self, event: str, server: backend.Backend, exc: Exception
+    ) -> None:
+        self._board.metrics.record_failure_event(event)
+        logs.get().warning(event, backend=server.id, message=str(exc))
+
     def _record_limit(
         self,
         server: backend.Backend,
@@ -83,14 +123,11 @@
             per_s = self._codec.read_limit(head)
         except errors.MalformedLimitError as exc:
             # A limit that can't be read changes nothing.
-            board.metrics.record_failure_event("server_limit_malformed")
-            logs.get().warning(
-                "server_limit_malformed", backend=server.id, message=str(exc)
-            )
+            self._record_malformed("server_limit_malformed", server, exc)
             return
         now = board.now()
-        known = board.server_limits.get(server.key)
-        has_changed = board.server_limits.record(
+        known = board.notices.limits.get(server.key)
+        has_changed = board.notices.limits.record(
             now, server.key, asked_at, per_s
         )
         self._limits.record(
@@ -98,7 +135,7 @@
         )
         if not has_changed:
             return
-        board.metrics.record_limited_servers(len(board.server_limits))
+        board.metrics.record_limited_servers(len(board.notices.limits))
         logs.get().info(
             "server_limit_ended" if per_s is None else "server_limit_stated",
             backend=server.id,
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -374,7 +374,9 @@
         self, now: float, request: slot_types.SlotRequest
     ) -> slot_types.Grant | None:
         prefill_worker = (
-            None if request.local_prefill else self._prefill_workers.choose(now)
+            None
+            if request.local_prefill
+            else self._prefill_workers.choose(now, avoid=request.avoid)
         )
         decode = self._slots.choose(
             now,
@@ -389,6 +391,7 @@
                 now,
                 self._slots.failure_domain(decode),
                 self._slots.version(decode),
+                avoid=request.avoid,
             )
         if prefill_worker is None:
             self._slots.record_local_prefill(now, decode, request.prompt_tokens)
--- a/nutmegscale/stage_controller.py
+++ b/nutmegscale/stage_controller.py
@@ -140,7 +140,7 @@
             head = await call.head(ORDER_TIMEOUT_S)
             await call.body(ORDER_TIMEOUT_S, MAX_ANSWER_BYTES)
             status = head.status
-        except errors.LimitedError as exc:
+        except errors.NotSentError as exc:
             why = str(exc)
             self._end_move(service, worker)
         except errors.TransportError as exc:
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import hashlib
+import random
 
 from nutmegscale import backend
 from nutmegscale import caller_request
@@ -51,6 +52,13 @@
 REJECTED_RETRY_AFTER_S = 1.0
 
 
+_NOT_SENT_EVENTS = {
+    errors.BackendLeftError: "decode_left",
+    errors.LimitedError: "decode_limited",
+    errors.ServerPausedError: "decode_paused",
+}
+
+
 class StreamRunner:
     """Runs streams on decode workers, with prefill on separate workers."""
 
@@ -65,6 +73,7 @@
         registry: stream_registry.StreamRegistry,
         *,
         retries_of: Callable[[str], retry_share.RetryShare],
+        rng: random.Random,
     ) -> None:
         self._board = board
         self._pool = pool
@@ -74,6 +83,7 @@
         self._crashes = crashes
         self._registry = registry
         self._retries_of = retries_of
+        self._rng = rng
         self._prefills = prefill_runner.PrefillRunner(
             board, pool, calls, codec, slots, crashes
         )
@@ -89,6 +99,15 @@
             context.refuse("stream_unknown", UNKNOWN_RETRY_AFTER_S)
             return
         for _ in range(MAX_OFFERS):
+            paused_s = self._board.paused_for_s(
+                context.service,
+                priority=context.route.priority,
+                rng=self._rng,
+                stage="decode",
+            )
+            if paused_s:
+                self._give_up(context, run, "paused", paused_s)
+                return
             grant = await self._slots.acquire(self._slot_demand(context, run))
             if grant.state != "granted":
                 self._give_up(context, run, grant.reason, grant.retry_after_s)
@@ -171,12 +190,21 @@
             give_up_at=min(
                 arrived + patience_s - PATIENCE_MARGIN_S, context.deadline
             ),
-            avoid=tuple(run.avoid),
+            avoid=(*run.avoid, *self._paused_workers(context.service)),
             local_prefill=run.local_prefill,
             content=_content_digest(request),
             version=run.version,
         )
 
+    def _paused_workers(self, service: str) -> list[str]:
+        """Return the ids of the workers that want no request of this host."""
+        now, notices = self._board.now(), self._board.notices
+        return [
+            worker.id
+            for worker in self._board.backends.usable(service)
+            if notices.is_paused(now, worker.key)
+        ]
+
     async def _run_granted(
         self,
         context: request_context.RequestContext,
@@ -283,10 +311,9 @@
                     self._crashes.refused_for_s(context.content),
                 )
                 return True
-            case errors.BackendLeftError() | errors.LimitedError():
-                is_left = isinstance(exc, errors.BackendLeftError)
+            case errors.NotSentError():
                 context.record_failure_event(
-                    "decode_left" if is_left else "decode_limited",
+                    _NOT_SENT_EVENTS.get(type(exc), "decode_left"),
                     decode=decode.id,
                     why=str(exc),
                 )
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import json
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -71,6 +72,11 @@
         and possibly malformed; "" for none.
       limit_statements: Changes of that limit.
       limit_contacts: Answers that stated it.
+      is_leaving: Whether its answers say that it leaves.
+      leaving_contacts: Answers that said so.
+      pause: Pause that its rejections ask for, as text and possibly malformed;
+        "" for none.
+      pause_contacts: Rejections that asked for it.
       arrivals: All requests that reached it, with the hosts that sent them.
       raw_response: Bytes to send instead of a plain answer, or b"".
       trailing_bytes: Bytes to send after a plain answer.
@@ -115,6 +121,10 @@
         self._limit = ""
         self.limit_statements: list[limit_window.Statement] = []
         self.limit_contacts: list[limit_window.Contact] = []
+        self.is_leaving = False
+        self.leaving_contacts: list[limit_window.Contact] = []
+        self.pause = ""
+        self.pause_contacts: list[limit_window.Contact] = []
         self.arrivals: list[limit_window.Contact] = []
         self.raw_response = b""
         self.trailing_bytes = b""
@@ -214,17 +224,44 @@
         source = getattr(transport, "source", "")
         return limit_window.Contact(self._clock.seconds(), source)
 
-    def _limit_headers(
+    def _common_headers(
         self, request: http_ingress.IncomingRequest
     ) -> list[http_message.Header]:
-        """Return the headers that state its limit in an answer sent now."""
-        if not self._limit:
-            return []
-        self.limit_contacts.append(self._contact(request))
-        return [(b"Server-Limit", self._limit.encode())]
+        """Return the headers of each answer that is sent now."""
+        headers = []
+        request_id = _request_id(request)
+        if request_id:
+            headers.append((b"Request-Id", request_id.encode()))
+        if self._limit:
+            self.limit_contacts.append(self._contact(request))
+            headers.append((b"Server-Limit", self._limit.encode()))
+        if self.is_leaving:
+            self.leaving_contacts.append(self._contact(request))
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
+
+    def arrivals_after(
+        self, contacts: list[limit_window.Contact]
+    ) -> list[tuple[str, float]]:
+        """Return the requests of hosts that an answer had told something.
+
+        Args:
+          contacts: Answers that told it, such as `leaving_contacts`.
+
+        Returns:
+          Host of each request, and the seconds since it was first told.
+        """
+        told: dict[str, float] = {}
+        for contact in contacts:
+            told.setdefault(contact.host, contact.at)
+        return [
+            (arrival.host, arrival.at - told[arrival.host])
+            for arrival in self.arrivals
+            if arrival.at > told.get(arrival.host, math.inf)
+        ]
 
     def _misdirect(self, request: http_ingress.IncomingRequest) -> None:
-        headers = self._limit_headers(request)
+        headers = self._common_headers(request)
         instance = (b"Instance-Id", self.id.encode())
         request.respond(421, [instance, *headers], b"")
 
@@ -244,10 +281,10 @@
     ) -> None:
         """Answer a call of a host with an empty body, or one without end."""
         if self.endless:
-            request.start(status, self._limit_headers(request))
+            request.start(status, self._common_headers(request))
             self._send_without_end(request)
         else:
-            request.respond(status, self._limit_headers(request), b"")
+            request.respond(status, self._common_headers(request), b"")
 
     def _send_without_end(self, request: http_ingress.IncomingRequest) -> None:
         self.endless_answers += 1
@@ -270,15 +307,15 @@
         return self.is_full or is_next or self._running >= self.slots
 
     def _reject(self, request: http_ingress.IncomingRequest) -> None:
-        request.respond(
-            503,
-            [
-                (b"Not-Executed", b"1"),
-                self._load_header(),
-                *self._limit_headers(request),
-            ],
-            b"",
-        )
+        headers = [
+            (b"Not-Executed", b"1"),
+            self._load_header(),
+            *self._common_headers(request),
+        ]
+        for value in self.pause.split("|") if self.pause else ():
+            self.pause_contacts.append(self._contact(request))
+            headers.append((b"Retry-After", value.encode()))
+        request.respond(503, headers, b"")
 
     def _load_header(self) -> http_message.Header:
         return (b"Server-Load", b"%d,0,%d" % (self._running, self.slots))
@@ -320,10 +357,9 @@
 
     def _answer_headers(self, request: http_ingress.IncomingRequest) -> Any:
         return [
-            (b"Request-Id", _request_id(request).encode()),
             (b"Response-Signature", b"proof-" + self.id.encode()),
             self._load_header(),
-            *self._limit_headers(request),
+            *self._common_headers(request),
         ]
 
     def _run_plain(self, request: http_ingress.IncomingRequest) -> None:
@@ -361,7 +397,7 @@
             ttl_s = 0.0 if self.handles_expire_at_once else HANDLE_TTL_S
             self.handles[name] = self._clock.seconds() + ttl_s
             body = {"handle": name, "tokens": 1, "version": 1}
-            headers = self._limit_headers(request)
+            headers = self._common_headers(request)
             request.respond(200, headers, json.dumps(body).encode())
 
         self._clock.callLater(PREFILL_S, _answer)
--- a/tests/test_limits_over_hosts.py
+++ b/tests/test_limits_over_hosts.py
@@ -238,7 +238,7 @@
         simulation.run(0.1)
         assert _served(callers) == 1.0
     for host in simulation.hosts:
-        assert not host.router.board.server_limits
+        assert not host.router.board.notices.limits
 
 
 def test_a_failed_answer_is_passed_on_if_no_permit_is_left_to_retry() -> None:
