Hosts that reach no server pass requests on to hosts that do

Cause: a host that callers reach but that is cut off from all servers refused its callers or held them on connections that hang; the load balancer uses it all the same while most hosts of its domain aren't ready. Its reports of lost workers also made the planners pause sound workers for everybody.

Such a host isn't ready, tells the others, and passes requests on to a port for hosts only; they are never passed on again, and only a host's own refusal lets a second one be asked. It reports no worker as lost and takes none for crashed.

--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -161,6 +161,12 @@
         """Encode a call of a plain service."""
         ...
 
+    def relay(
+        self, request: CallerRequest, left_s: float
+    ) -> upstream_call.Request:
+        """Encode a request that another host is to serve."""
+        ...
+
     def prefill(
         self, request: CallerRequest, server: backend.Backend, left_s: float
     ) -> upstream_call.Request:
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -99,6 +99,10 @@
     """A backend server left before a request was sent to it."""
 
 
+class UnreachedError(NutmegscaleError):
+    """No server took a connection for a request; nothing was sent."""
+
+
 class MisdirectedError(RejectedError):
     """Another backend server now has the address; nothing was run."""
 
--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -24,6 +24,10 @@
         "refused: each server of the service takes only so many requests a"
         " second from all hosts, and they were reached"
     ),
+    "unreached": (
+        "refused: this host reached no server of the service, and no other host"
+        " took the request"
+    ),
     "paused": (
         "refused: each server of the service asked for a pause that goes on"
     ),
--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -62,6 +62,7 @@
       head: Head of the request.
       body: Complete body.
       arrived: Monotonic time when the request was complete, seconds.
+      is_relayed: Whether another host has passed it on.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.head = head
         self.body = body
         self.arrived = arrived
+        self.is_relayed = False
 
     @property
     def is_started(self) -> bool:
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -527,6 +527,16 @@
     server: str
 
 
+class ReachReport(NamedTuple):
+    """Notice whether the sender reaches any server.
+
+    Attributes:
+      is_cut_off: Whether it reaches none.
+    """
+
+    is_cut_off: bool
+
+
 class Ping(NamedTuple):
     """Query whether the receiver answers, replied to by a `Pong`.
 
@@ -588,6 +598,7 @@
     StreamQuery,
     StreamReply,
     ServerLeaving,
+    ReachReport,
 )
 TYPE_BY_NUMBER: dict[int, Any] = dict(enumerate(_MESSAGE_TYPES, start=1))
 NUMBER_BY_TYPE: dict[Any, int] = {
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -30,6 +30,7 @@
 
     Attributes:
       runs: Runs that a server began.
+      unreached: Offers for which no connection could be made.
       disconnects: Runs whose server broke the connection.
       began_at: When the last offer began, seconds of the host's clock.
       failed_answer: Complete answer of a server that failed, which the caller
@@ -38,6 +39,7 @@
 
     def __init__(self) -> None:
         self.runs = 0
+        self.unreached = 0
         self.disconnects = 0
         self.began_at = 0.0
         self.failed_answer: tuple[http_message.ResponseHead, bytes] | None = (
@@ -68,7 +70,12 @@
         self._rng = rng
 
     async def run(self, context: request_context.RequestContext) -> None:
-        """Run a call until it is answered, refused or failed."""
+        """Run a call until it is answered, refused or failed.
+
+        Raises:
+          errors.UnreachedError: No server took a connection; the call isn't
+            answered.
+        """
         attempt = _Attempt()
         for offer in range(MAX_OFFERS):
             server = await self._choose_with_permit(context)
@@ -88,6 +95,7 @@
                 context.record_failure_event(
                     "server_rejected", server=server.id, why=str(exc)
                 )
+                attempt.unreached += isinstance(exc, errors.ConnectError)
                 continue
             except errors.TransportError as exc:
                 if await self._may_run_again(context, attempt, server, exc):
@@ -111,6 +119,10 @@
             self._crashes.record_success(context.content)
             context.answer(head, body)
             return
+        if attempt.unreached and attempt.unreached == len(context.tries):
+            raise errors.UnreachedError(
+                f"no connection to {', '.join(context.tries)}"
+            )
         self._end_without_answer(context, attempt)
 
     async def _may_run_again(
--- a/nutmegscale/platform/ingress.py
+++ b/nutmegscale/platform/ingress.py
@@ -3,6 +3,7 @@
 from nutmegscale import caller_request
 from nutmegscale import errors
 from nutmegscale import http_message
+from nutmegscale import request_context
 
 # Request headers that only hosts may set, and those that hosts set anew on the
 # hop to a backend server. They are dropped from callers' requests.
@@ -25,7 +26,12 @@
 # Headers of a backend server's answer that are meant for hosts only and aren't
 # forwarded to callers.
 _INTERNAL_ANSWER_HEADERS = frozenset(
-    {b"not-executed", b"server-load", b"instance-id"}
+    {
+        b"not-executed",
+        b"server-load",
+        b"instance-id",
+        request_context.OUTCOME_HEADER,
+    }
 )
 _NON_REPEATABLE_HEADERS = (
     b"request-id",
--- a/nutmegscale/platform/settings.py
+++ b/nutmegscale/platform/settings.py
@@ -25,6 +25,8 @@
       ready_port: TCP port for the load balancer's readiness probe.
       peer_port: TCP port for messages between hosts; the first of the
         ports that the platform leaves free for them.
+      relay_port: TCP port for requests that other hosts pass on; the second of
+        these ports. Ports are the same on all hosts.
       link_mbps: Capacity of the machine's network link, Mbit/s.
       store_address: Address of the platform's store, as IP:PORT.
       grace_s: Time from SIGTERM until the process is killed, seconds.
@@ -42,6 +44,7 @@
     ready_ip: str
     ready_port: int
     peer_port: int
+    relay_port: int
     link_mbps: float
     store_address: str
     grace_s: float
@@ -116,6 +119,12 @@
         path, "listen.ready", file_settings.listen.ready
     )
     _parse_address(path, "platform.address", file_settings.platform.address)
+    first_port, last_port = file_settings.ports
+    if last_port <= first_port:
+        raise errors.SettingsError(
+            f"{path}: internalPorts: {first_port} to {last_port} are fewer "
+            "than two ports"
+        )
     bounds = file_settings.bounds
     return HostSettings(
         host=file_settings.node,
@@ -126,6 +135,7 @@
         ready_ip=ready_ip,
         ready_port=ready_port,
         peer_port=file_settings.ports[0],
+        relay_port=file_settings.ports[0] + 1,
         link_mbps=file_settings.limits.link_mbps,
         store_address=file_settings.platform.address,
         grace_s=bounds.grace,
--- a/nutmegscale/platform/worker_calls.py
+++ b/nutmegscale/platform/worker_calls.py
@@ -16,6 +16,7 @@
 _LEAVING_HEADER = b"server-leaving"
 _PAUSE_HEADER = b"retry-after"
 _PAUSING_STATUS = 503
+_DEADLINE_HEADER = b"Deadline-Ms"
 _DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 # Longest part of a malformed value that an error names, bytes.
 _MAX_NAMED_BYTES = 40
@@ -40,6 +41,17 @@
         """Encode a plain call; see `caller_request.ServerCodec`."""
         return _encode(request, server, left_s, [])
 
+    def relay(
+        self, request: caller_request.CallerRequest, left_s: float
+    ) -> upstream_call.Request:
+        """Encode for another host; see `caller_request.ServerCodec`."""
+        headers = http_message.end_to_end_headers(
+            request.head.headers, frozenset({_DEADLINE_HEADER.lower()})
+        )
+        headers.append((_DEADLINE_HEADER, _milliseconds(left_s)))
+        head = request.head._replace(headers=tuple(headers))
+        return upstream_call.Request(head, request.body, b"", is_trusted=True)
+
     def prefill(
         self,
         request: caller_request.CallerRequest,
@@ -152,6 +164,10 @@
     return float(values[0])
 
 
+def _milliseconds(seconds: float) -> bytes:
+    return b"%d" % max(1, int(seconds * 1000))
+
+
 def _encode(
     request: caller_request.CallerRequest,
     server: backend.Backend,
@@ -161,7 +177,7 @@
     headers = http_message.end_to_end_headers(
         request.head.headers, ingress.NOT_FORWARDED_HEADERS
     )
-    headers.append((b"Deadline-Ms", b"%d" % max(1, int(left_s * 1000))))
+    headers.append((_DEADLINE_HEADER, _milliseconds(left_s)))
     headers.append((b"Target-Instance", server.id.encode()))
     headers += extra_headers
     head = request.head._replace(headers=tuple(headers))
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -1,6 +1,7 @@
 """The daemon `nutmegscaled` for the platform, with the platform adapter."""
 
 import asyncio
+import functools
 import signal
 import sys
 from typing import Any
@@ -32,10 +33,19 @@
         link_mbps=host_settings.link_mbps,
         grace_s=host_settings.grace_s,
         retry_limits=host_settings.retry_limits,
+        relay_address_of=functools.partial(
+            _relay_address, port=host_settings.relay_port
+        ),
         is_first_start=host_settings.is_first_start,
     )
 
 
+def _relay_address(peer_address: str, *, port: int) -> str:
+    """Return where a host takes the requests that other hosts pass on."""
+    ip = peer_address.removeprefix("tcp://").rpartition(":")[0]
+    return f"{ip}:{port}"
+
+
 class PlatformDaemon:
     """Connects the router of a host to its ports and to signals."""
 
@@ -76,6 +86,9 @@
             lambda: board.limits,
             on_refused=_log_refused_request,
         )
+        self._relayed = http_ingress.IngressFactory(
+            clock, self._router.relayed, lambda: board.limits
+        )
         self._ready = http_ingress.IngressFactory(
             clock,
             ready_site.ReadySite(lambda: board.is_ready),
@@ -94,6 +107,7 @@
         self._listen(
             host_settings.ready_port, self._ready, host_settings.ready_ip
         )
+        self._listen(host_settings.relay_port, self._relayed, host_settings.ip)
         self._listen(METRICS_PORT, self._scrapes, host_settings.ip)
         self._caller_port = self._listen(
             host_settings.caller_port, self._callers, host_settings.caller_ip
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -16,6 +16,8 @@
 
 # Part of a caller's patience reserved for transmitting the answer, seconds.
 ANSWER_MARGIN_S = 0.05
+# Header of a refusal for the host that has passed the request on: the reason.
+OUTCOME_HEADER = b"relay-outcome"
 # Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 16
 
@@ -80,6 +82,11 @@
             retries, now=self._board.now, on_retry=self._record_retry
         )
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether another host has passed the request on."""
+        return self.incoming.is_relayed
+
     def content(self) -> quarantine.Content:
         """Return the content of the request; see `CallerRequest`."""
         if self._content is None:
@@ -112,7 +119,9 @@
 
     def fail(self, failure: errors.Failure, **fields: Any) -> None:
         """Answer with a failure, or cut off an answer that has begun."""
-        headers = self._codec.failure_headers(failure)
+        headers = failure_headers(
+            self._codec, failure, is_relayed=self.is_relayed
+        )
         body = b'{"error":"%s","outcome":"%s"}' % (
             failure.type.encode(),
             failure.outcome.encode(),
@@ -184,3 +193,22 @@
             tries=",".join(self.tries),
             **fields,
         )
+
+
+def failure_headers(
+    codec: caller_request.CallerCodec,
+    failure: errors.Failure,
+    *,
+    is_relayed: bool,
+) -> list[http_message.Header]:
+    """Return the headers of an answer that this host generates.
+
+    Args:
+      codec: Codec of the answers.
+      failure: The failure that it tells.
+      is_relayed: Whether it goes to another host, which is told the reason.
+    """
+    headers = codec.failure_headers(failure)
+    if is_relayed:
+        headers.append((OUTCOME_HEADER, failure.type.encode()))
+    return headers
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Coroutine
 import random
 from typing import Any
 
@@ -27,6 +28,7 @@
 from nutmegscale import mesh
 from nutmegscale import notice_controller
 from nutmegscale import patience
+from nutmegscale import peer_relay
 from nutmegscale import peer_watch
 from nutmegscale import periodic
 from nutmegscale import plain_runner
@@ -210,6 +212,24 @@
             boot_now=boot_now or clock.seconds,
             era_known_s=lambda era: self._era.known_s(self.board.now(), era),
         )
+        self._reachability = reach_controller.ReachController(
+            self.board,
+            pool,
+            rng=self._rng,
+            on_change=lambda is_cut_off: self._relay.report(
+                is_cut_off=is_cut_off
+            ),
+            while_cut_off=lambda: self._relay.repeat_report(),
+        )
+        self._relay = peer_relay.PeerRelay(
+            self.board,
+            pool,
+            codecs.servers,
+            link=self.mesh,
+            address_of=settings.relay_address_of,
+            rng=self._rng,
+        )
+        self.relayed = peer_relay.RelayedRequests(self.handle)
         self._retry_shares: dict[str, retry_share.RetryShare] = {}
         self._suspects = shared_quarantine.SharedQuarantine(
             self.mesh,
@@ -221,7 +241,7 @@
             ),
         )
         self.crashes = crash_watch.CrashWatch(
-            clock, self._suspects, pool.check_connection
+            clock, self._suspects, self._reachability.check_connection
         )
         self._plain = plain_runner.PlainRunner(
             self.board,
@@ -243,7 +263,6 @@
             retries_of=self._retry_share,
             rng=self._rng,
         )
-        self._reachability = reach_controller.ReachController(self.board, pool)
         self._patience = patience.PatienceEstimator()
         self._live: set[http_ingress.IncomingRequest] = set()
         self._joining: defer.Deferred[Any] | None = None
@@ -384,7 +403,9 @@
             route,
             codec=self._codecs.callers,
             service=service,
-            retries=self._retry_share(service),
+            retries=self._retry_share(
+                service, is_counted=not incoming.is_relayed
+            ),
             waited_s=self._patience.waited_s(route.name, request.patience_s),
         )
         self._run(context)
@@ -395,13 +416,37 @@
         runner = self._streams.run if is_stream else self._plain.run
         incoming = context.incoming
         self._live.add(incoming)
-        running = periodic.spawn(runner(context))
+        running = periodic.spawn(self._serve(context, runner))
         running.addBoth(self._on_run_ended, context)
         if not running.called:
             incoming.watch_disconnect(
                 lambda: self._on_disconnect(context, running)
             )
 
+    async def _serve(
+        self,
+        context: request_context.RequestContext,
+        runner: Callable[
+            [request_context.RequestContext], Coroutine[Any, Any, None]
+        ],
+    ) -> None:
+        """Serve a request, or let another host do so if this one can't."""
+        board = self.board
+        is_unreachable = context.service in board.unreachable_services
+        if board.is_cut_off or is_unreachable:
+            if await self._relay.serve(context):
+                return
+            if is_unreachable or context.is_relayed:
+                context.refuse("unreached", NOT_READY_RETRY_AFTER_S)
+                return
+        try:
+            await runner(context)
+        except errors.UnreachedError as exc:
+            context.log("unreached", why=str(exc))
+            await self._reachability.settle()
+            if not (board.is_cut_off and await self._relay.serve(context)):
+                context.refuse("unreached", NOT_READY_RETRY_AFTER_S)
+
     def _on_disconnect(
         self,
         context: request_context.RequestContext,
@@ -432,8 +477,15 @@
         spec = config.services.get(service) if config else None
         return spec is not None and spec.engine is not None
 
-    def _retry_share(self, service: str) -> retry_share.RetryShare:
-        """Return the retry share of a service for a new request to it."""
+    def _retry_share(
+        self, service: str, *, is_counted: bool = True
+    ) -> retry_share.RetryShare:
+        """Return the retry share of a service for a new request to it.
+
+        Args:
+          service: The service.
+          is_counted: Whether no other host has counted the request.
+        """
         now = self.board.now()
         # Hosts that are silent or gone count, too: this one can't tell them
         # from hosts that are cut off.
@@ -447,7 +499,8 @@
                 hosts=hosts,
             )
         share.add_hosts(now, hosts)
-        share.record_request(now)
+        if is_counted:
+            share.record_request(now)
         return share
 
     def _reject(
@@ -460,8 +513,7 @@
     ) -> None:
         """Answer a request that can't be served as it was sent."""
         failure = errors.Failure(status, kind, why)
-        headers = self._codecs.callers.failure_headers(failure)
-        incoming.respond(status, headers, b"")
+        self._respond(incoming, failure)
         config = self.board.config
         logs.get().info(
             "request_failed",
@@ -472,6 +524,14 @@
             config=config.version if config else 0,
         )
 
+    def _respond(
+        self, incoming: http_ingress.IncomingRequest, failure: errors.Failure
+    ) -> None:
+        headers = request_context.failure_headers(
+            self._codecs.callers, failure, is_relayed=incoming.is_relayed
+        )
+        incoming.respond(failure.status, headers, b"")
+
     def _refuse(
         self,
         incoming: http_ingress.IncomingRequest,
@@ -482,8 +542,7 @@
     ) -> None:
         """Answer a request that wasn't run and may be sent again later."""
         failure = errors.Failure(503, kind, "not run", "not_run", retry_after_s)
-        headers = self._codecs.callers.failure_headers(failure)
-        incoming.respond(503, headers, b"")
+        self._respond(incoming, failure)
         logs.get().info(
             "request_failed", request=request.id, status=503, reason=kind
         )
--- a/nutmegscale/router_settings.py
+++ b/nutmegscale/router_settings.py
@@ -21,6 +21,8 @@
       grace_s: Longest graceful shutdown, seconds.
       retry_limits: Retry budget of each service, over all hosts.
       is_first_start: Whether the whole system starts for the first time.
+      relay_address_of: Returns where a host takes the requests that others pass
+        on, given the address at which its peers reach it.
     """
 
     host: str
@@ -29,6 +31,7 @@
     link_mbps: float
     grace_s: float
     retry_limits: retry_share.Limits
+    relay_address_of: Callable[[str], str]
     is_first_start: bool = False
 
 
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -37,6 +37,7 @@
         controller. The backend controller drops removed servers.
       unreachable_services: Names of services of which this host reaches no
         server; reach controller.
+      is_cut_off: Whether this host reaches no server at all; reach controller.
       cut_domains: Failure domains that this host is cut off from; domain
         watch.
       is_draining: Whether a graceful shutdown has begun; router.
@@ -65,6 +66,7 @@
         self.loads = loads or server_loads.ServerLoads()
         self.notices = server_notices.ServerNotices()
         self.unreachable_services: frozenset[str] = frozenset()
+        self.is_cut_off = False
         self.cut_domains: frozenset[str] = frozenset()
         self.is_draining = False
 
@@ -75,6 +77,7 @@
             self.config is not None
             and len(self.backends) > 0
             and not self.unreachable_services
+            and not self.is_cut_off
             and not self.is_draining
         )
 
--- a/nutmegscale/server_calls.py
+++ b/nutmegscale/server_calls.py
@@ -67,6 +67,7 @@
                 f"{self._board.notices.limits.per_s(server.key)} requests a "
                 "second from all hosts, and this one has no permit"
             )
+        self._board.loads.record_asked(asked_at, server)
         try:
             return await self._pool.call(
                 server.address,
@@ -96,6 +97,7 @@
         head: http_message.ResponseHead,
     ) -> None:
         """Record what the head of an answer asks of this host."""
+        self._board.loads.record_heard(server)
         self._record_limit(server, asked_at, is_permitted, head)
         if self._codec.is_leaving(head):
             self._notices.record_leaving(server)
--- a/nutmegscale/server_loads.py
+++ b/nutmegscale/server_loads.py
@@ -28,6 +28,8 @@
         has failed since the last successful answer.
       is_probing: Whether a request was sent to find out if an unreachable
         server can be reached again.
+      asked_at: When the first request was sent since the server was heard
+        last; 0 if none was.
     """
 
     def __init__(self) -> None:
@@ -39,6 +41,7 @@
         self.paused_until = 0.0
         self.unreachable_until = 0.0
         self.is_probing = False
+        self.asked_at = 0.0
 
 
 class ServerLoads:
@@ -70,10 +73,32 @@
         record.outstanding += 1
         record.is_probing = bool(record.unreachable_until)
 
+    def record_asked(self, now: float, server: backend.Backend) -> None:
+        """Record when a request is sent to a server."""
+        record = self._record_of(server)
+        record.asked_at = record.asked_at or now
+
+    def record_heard(self, server: backend.Backend) -> None:
+        """Record that data of an answer of a server has arrived."""
+        self._record_of(server).asked_at = 0.0
+
+    def silent_s(self, now: float, server: backend.Backend) -> float | None:
+        """Return for how long a server hasn't answered any request, seconds.
+
+        Returns:
+          The time; None if it has no unanswered request of this host.
+        """
+        record = self._records.get(server.key)
+        if record is None or not record.outstanding:
+            return None
+        return now - record.asked_at if record.asked_at else 0.0
+
     def record_ended(self, server: backend.Backend) -> None:
         """Record that a request sent to a server has ended, in any way."""
         record = self._record_of(server)
         record.outstanding -= 1
+        if not record.outstanding:
+            record.asked_at = 0.0
         # The probe may have ended without showing whether the server can be
         # reached, as when its caller left: the next request is a probe again.
         record.is_probing = False
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -281,6 +281,9 @@
           took_s: Duration of a successful prefill or of a complete run,
             seconds; else 0.
         """
+        if kind == "lost" and self._board.is_cut_off:
+            # The other hosts may well reach the worker.
+            return
         held = self._held.get(exchange)
         if kind == "ended":
             self._held.pop(exchange, None)
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -89,7 +89,12 @@
         )
 
     async def run(self, context: request_context.RequestContext) -> None:
-        """Run a stream until it is answered, refused or failed."""
+        """Run a stream until it is answered, refused or failed.
+
+        Raises:
+          errors.UnreachedError: This host is cut off from the workers; the
+            stream hasn't begun.
+        """
         run = stream_run.StreamRun(context.request)
         # The router admits a request in quarantine only if it is a trial.
         run.is_trial = self._crashes.refused_for_s(context.content) > 0.0
@@ -127,6 +132,8 @@
                 )
             if not run.may_run_again(context.route):
                 return
+            if self._board.is_cut_off and not (run.runs or context.tries):
+                raise errors.UnreachedError("cut off from the workers")
             if await self._is_quarantined(context, run):
                 break
         refused_for_s = self._crashes.refused_for_s(context.content)
@@ -544,6 +551,7 @@
         incoming = context.incoming
         if not incoming.is_started:
             context.start(head)
+        loads = self._board.loads
         splitter = event_stream.EventSplitter()
         while True:
             data = await call.chunk(max(0.0, context.left_s))
@@ -558,6 +566,7 @@
                 run.last_event = splitter.last_id or run.last_event
                 if run.run_events >= BEGUN_EVENTS and not had_begun:
                     context.record_begun(self._crashes)
+                loads.record_heard(worker)
                 incoming.write(complete)
                 await incoming.drained(max(0.0, context.left_s))
         if splitter.rest:
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -334,8 +334,17 @@
         self._connect = connect or self._connect_tcp
         self._idle: dict[str, list[_Connection]] = {}
         self._bodies = upstream_call.BodyMemory()
+        self._on_connect: Callable[[str, bool], None] = lambda *_: None
         self.opened = 0
 
+    def watch_connects(self, on_connect: Callable[[str, bool], None]) -> None:
+        """Set a function to call with the outcome of each new connection.
+
+        Args:
+          on_connect: Called with the address and whether it was made.
+        """
+        self._on_connect = on_connect
+
     def _connect_tcp(self, address: str, factory: Any) -> Any:
         ip, _, port = address.rpartition(":")
         endpoint = endpoints.TCP4ClientEndpoint(
@@ -445,7 +454,9 @@
         try:
             connection: _Connection = await self._connect(address, factory)
         except (error.ConnectError, error.ConnectingCancelledError) as exc:
+            self._on_connect(address, False)
             raise errors.ConnectError(f"{address}: {exc}") from exc
+        self._on_connect(address, True)
         return connection
 
     def add_idle(self, connection: _Connection, timeout_s: float) -> None:
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -1,6 +1,7 @@
 """In-memory TCP connections on a virtual clock, with connection faults."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 from twisted.internet import defer
@@ -9,6 +10,8 @@
 
 DELAY_S = 0.001
 CONNECT_TIMEOUT_S = 0.25
+# Time after which the sender of bytes that are lost resets its connection.
+USER_TIMEOUT_S = 3.0
 
 
 class MemoryTransport:
@@ -50,11 +53,19 @@
     def _deliver(self, action: Callable[["MemoryTransport"], None]) -> None:
         def _arrive() -> None:
             peer = self.peer
-            if peer is not None and self.address not in self._net.silent:
-                action(peer)
+            if peer is None or self.address in self._net.silent:
+                return
+            if self._net.loses_bytes(self.source, self.address):
+                self._net.clock.callLater(USER_TIMEOUT_S, self._give_up)
+                return
+            action(peer)
 
         self._net.clock.callLater(DELAY_S, _arrive)
 
+    def _give_up(self) -> None:
+        """Reset this end, whose bytes were never acknowledged."""
+        self.notify_closed(error.ConnectionLost())
+
     def loseConnection(self) -> None:  # noqa: N802
         """Close both ends after the bytes sent so far."""
         self._close(error.ConnectionDone())
@@ -119,6 +130,10 @@
       silent: Unresponsive addresses: attempts to connect time out, and bytes
         on open connections are lost.
       hanging: Addresses where only attempts to connect time out.
+      cuts: How each host is cut off from some addresses: their names, and
+        "hang" (bytes are lost, attempts to connect time out), "reset" (open
+        connections were reset, further ones are refused) or "refuse" (open
+        connections live on, further ones are refused).
       connect_attempts: Addresses of all attempts to connect, in order.
     """
 
@@ -126,9 +141,30 @@
         self.clock = clock
         self.silent: set[str] = set()
         self.hanging: set[str] = set()
+        self.cuts: dict[str, tuple[frozenset[str], str]] = {}
+        self._open: list[MemoryTransport] = []
         self.connect_attempts: list[str] = []
         self._listeners: dict[str, Any] = {}
 
+    def cut(self, source: str, addresses: Iterable[str], how: str) -> None:
+        """Cut a host off from some addresses; see `cuts`."""
+        self.cuts[source] = frozenset(addresses), how
+        if how == "reset":
+            for end in self._open:
+                if self._is_cut(end.source, end.address):
+                    end.notify_closed(error.ConnectionLost())
+
+    def heal(self, source: str) -> None:
+        """End the cut of a host."""
+        self.cuts.pop(source, None)
+
+    def _is_cut(self, source: str, address: str) -> bool:
+        return address in self.cuts.get(source, ((), ""))[0]
+
+    def loses_bytes(self, source: str, address: str) -> bool:
+        """Whether bytes on a connection of a host are lost."""
+        return self._is_cut(source, address) and self.cuts[source][1] == "hang"
+
     def listen(self, address: str, factory: Any) -> None:
         """Accept connections at an address."""
         self._listeners[address] = factory
@@ -158,12 +194,13 @@
         def _refuse() -> None:
             connected.errback(error.ConnectionRefusedError())
 
-        if address in self.silent | self.hanging:
+        is_hanging = address in self.silent | self.hanging
+        if is_hanging or self.loses_bytes(source, address):
             self.clock.callLater(
                 CONNECT_TIMEOUT_S,
                 lambda: connected.errback(error.TimeoutError()),
             )
-        elif address not in self._listeners:
+        elif address not in self._listeners or self._is_cut(source, address):
             self.clock.callLater(DELAY_S, _refuse)
         else:
             self.clock.callLater(
@@ -186,6 +223,7 @@
             MemoryTransport(self, server, address, source),
         ]
         ends[0].peer, ends[1].peer = ends[1], ends[0]
+        self._open = [end for end in self._open if not end.is_closed] + ends
         server.makeConnection(ends[1])
         client.makeConnection(ends[0])
         connected.callback(client)
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -44,6 +44,10 @@
     address: str
 
 
+def _relay_address(peer_address: str) -> str:
+    return peer_address.removeprefix("tcp://") + ":81"
+
+
 class Simulation:
     """Small deployment on a virtual clock.
 
@@ -107,6 +111,7 @@
                 link_mbps=1000.0,
                 grace_s=8.0,
                 retry_limits=retry_share.Limits(0.2, self._retry_extra, 10.0),
+                relay_address_of=_relay_address,
                 is_first_start=self.clock.seconds() == 0.0,
             ),
             self.clock,
@@ -123,6 +128,10 @@
         )
         address = f"{name}:80"
         self.net.listen(address, ingress)
+        relayed = http_ingress.IngressFactory(
+            self.clock, host_router.relayed, lambda: host_router.board.limits
+        )
+        self.net.listen(_relay_address(f"tcp://{name}"), relayed)
         added = Host(host_router, ingress, address)
         self.hosts.append(added)
         return added
@@ -132,7 +141,10 @@
         before = self.hosts[index]
         before.router.stop()
         factory = self.net.close(before.address)
-        for connection in list(factory.connections):
+        relayed = self.net.close(
+            _relay_address(f"tcp://{before.router.board.host}")
+        )
+        for connection in [*factory.connections, *relayed.connections]:
             connection.transport.abortConnection()
         board = before.router.board
         self.hosts[index] = self.add_host(board.host, board.failure_domain)
--- /dev/null
+++ b/tests/test_hosts_cut_off_from_servers.py
@@ -0,0 +1,168 @@
+"""Tests of hosts that are cut off from all servers, while callers reach them.
+
+Callers, the store and the other hosts still reach such a host. Its connections
+to servers hang, are reset, or live on while further ones are refused. What
+counts is that the first tries of callers there are served nearly as often as at
+the other hosts.
+"""
+
+import pytest
+
+from standins import raw_caller
+from standins import router_world
+
+DOMAINS = ("maadi", "nasr", "giza", "shorouk")
+# Time after which the first tries at hosts that are cut off count, seconds: the
+# shortest bound of the deployments.
+SETTLED_S = 3.0
+# Smallest ratio of what is served there to what is served elsewhere.
+MIN_RATIO = 0.9
+ROUTES = ("slot", "confirm", "brief", "digest")
+
+
+def _simulation(hosts: int = 8, seed: int = 1) -> router_world.Simulation:
+    simulation = router_world.Simulation(
+        hosts=hosts, seed=seed, failure_domains=DOMAINS
+    )
+    simulation.start_default_workers()
+    for name in ("p3", "p4"):
+        simulation.add_worker(name, stage="prefill")
+    for name in ("d3", "d4"):
+        simulation.add_worker(name, stage="decode")
+    simulation.start(3.0)
+    return simulation
+
+
+def _send_for(
+    simulation: router_world.Simulation, seconds: float, hosts: list[int]
+) -> list[raw_caller.Caller]:
+    """Send requests of all routes to some hosts in turn, 20 a second."""
+    callers = []
+    for number in range(round(seconds * 20)):
+        route = ROUTES[number % len(ROUTES)]
+        host = hosts[(number // len(ROUTES)) % len(hosts)]
+        callers.append(simulation.send(route, host=host))
+        simulation.run(0.04)
+    return callers
+
+
+def _served(callers: list[raw_caller.Caller]) -> float:
+    served = [c for c in callers if c.replies and c.replies[-1].status == 200]
+    return len(served) / len(callers)
+
+
+def _cut(
+    simulation: router_world.Simulation, hosts: list[int], how: str
+) -> None:
+    servers = list(simulation.addresses.values())
+    for number in hosts:
+        name = simulation.hosts[number].router.board.host
+        simulation.net.cut(name, servers, how)
+
+
+def _heal(simulation: router_world.Simulation, hosts: list[int]) -> None:
+    for number in hosts:
+        simulation.net.heal(simulation.hosts[number].router.board.host)
+
+
+@pytest.mark.parametrize("how", ["hang", "reset", "refuse"])
+@pytest.mark.parametrize(
+    "cut_off", [[0], [0, 1, 2], [0, 4], [0, 1, 2, 4, 5, 6]]
+)
+def test_callers_of_hosts_without_servers_are_served(
+    how: str, cut_off: list[int]
+) -> None:
+    """One host, a third, all of a failure domain, and most hosts."""
+    simulation = _simulation()
+    others = [n for n in range(8) if n not in cut_off]
+    _send_for(simulation, 1.0, list(range(8)))
+    _cut(simulation, cut_off, how)
+    _send_for(simulation, SETTLED_S, cut_off + others)
+    there = _send_for(simulation, 5.0, cut_off)
+    elsewhere = _send_for(simulation, 5.0, others)
+    simulation.run(3.0)
+    assert _served(there) >= MIN_RATIO * _served(elsewhere)
+    assert _served(elsewhere) >= 0.9
+    _heal(simulation, cut_off)
+    simulation.run(1.0)
+    after = _send_for(simulation, 2.0, cut_off)
+    simulation.run(2.0)
+    assert _served(after) >= 0.95
+
+
+def test_a_request_that_is_passed_on_runs_once() -> None:
+    simulation = _simulation()
+    _cut(simulation, [0], "reset")
+    simulation.run(1.5)
+    caller = simulation.send("confirm", host=0)
+    simulation.run(1.0)
+    assert caller.replies[-1].status == 200
+    ran = [name for w in simulation.workers.values() for name in w.ran]
+    assert len(ran) == 1
+
+
+def test_hosts_that_all_are_cut_off_refuse_at_once() -> None:
+    simulation = _simulation(hosts=4)
+    _cut(simulation, [0, 1, 2, 3], "reset")
+    simulation.run(2.0)
+    reply = simulation.ask("slot", 0.3, host=0)
+    assert reply.status == 503
+    ran = [name for w in simulation.workers.values() for name in w.ran]
+    assert not ran
+
+
+def test_a_caller_that_leaves_ends_what_was_passed_on() -> None:
+    simulation = _simulation()
+    for worker in simulation.workers.values():
+        worker.event_count = 200
+    _cut(simulation, [0], "reset")
+    simulation.run(1.5)
+    caller = simulation.send("brief", host=0)
+    simulation.run(1.0)
+    assert caller.replies
+    caller.transport.abortConnection()
+    simulation.run(0.3)
+    assert sum(len(w.cancelled) for w in simulation.workers.values()) == 1
+    assert all(w.running == 0 for w in simulation.workers.values())
+
+
+def test_a_run_that_was_passed_on_and_broke_isnt_said_not_to_have_run() -> None:
+    """The host that it was passed on to dies while the server works."""
+    simulation = _simulation(hosts=2)
+    for name in ("w1", "w2"):
+        simulation.workers[name].service_time_s = 0.5
+    _cut(simulation, [0], "reset")
+    simulation.run(1.5)
+    caller = simulation.send("confirm", host=0)
+    simulation.run(0.1)
+    simulation.restart_host(1)
+    simulation.run(2.0)
+    assert [name for w in simulation.workers.values() for name in w.ran]
+    assert caller.replies[-1].status not in (408, 421, 429, 503)
+
+
+def test_a_stream_that_breaks_behind_another_host_isnt_complete() -> None:
+    simulation = _simulation(hosts=2)
+    for worker in simulation.workers.values():
+        worker.event_count = 40
+    _cut(simulation, [0], "reset")
+    simulation.run(1.5)
+    caller = simulation.send("brief", host=0)
+    simulation.run(1.0)
+    simulation.restart_host(1)
+    simulation.run(2.0)
+    assert caller.replies
+    assert not caller.replies[-1].is_complete
+
+
+def test_a_silent_server_isnt_taken_for_a_cut() -> None:
+    """A sound server may be silent for a second and more."""
+    simulation = _simulation(hosts=2)
+    for name in ("w1", "w2"):
+        simulation.workers[name].service_time_s = 1.5
+    for _ in range(4):
+        simulation.send("slot", host=0, patience_ms=5_000)
+        simulation.run(0.3)
+    board = simulation.hosts[0].router.board
+    assert not board.unreachable_services
+    assert board.is_ready
