Streams go on after all hosts restarted, and never at another version

Cause: where a stream began was known to hosts' memory only. When all hosts were killed at once, every take-up was refused (LOST), although workers of its version served. And an unnamed take-up was joined to a new stream of the same content at another version, the only one that was known after the restart (ORDER).

Change: one host for each service keeps a row of the store on the versions that served lately, written on change only. Where one version alone served, a stream began at it. While several serve, that host also writes the origins of streams, several at once each 0.3 s. Hosts that don't find an origin read these rows. A host that may have forgotten streams joins no unnamed ones unless one version alone served. A restored store's row isn't believed by hosts that didn't know it before. test_a_host_that_cannot_ask_any_other_refuses_to_resume: the host could ask the store, and now goes on rightly; the store refuses it in the test now, and a new test demands that it goes on with the store.

--- a/nutmegscale/reach_controller.py
+++ b/nutmegscale/reach_controller.py
@@ -5,6 +5,7 @@
 import random
 
 from twisted.internet import defer
+from twisted.internet import error
 
 from nutmegscale import backend
 from nutmegscale import errors
@@ -37,9 +38,10 @@
     workers don't count, and a service without servers isn't reported.
 
     A host is cut off if none of some servers takes a new connection. It checks
-    that when connections to several servers have failed and none was made, and
-    when no waiting request is answered: connections that are open may hang
-    without an error. A server that is silent but alive takes connections.
+    that when connections to several servers were refused and none was made,
+    when one got no answer, and when no waiting request is answered: connections
+    that are open may hang without an error. A server that is silent but alive
+    takes connections.
     """
 
     def __init__(
@@ -105,12 +107,12 @@
             self._waiters.append(waiter)
             await waiter
 
-    def _record_connect(self, address: str, is_open: bool) -> None:
+    def _record_connect(self, address: str, failure: Exception | None) -> None:
         """Record the outcome of a new connection of this host."""
         if address not in self._server_addresses():
             return
         now = self._board.now()
-        if is_open:
+        if failure is None:
             self._failed_at.clear()
             self._set_cut_off(False)
             return
@@ -118,7 +120,8 @@
         recent = [
             at for at in self._failed_at.values() if now - at < FAILURE_MEMORY_S
         ]
-        if len(recent) >= MIN_FAILED_SERVERS:
+        is_unanswered = isinstance(failure, error.TimeoutError)
+        if is_unanswered or len(recent) >= MIN_FAILED_SERVERS:
             self._start_check()
 
     def _server_addresses(self) -> frozenset[str]:
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -27,6 +27,7 @@
 from nutmegscale import membership_controller
 from nutmegscale import mesh
 from nutmegscale import notice_controller
+from nutmegscale import origin_rows
 from nutmegscale import patience
 from nutmegscale import peer_relay
 from nutmegscale import peer_watch
@@ -50,6 +51,7 @@
 from nutmegscale import stream_runner
 from nutmegscale import table_follower
 from nutmegscale import upstream
+from nutmegscale import version_controller
 
 PROBE_PERIOD_S = 0.8
 # A host with a slower link plans only if no other can, Mbit/s. The smallest
@@ -252,6 +254,17 @@
             self._limits,
             rng=self._rng,
         )
+        rows = origin_rows.OriginRows(store)
+        self._versions = version_controller.VersionController(
+            self.board, self.mesh, rows, era=lambda: self._era.era
+        )
+        self._origins = stream_registry.StreamRegistry(
+            self.board,
+            self.mesh,
+            self._versions,
+            rows,
+            is_first_start=settings.is_first_start,
+        )
         self._streams = stream_runner.StreamRunner(
             self.board,
             pool,
@@ -259,7 +272,7 @@
             codecs.servers,
             self.slots,
             self.crashes,
-            stream_registry.StreamRegistry(self.board, self.mesh),
+            self._origins,
             retries_of=self._retry_share,
             rng=self._rng,
         )
@@ -310,6 +323,8 @@
         self.slots.start()
         self.stages.start()
         self._reachability.start()
+        self._versions.start()
+        self._origins.start()
         self._joining = periodic.spawn(self._rows.join())
         self._rows.start()
 
@@ -318,6 +333,8 @@
         self._rows.stop()
         if self._joining is not None:
             self._joining.cancel()
+        self._origins.stop()
+        self._versions.stop()
         self._reachability.stop()
         self.stages.stop()
         self.slots.stop()
--- a/nutmegscale/stream_origins.py
+++ b/nutmegscale/stream_origins.py
@@ -62,6 +62,22 @@
         if not self._streams[content]:
             del self._streams[content]
 
+    def recent(
+        self, now: float, service: str, span_s: float
+    ) -> list[tuple[bytes, Origin]]:
+        """Return the digests and origins recorded lately, oldest first.
+
+        Args:
+          now: Current time, seconds.
+          service: Service of the streams.
+          span_s: Time before now to return, seconds.
+        """
+        return [
+            (content, origin)
+            for (content, _), (at, origin) in self._origins.items()
+            if origin.service == service and now - at <= span_s
+        ]
+
     def find(self, now: float, content: bytes, stream: str) -> list[Origin]:
         """Return the known origins of a stream.
 
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -1,15 +1,20 @@
 """Shares among the hosts where resumable streams began."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 
 from twisted.internet import defer
 
 from nutmegscale import errors
+from nutmegscale import logs
 from nutmegscale import mesh
 from nutmegscale import messages
+from nutmegscale import origin_rows
+from nutmegscale import periodic
 from nutmegscale import rendezvous
 from nutmegscale import routing_board
 from nutmegscale import stream_origins
+from nutmegscale import version_controller
 
 # Hosts that are told where a stream began, besides the one that serves it.
 REPLICAS = 7
@@ -18,6 +23,14 @@
 # Longest wait for a host that was asked, seconds: a round trip between failure
 # domains plus the processing time of a slow host.
 QUERY_TIMEOUT_S = 0.12
+# Period in which the keeper of a service writes origins to the store, while
+# several versions serve it, seconds.
+WRITE_PERIOD_S = 0.3
+# Origins of this time before now are written when a second version begins to
+# serve, seconds: streams last some seconds.
+EARLIER_S = 20.0
+# Shortest time between two reads of the origins in the store, seconds.
+READ_PAUSE_S = 0.3
 # Origins in one reply: streams of one digest, whose caller names none.
 MAX_REPLIED = 8
 
@@ -29,17 +42,41 @@
     may take it up again at any host, with the same request. So the hosts that
     are told follow from the digest of that request.
 
+    All hosts may restart at once. So the keeper of a service (see
+    `version_controller`) writes the origins to the store, several at once and
+    only while several versions serve; otherwise the version follows from that.
+
     Args:
       board: State of this host.
       link: Messages between hosts.
+      versions: Versions that served lately.
+      rows: Origins in the store.
+      is_first_start: Whether the whole system starts for the first time, so
+        that there are no earlier streams.
     """
 
     def __init__(
-        self, board: routing_board.RoutingBoard, link: mesh.Mesh
+        self,
+        board: routing_board.RoutingBoard,
+        link: mesh.Mesh,
+        versions: version_controller.VersionController,
+        rows: origin_rows.OriginRows,
+        *,
+        is_first_start: bool,
     ) -> None:
         self._board = board
         self._mesh = link
+        self._versions = versions
+        self._rows = rows
+        self._is_first_start = is_first_start
+        self._started_at = board.now()
         self._origins = stream_origins.StreamOrigins()
+        self._unwritten: dict[str, list[tuple[bytes, str, str]]] = {}
+        self._mixed: set[str] = set()
+        self._read_at = -READ_PAUSE_S
+        self._writes = periodic.Periodic(
+            board.clock, WRITE_PERIOD_S, self._write
+        )
         link.on(messages.StreamBegan, self._receive)
         link.on(messages.StreamQuery, self._receive_query)
 
@@ -52,12 +89,23 @@
           content: Digest of its request.
           origin: Where it began.
         """
-        self._origins.record(self._board.now(), content, origin)
-        for host in self._replicas(content):
+        self._keep(content, origin)
+        keeper = self._versions.keeper(origin.service)
+        hosts = dict.fromkeys([*self._replicas(content), keeper])
+        hosts.pop(self._board.host, None)
+        for host in hosts:
             self._mesh.send(host, messages.StreamBegan(content, *origin))
 
+    def start(self) -> None:
+        """Start writing origins."""
+        self._writes.start()
+
+    def stop(self) -> None:
+        """Stop writing origins."""
+        self._writes.stop()
+
     async def find(
-        self, content: bytes, stream: str
+        self, content: bytes, stream: str, services: Collection[str]
     ) -> stream_origins.Origin | None:
         """Find out where a stream began.
 
@@ -65,15 +113,94 @@
           content: Digest of the request that takes it up again.
           stream: Name of the attempt that began it; "" if the caller didn't
             state it.
+          services: Services that may have begun it.
 
         Returns:
-          Its origin; None if no host that was asked knows it, or if unnamed
-          streams of this digest began at different versions.
+          Its origin; None if that isn't known, or if unnamed streams of this
+          digest began at different versions.
         """
         known = self._origins.find(self._board.now(), content, stream)
         if not known or not stream:
             known += await self._ask(content, stream)
-        return stream_origins.agreed(known)
+        if not known:
+            await self._read()
+            known = self._origins.find(self._board.now(), content, stream)
+        if known and (stream or self._remembers_all):
+            return stream_origins.agreed(known)
+        return await self._only_origin(stream, services)
+
+    @property
+    def _remembers_all(self) -> bool:
+        """Whether this host can have forgotten no stream that may go on."""
+        age_s = self._board.now() - self._started_at
+        return self._is_first_start or age_s > stream_origins.RETENTION_S
+
+    async def _only_origin(
+        self, stream: str, services: Collection[str]
+    ) -> stream_origins.Origin | None:
+        """Return the only origin that a stream can have, if there is one."""
+        if len(services) != 1:
+            return None
+        service = next(iter(services))
+        version = await self._versions.only_version(service)
+        if version is None:
+            return None
+        return stream_origins.Origin(stream, service, version)
+
+    async def _read(self) -> None:
+        """Remember the origins in the store, unless they were read just now."""
+        now = self._board.now()
+        if now - self._read_at < READ_PAUSE_S:
+            return
+        self._read_at = now
+        try:
+            for content, origin in await self._rows.read():
+                self._origins.record(self._board.now(), content, origin)
+        except errors.StoreError as exc:
+            logs.get().warning("origins_unread", why=str(exc))
+
+    def _keep(self, content: bytes, origin: stream_origins.Origin) -> None:
+        """Remember an origin, and write it soon if this host is to do so."""
+        self._origins.record(self._board.now(), content, origin)
+        service = origin.service
+        if service in self._mixed and self._is_keeper(service):
+            self._add_unwritten(content, origin)
+
+    def _add_unwritten(
+        self, content: bytes, origin: stream_origins.Origin
+    ) -> None:
+        unwritten = self._unwritten.setdefault(origin.service, [])
+        unwritten.append((content, origin.stream, origin.version))
+
+    def _is_keeper(self, service: str) -> bool:
+        return self._versions.keeper(service) == self._board.host
+
+    def _update_mixed(self) -> None:
+        """Find out which services several versions have begun to serve."""
+        config = self._board.config
+        services = config.services if config else ()
+        mixed = {s for s in services if self._versions.is_mixed(s)}
+        for service in mixed - self._mixed:
+            if self._is_keeper(service):
+                now = self._board.now()
+                for entry in self._origins.recent(now, service, EARLIER_S):
+                    self._add_unwritten(*entry)
+        self._mixed = mixed
+
+    async def _write(self) -> None:
+        self._update_mixed()
+        for service, origins in list(self._unwritten.items()):
+            batch = origins[: origin_rows.MAX_ORIGINS_PER_ROW]
+            try:
+                is_written = await self._rows.append(service, batch)
+            except errors.StoreError as exc:
+                # They are written with the next batch.
+                logs.get().warning("origins_unwritten", why=str(exc))
+                continue
+            if is_written:
+                del origins[: len(batch)]
+            if not origins:
+                del self._unwritten[service]
 
     async def _ask(
         self, content: bytes, stream: str
@@ -101,9 +228,7 @@
 
     def _receive(self, sender: str, message: messages.StreamBegan) -> None:
         content, *origin = message
-        self._origins.record(
-            self._board.now(), content, stream_origins.Origin(*origin)
-        )
+        self._keep(content, stream_origins.Origin(*origin))
 
     def _receive_query(
         self, sender: str, query: messages.StreamQuery
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -153,10 +153,10 @@
           Whether it is known, and a target of the route.
         """
         request = context.request
+        targets = {target.service for target in context.route.targets}
         origin = await self._registry.find(
-            _origin_digest(request), request.resumes
+            _origin_digest(request), request.resumes, targets
         )
-        targets = {target.service for target in context.route.targets}
         if origin is None or origin.service not in targets:
             return False
         if origin.service != context.service:
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -334,14 +334,18 @@
         self._connect = connect or self._connect_tcp
         self._idle: dict[str, list[_Connection]] = {}
         self._bodies = upstream_call.BodyMemory()
-        self._on_connect: Callable[[str, bool], None] = lambda *_: None
+        self._on_connect: Callable[[str, Exception | None], None] = lambda *_: (
+            None
+        )
         self.opened = 0
 
-    def watch_connects(self, on_connect: Callable[[str, bool], None]) -> None:
+    def watch_connects(
+        self, on_connect: Callable[[str, Exception | None], None]
+    ) -> None:
         """Set a function to call with the outcome of each new connection.
 
         Args:
-          on_connect: Called with the address and whether it was made.
+          on_connect: Called with the address, and the failure or None.
         """
         self._on_connect = on_connect
 
@@ -454,9 +458,9 @@
         try:
             connection: _Connection = await self._connect(address, factory)
         except (error.ConnectError, error.ConnectingCancelledError) as exc:
-            self._on_connect(address, False)
+            self._on_connect(address, exc)
             raise errors.ConnectError(f"{address}: {exc}") from exc
-        self._on_connect(address, True)
+        self._on_connect(address, None)
         return connection
 
     def add_idle(self, connection: _Connection, timeout_s: float) -> None:
--- /dev/null
+++ b/nutmegscale/version_controller.py
@@ -0,0 +1,175 @@
+"""Keeps a row of the store for each service on the versions that served it."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import mesh
+from nutmegscale import origin_rows
+from nutmegscale import periodic
+from nutmegscale import rendezvous
+from nutmegscale import routing_board
+from nutmegscale import served_versions
+
+PERIOD_S = 0.5
+# Time for which a row that was read may be used again, seconds.
+ROW_AGE_S = 0.5
+
+
+class _KnownRow(NamedTuple):
+    """A row as this host read or wrote it last.
+
+    Attributes:
+      versions: Versions that it lists.
+      era: Era of the store at that time.
+      row_version: Version of the row.
+      at: When it was read or written, seconds.
+    """
+
+    versions: frozenset[str]
+    era: int
+    row_version: int
+    at: float
+
+
+class VersionController:
+    """Knows which software versions served a service lately, over restarts.
+
+    One host for each service, its keeper, writes the row, only when the
+    versions change. The others read it only when a caller takes up a stream
+    that no host remembers.
+
+    Args:
+      board: State of this host.
+      link: Messages between hosts.
+      rows: The rows.
+      era: Returns the era of the store that this host saw last.
+    """
+
+    def __init__(
+        self,
+        board: routing_board.RoutingBoard,
+        link: mesh.Mesh,
+        rows: origin_rows.OriginRows,
+        *,
+        era: Callable[[], int],
+    ) -> None:
+        self._board = board
+        self._mesh = link
+        self._rows = rows
+        self._era = era
+        self._served = served_versions.ServedVersions()
+        self._known: dict[str, _KnownRow] = {}
+        self._period = periodic.Periodic(board.clock, PERIOD_S, self._check)
+
+    def start(self) -> None:
+        """Start recording versions."""
+        self._period.start()
+
+    def stop(self) -> None:
+        """Stop recording."""
+        self._period.stop()
+
+    def keeper(self, service: str) -> str:
+        """Return the host that writes the rows of a service, as seen here."""
+        hosts = [
+            host
+            for host in self._board.membership.alive()
+            if host not in self._mesh.silent
+        ]
+        best = rendezvous.best(service.encode(), [*hosts, self._board.host])
+        return best or self._board.host
+
+    def is_mixed(self, service: str) -> bool:
+        """Whether several versions serve a service, or did so lately."""
+        return len(self._served.lately(self._board.now(), service)) > 1
+
+    async def only_version(self, service: str) -> str | None:
+        """Return the only version at which streams may have begun lately.
+
+        Returns:
+          The version; None if there are several, or if that isn't known.
+        """
+        self._record_registered(service)
+        try:
+            await self._adopt(service)
+        except errors.StoreError as exc:
+            logs.get().warning("versions_unread", why=str(exc))
+            return None
+        known = self._known[service]
+        lately = self._served.lately(self._board.now(), service)
+        if not known.versions or served_versions.UNKNOWN in lately:
+            return None
+        return next(iter(lately)) if len(lately) == 1 else None
+
+    def _record_registered(self, service: str) -> None:
+        versions = {
+            server.version
+            for server in self._board.backends.all()
+            if server.service == service and server.version
+        }
+        self._served.record(self._board.now(), service, versions)
+
+    async def _adopt(self, service: str) -> None:
+        """Read the row of a service, unless it was read just now.
+
+        Raises:
+          errors.StoreError: The store gave no usable answer.
+        """
+        known = self._known.get(service)
+        now = self._board.now()
+        if known is not None and known.era == self._era():
+            is_fresh = now - known.at < ROW_AGE_S
+            if is_fresh or self._keeps(service):
+                return
+        row, row_version, is_current = await self._rows.read_versions(service)
+        self._served.record(now, service, row.versions)
+        if not is_current and known is None:
+            # What was written before the restore is unknown to this host.
+            self._served.record(now, service, [served_versions.UNKNOWN])
+        self._known[service] = _KnownRow(
+            frozenset(row.versions), row.era, row_version, now
+        )
+
+    def _keeps(self, service: str) -> bool:
+        return self.keeper(service) == self._board.host
+
+    async def _check(self) -> None:
+        config = self._board.config
+        if config is None:
+            return
+        for service, spec in config.services.items():
+            if spec.engine is None:
+                continue
+            self._record_registered(service)
+            if self._keeps(service):
+                await self._keep_row(service)
+
+    async def _keep_row(self, service: str) -> None:
+        try:
+            await self._adopt(service)
+            known, now, era = (
+                self._known[service],
+                self._board.now(),
+                self._era(),
+            )
+            lately = self._served.lately(now, service)
+            if known.versions == lately and known.era == era:
+                return
+            written = await self._rows.write_versions(
+                service, lately, era=era, expected=known.row_version
+            )
+        except errors.StoreError as exc:
+            self._known.pop(service, None)
+            logs.get().warning("versions_unwritten", why=str(exc))
+            return
+        if written is None:
+            self._known.pop(service, None)
+            return
+        self._known[service] = _KnownRow(lately, era, written, now)
+        logs.get().info(
+            "versions_recorded",
+            service=service,
+            versions=",".join(sorted(lately)),
+        )
--- a/standins/row_table.py
+++ b/standins/row_table.py
@@ -30,6 +30,7 @@
 
     Attributes:
       is_down: Whether no call is answered.
+      writes: When hosts wrote rows, seconds, and their tables.
       refused_hosts: Hosts whose calls are refused.
       unresponsive_hosts: Hosts whose open connections get no answers.
       loses_answers: Whether writes are executed but not answered.
@@ -42,6 +43,7 @@
     def __init__(self, clock: Any) -> None:
         self.clock = clock
         self.is_down = False
+        self.writes: list[tuple[float, str]] = []
         self.refused_hosts: set[str] = set()
         self.unresponsive_hosts: set[str] = set()
         self.loses_answers = False
@@ -209,6 +211,7 @@
                 era=self._store.era,
             )
         version, era = self._store.put(table, key, value), self._store.era
+        self._store.writes.append((self._store.clock.seconds(), table))
         if self._store.loses_answers:
             await periodic.sleep(self._store.clock, ANSWER_TIMEOUT_S)
             raise errors.StoreError("no answer in time")
--- a/tests/test_streams_across_versions.py
+++ b/tests/test_streams_across_versions.py
@@ -215,11 +215,25 @@
     simulation.restart_host(7)
     simulation.peer_network.cut_off(["host-7"], names)
     simulation.run(1.0)
+    simulation.store.refused_hosts = {"host-7"}
     resumed = _resume(simulation, stream, host=7)
     assert _is_refused_at_once(simulation, resumed)
     _check_versions(simulation)
 
 
+def test_a_host_that_can_only_ask_the_store_goes_on_at_the_version() -> None:
+    simulation = _simulation()
+    stream = _begin_and_break(simulation)
+    names = [host.router.board.host for host in simulation.hosts]
+    simulation.restart_host(7)
+    simulation.peer_network.cut_off(["host-7"], names)
+    simulation.run(1.0)
+    resumed = _resume(simulation, stream, host=7)
+    simulation.run(2.0)
+    assert resumed.is_whole
+    _check_versions(simulation)
+
+
 def test_a_stream_is_refused_once_no_worker_of_its_version_is_left() -> None:
     simulation = _simulation()
     stream = _begin_and_break(simulation)
