Take-ups at the same moment wait for the same read of the store

And origins waited for up to 0.3 s to be written: the streams that were refused had begun 7 to 70 ms before all hosts were killed.

Change: later ones wait for the read that goes on; the first origin after a pause of 0.3 s is written at once.

--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -74,6 +74,9 @@
         self._unwritten: dict[str, list[tuple[bytes, str, str]]] = {}
         self._mixed: set[str] = set()
         self._read_at = -READ_PAUSE_S
+        self._readers: list[defer.Deferred[None]] | None = None
+        self._written_at = -WRITE_PERIOD_S
+        self._is_writing = False
         self._writes = periodic.Periodic(
             board.clock, WRITE_PERIOD_S, self._write
         )
@@ -148,11 +151,27 @@
         return stream_origins.Origin(stream, service, version)
 
     async def _read(self) -> None:
-        """Remember the origins in the store, unless they were read just now."""
+        """Remember the origins in the store, unless they were read just now.
+
+        Who comes while they are being read waits for that.
+        """
+        if self._readers is not None:
+            waiter: defer.Deferred[None] = defer.Deferred()
+            self._readers.append(waiter)
+            await waiter
+            return
         now = self._board.now()
         if now - self._read_at < READ_PAUSE_S:
             return
         self._read_at = now
+        self._readers = []
+        await self._read_rows()
+        readers, self._readers = self._readers, None
+        for waiter in readers:
+            if not waiter.called:
+                waiter.callback(None)
+
+    async def _read_rows(self) -> None:
         try:
             for content, origin in await self._rows.read():
                 self._origins.record(self._board.now(), content, origin)
@@ -171,6 +190,8 @@
     ) -> None:
         unwritten = self._unwritten.setdefault(origin.service, [])
         unwritten.append((content, origin.stream, origin.version))
+        if self._board.now() - self._written_at >= WRITE_PERIOD_S:
+            periodic.spawn(self._write())
 
     def _is_keeper(self, service: str) -> bool:
         return self._versions.keeper(service) == self._board.host
@@ -188,7 +209,16 @@
         self._mixed = mixed
 
     async def _write(self) -> None:
+        if self._is_writing:
+            return
+        self._is_writing = True
         self._update_mixed()
+        if self._unwritten:
+            self._written_at = self._board.now()
+            await self._write_origins()
+        self._is_writing = False
+
+    async def _write_origins(self) -> None:
         for service, origins in list(self._unwritten.items()):
             batch = origins[: origin_rows.MAX_ORIGINS_PER_ROW]
             try:
--- a/tests/test_take_ups_after_restart.py
+++ b/tests/test_take_ups_after_restart.py
@@ -228,3 +228,26 @@
     writes = [at for at in _writes(simulation) if at >= began]
     assert writes
     assert len(writes) / took_s <= 5.0
+
+
+def test_take_ups_at_the_same_moment_wait_for_the_same_read() -> None:
+    """The second one had been refused while the first one's read went on."""
+    simulation = _simulation(("v1", "v2"))
+    begun = streams._send(simulation, 20, list(range(8)))
+    simulation.run(0.6)
+    _kill(simulation, range(8))
+    simulation.run(2.5)
+    broken = [s for s in begun if s.events and not s.is_whole][:8]
+    connections = [simulation.open_connection(3) for _ in broken]
+    for stream, connection in zip(broken, connections, strict=True):
+        simulation.send(
+            "digest",
+            on=connection,
+            Prompt_Prefix=streams.PARTS,
+            resource=stream.resource,
+            Last_Event_Id=str(stream.events),
+            Resumes=stream.name,
+        )
+    simulation.run(5.0)
+    assert len(broken) == 8
+    assert all(caller.replies[-1].status == 200 for caller in connections)
