--- a/nutmegscale/slot_planner.py
+++ b/nutmegscale/slot_planner.py
@@ -260,18 +260,8 @@
             queue.record_prefill(now, update.exchange, update.took_s)
         elif update.kind == "lost":
             queue.record_unreachable(now, update.worker)
-        elif update.kind == "cache_rejected":
-            queue.record_cache_rejection(now, update.prefill, update.worker)
-        elif (
-            update.kind == "rejected"
-            and update.prefill
-            and queue.record_cache_rejection(now, update.prefill, update.worker)
-        ):
-            queue.release(update.exchange)
-        elif update.kind == "rejected":
-            queue.record_rejection(
-                now, update.exchange, update.worker, update.tokens
-            )
+        elif update.kind in ("rejected", "cache_rejected"):
+            self._apply_rejection(queue, now, update)
         else:
             queue.record_run(
                 update.worker, update.tokens, update.events, update.took_s
@@ -281,6 +271,30 @@
             queue.release(update.exchange)
             self._dispatch_queue(update.service, now)
 
+    def _apply_rejection(
+        self,
+        queue: slot_queue.SlotQueue,
+        now: float,
+        update: messages.SlotUpdate,
+    ) -> None:
+        """Apply a decode worker's rejection of a run."""
+        is_cache_lost = bool(update.prefill) and queue.record_cache_rejection(
+            now, update.prefill, update.worker
+        )
+        if is_cache_lost:
+            logs.get().info(
+                "kv_cache_lost",
+                request=update.exchange,
+                prefill=update.prefill,
+                decode=update.worker,
+            )
+        if update.kind == "rejected" and is_cache_lost:
+            queue.release(update.exchange)
+        elif update.kind == "rejected":
+            queue.record_rejection(
+                now, update.exchange, update.worker, update.tokens
+            )
+
     def receive_list(self, sender: str, message: messages.SlotList) -> None:
         """Apply a host's list of held slots."""
         is_planner = self._view.is_own(message.service)
