Offers to other hosts take nothing from the retry budget

Cause, found by reading the diff: an offer that another host refused counted as an arrival at a server, so that the next one needed a retry. In a large fleet a host has hardly any, and a request was offered to one host only.

Change: the relay doesn't use the request's budget; the host that sends to servers counts. The request still counts for the budget's ratio once.

--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -36,6 +36,7 @@
     Answers hosts that are cut off from all servers, while callers still reach
     them. The other host serves the request as its own, and never passes it on
     again. Only a request that the first host has refused is sent to another.
+    Offers to hosts take nothing from the retry budget, which is for servers.
 
     Args:
       board: State of this host.
@@ -106,7 +107,7 @@
         if context.is_relayed:
             return False
         for host in self._candidates()[:max_offers]:
-            if context.left_s < MIN_TIME_LEFT_S or not context.sends.reserve():
+            if context.left_s < MIN_TIME_LEFT_S:
                 return False
             if await self._offer(context, host):
                 return True
@@ -146,10 +147,9 @@
         request = self._codec.relay(context.request, context.left_s)
         call: upstream_call.Call | None = None
         try:
-            with context.sends.send():
-                address = self._address_of(member.address)
-                call = await self._pool.call(address, request)
-                head = await call.head(context.left_s)
+            address = self._address_of(member.address)
+            call = await self._pool.call(address, request)
+            head = await call.head(context.left_s)
             reason = head.get(request_context.OUTCOME_HEADER)
             if reason in OWN_REASONS:
                 self._record_refusal(context, host, reason.decode("latin-1"))
--- a/tests/test_hosts_cut_off_from_servers.py
+++ b/tests/test_hosts_cut_off_from_servers.py
@@ -20,9 +20,14 @@
 ROUTES = ("slot", "confirm", "brief", "digest")
 
 
-def _simulation(hosts: int = 8, seed: int = 1) -> router_world.Simulation:
+def _simulation(
+    hosts: int = 8, seed: int = 1, retry_extra: float = 56.0
+) -> router_world.Simulation:
     simulation = router_world.Simulation(
-        hosts=hosts, seed=seed, failure_domains=DOMAINS
+        hosts=hosts,
+        seed=seed,
+        failure_domains=DOMAINS,
+        retry_extra=retry_extra,
     )
     simulation.start_default_workers()
     for name in ("p3", "p4"):
@@ -101,6 +106,25 @@
     assert len(ran) == 1
 
 
+def test_offers_to_other_hosts_need_no_retry_budget() -> None:
+    """Hosts that don't report their cut refuse the first offers."""
+    simulation = _simulation(retry_extra=0.0)
+    _cut(simulation, list(range(7)), "reset")
+    simulation.run(2.0)
+    relay = simulation.hosts[0].router._relay
+    relay._unreached_until.clear()
+    for host in simulation.hosts[1:7]:
+        host.router._relay._reported_at = simulation.clock.seconds() + 60.0
+    callers = []
+    for _ in range(10):
+        relay._unreached_until.clear()
+        callers.append(simulation.send("slot", host=0))
+        simulation.run(0.2)
+    refused_only = sum(caller.replies[-1].status == 503 for caller in callers)
+    # Six of seven candidates are asked, so that one in seven finds none.
+    assert refused_only <= 3
+
+
 def test_hosts_that_all_are_cut_off_refuse_at_once() -> None:
     simulation = _simulation(hosts=4)
     _cut(simulation, [0, 1, 2, 3], "reset")
