A service without servers keeps no other service from being passed on

Cause, found by reading the diff: a host that refused a passed-on request of one service, as that had no servers, wasn't asked for 5 s for requests of any service.

Change: such a refusal counts for the service; what a host reports of itself counts for all. explain knows relay_broke.

Result: the new test failed before (503) and passes.

--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -28,6 +28,10 @@
         "refused: this host reached no server of the service, and no other host"
         " took the request"
     ),
+    "relay_broke": (
+        "the request was passed on to another host, which broke off; it may"
+        " have run"
+    ),
     "paused": (
         "refused: each server of the service asked for a pause that goes on"
     ),
--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -22,6 +22,8 @@
 REPORT_PERIOD_S = 2.0
 # With less time left, no host is asked, seconds.
 MIN_TIME_LEFT_S = 0.01
+# Stands for all services, in what a host reports of itself.
+ANY_SERVICE = ""
 # Longest answer with a length, bytes.
 MAX_BODY_BYTES = 4 << 20
 # Reasons of a refusal for which another host is asked.
@@ -64,7 +66,7 @@
         self._mesh = link
         self._address_of = address_of
         self._rng = rng
-        self._unreached_until: dict[str, float] = {}
+        self._unreached_until: dict[tuple[str, str], float] = {}
         self._reported_at = 0.0
         link.on(messages.ReachReport, self._receive_report)
 
@@ -85,9 +87,9 @@
     ) -> None:
         if report.is_cut_off:
             until = self._board.now() + UNREACHED_PAUSE_S
-            self._unreached_until[sender] = until
+            self._unreached_until[sender, ANY_SERVICE] = until
         else:
-            self._unreached_until.pop(sender, None)
+            self._unreached_until.pop((sender, ANY_SERVICE), None)
 
     async def serve(
         self,
@@ -106,30 +108,38 @@
         """
         if context.is_relayed:
             return False
-        for host in self._candidates()[:max_offers]:
+        for host in self._candidates(context.service)[:max_offers]:
             if context.left_s < MIN_TIME_LEFT_S:
                 return False
             if await self._offer(context, host):
                 return True
         return False
 
-    def _candidates(self) -> list[str]:
+    def _candidates(self, service: str) -> list[str]:
         """Return the hosts to ask in turn: a close one, then distant ones.
 
         A failure domain may be cut off as a whole.
+
+        Args:
+          service: Service of the request.
         """
         board, now = self._board, self._board.now()
         self._unreached_until = {
-            host: until
-            for host, until in self._unreached_until.items()
+            key: until
+            for key, until in self._unreached_until.items()
             if until > now
         }
+        unreached = {
+            host
+            for host, refused in self._unreached_until
+            if refused in (service, ANY_SERVICE)
+        }
         hosts = [
             host
             for host in board.membership.alive()
             if host != board.host
             and host not in self._mesh.silent
-            and host not in self._unreached_until
+            and host not in unreached
         ]
         self._rng.shuffle(hosts)
         near = set(board.membership.alive([board.failure_domain]))
@@ -177,7 +187,7 @@
         self, context: request_context.RequestContext, host: str, why: str
     ) -> None:
         until = self._board.now() + UNREACHED_PAUSE_S
-        self._unreached_until[host] = until
+        self._unreached_until[host, context.service] = until
         context.log("not_passed_on", to=host, why=why)
 
     async def _pass_back(
--- a/tests/test_hosts_cut_off_from_servers.py
+++ b/tests/test_hosts_cut_off_from_servers.py
@@ -125,6 +125,23 @@
     assert refused_only <= 3
 
 
+def test_a_service_without_servers_keeps_no_other_from_being_passed_on() -> (
+    None
+):
+    simulation = _simulation()
+    for name in ("w1", "w2"):
+        simulation.crash_worker(name, 60.0)
+    _cut(simulation, [0], "reset")
+    simulation.run(2.0)
+    for number in range(24):
+        simulation.send("confirm", host=number % 8)
+        simulation.run(0.05)
+    simulation.run(1.0)
+    for _ in range(3):
+        simulation.ask("confirm", 0.5, host=0)
+    assert simulation.ask("brief", 2.0, host=0).status == 200
+
+
 def test_hosts_that_all_are_cut_off_refuse_at_once() -> None:
     simulation = _simulation(hosts=4)
     _cut(simulation, [0, 1, 2, 3], "reset")
