A caller that leaves while the store is read holds up no other take-up

Cause, found by reading the diff: the first take-up read the origins within its own task. When its caller left, the task was cancelled and those who waited for the read waited for ever, as did all later take-ups of that host.

Change: the read is a task of its own. The flag of the writer is reset whatever happens.

--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -153,20 +153,24 @@
     async def _read(self) -> None:
         """Remember the origins in the store, unless they were read just now.
 
-        Who comes while they are being read waits for that.
+        Who comes while they are being read waits for that. The read goes on if
+        a caller leaves.
         """
-        if self._readers is not None:
-            waiter: defer.Deferred[None] = defer.Deferred()
-            self._readers.append(waiter)
-            await waiter
-            return
         now = self._board.now()
-        if now - self._read_at < READ_PAUSE_S:
+        if self._readers is None and now - self._read_at < READ_PAUSE_S:
             return
-        self._read_at = now
-        self._readers = []
+        waiter: defer.Deferred[None] = defer.Deferred()
+        if self._readers is None:
+            self._read_at = now
+            self._readers = [waiter]
+            periodic.spawn(self._read_for_all())
+        else:
+            self._readers.append(waiter)
+        await waiter
+
+    async def _read_for_all(self) -> None:
         await self._read_rows()
-        readers, self._readers = self._readers, None
+        readers, self._readers = self._readers or [], None
         for waiter in readers:
             if not waiter.called:
                 waiter.callback(None)
@@ -212,11 +216,13 @@
         if self._is_writing:
             return
         self._is_writing = True
-        self._update_mixed()
-        if self._unwritten:
-            self._written_at = self._board.now()
-            await self._write_origins()
-        self._is_writing = False
+        try:
+            self._update_mixed()
+            if self._unwritten:
+                self._written_at = self._board.now()
+                await self._write_origins()
+        finally:
+            self._is_writing = False
 
     async def _write_origins(self) -> None:
         for service, origins in list(self._unwritten.items()):
--- a/tests/test_take_ups_after_restart.py
+++ b/tests/test_take_ups_after_restart.py
@@ -251,3 +251,30 @@
     simulation.run(5.0)
     assert len(broken) == 8
     assert all(caller.replies[-1].status == 200 for caller in connections)
+
+
+def test_a_caller_that_leaves_during_the_read_holds_up_no_other() -> None:
+    simulation = _simulation(("v1", "v2"))
+    begun = streams._send(simulation, 20, list(range(8)))
+    simulation.run(0.6)
+    _kill(simulation, range(8))
+    simulation.run(2.5)
+    first, second = [s for s in begun if s.events and not s.is_whole][:2]
+    connections = [simulation.open_connection(3) for _ in range(2)]
+    for stream, connection in zip((first, second), connections, strict=True):
+        simulation.send(
+            "digest",
+            on=connection,
+            Prompt_Prefix=streams.PARTS,
+            resource=stream.resource,
+            Last_Event_Id=str(stream.events),
+            Resumes=stream.name,
+        )
+    registry = simulation.hosts[3].router._origins
+    for _ in range(100):
+        if registry._readers is not None:
+            break
+        simulation.clock.advance(0.001)
+    connections[0].transport.abortConnection()
+    simulation.run(5.0)
+    assert connections[1].replies[-1].status == 200
