--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from nutmegscale import caller_request
+from nutmegscale import periodic
 from standins import platform_rows
 from standins import raw_caller
 from standins import router_world
@@ -280,3 +282,22 @@
     reply = simulation.ask("confirm", 0.05)
     assert reply.status == 503
     assert float(reply.headers[b"retry-after"]) <= 601.0
+
+
+@pytest.mark.parametrize("wish", ["leaving", "paused"])
+def test_no_free_and_no_order_reaches_an_unwilling_server(wish: str) -> None:
+    simulation = _simulation(hosts=1)
+    host_router = simulation.hosts[0].router
+    board, worker = host_router.board, simulation.workers["p1"]
+    server = board.backends.get("p1")
+    assert server is not None
+    if wish == "leaving":
+        board.notices.record_leaving(board.now(), server.key)
+    else:
+        board.notices.record_pause(board.now(), server.key, 5.0)
+    handle = caller_request.KvHandle(server, "h1")
+    before = len(worker.arrivals)
+    periodic.spawn(host_router._streams._prefills.free(handle))
+    periodic.spawn(host_router.stages._send_order("notes-model", server, 1))
+    simulation.run(1.0)
+    assert len(worker.arrivals) == before
