Urgent calls go first beyond all limits, also while few of them are refused

Cause: permits were kept for urgent calls only while an urgent call had been refused at the same host within a second. A host gets an urgent call every 0.8 s in this load, so the more of them were served, the sooner less urgent calls took the permits again: the decision undid its own effect. And a permit was kept for half a second, less than the time between two urgent calls.

Change: permits are kept as long as calls of any rank are refused and more urgent ones come (urgent_calls, in place of urgent_refusals), both within 4 s.

Ruled out by trials: ranks in the requests for permits (no gain), no requests for permits by less urgent calls (worse).

--- a/nutmegscale/limit_controller.py
+++ b/nutmegscale/limit_controller.py
@@ -14,7 +14,7 @@
 from nutmegscale import permit_waiters
 from nutmegscale import routing_board
 from nutmegscale import send_permits
-from nutmegscale import urgent_refusals
+from nutmegscale import urgent_calls
 
 # Longest wait of a call for the reply to the permit request that it caused,
 # seconds: two trips between failure domains.
@@ -68,7 +68,7 @@
         self._permits = send_permits.SendPermits()
         self._waiters = permit_waiters.PermitWaiters(board.clock)
         self._reported: dict[str, tuple[str, float | None, float]] = {}
-        self._refusals = urgent_refusals.UrgentRefusals()
+        self._calls = urgent_calls.UrgentCalls()
         self._return_at: dict[str, float] = {}
         self._pruned_version = 0
         link.on(messages.PermitReply, self._receive_reply)
@@ -87,13 +87,13 @@
     def may_call(self, server: backend.Backend, priority: int) -> bool:
         """Whether a server may be sent a call of a rank now; 0 goes first.
 
-        While more urgent calls are refused, permits are kept for them until
-        they are of a certain age.
+        While calls are refused, permits are kept for the more urgent ones
+        until they are of a certain age.
         """
         if self._board.notices.limits.get(server.key) is None:
             return True
         now = self._board.now()
-        is_kept = self._refusals.has_more_urgent(now, server.service, priority)
+        is_kept = self._calls.is_preceded(now, server.service, priority)
         min_age_s = URGENT_ONLY_S if is_kept else 0.0
         return self._permits.count(now, server.key, min_age_s=min_age_s) > 0
 
@@ -133,7 +133,9 @@
         for server in servers:
             if self._board.notices.limits.get(server.key) is None:
                 continue
-            self._permits.record_demand(self._board.now(), server.key)
+            now = self._board.now()
+            self._calls.record(now, server.service, priority)
+            self._permits.record_demand(now, server.key)
             if self._ask(server.key):
                 asked.add(server.key)
         if asked:
@@ -196,7 +198,7 @@
           When the caller is to come back, seconds from now.
         """
         now = self._board.now()
-        self._refusals.record(now, service, priority)
+        self._calls.record_refusal(now, service)
         due = max(now, self._return_at.get(service, 0.0))
         due += 1.0 / self._permits_per_s(servers)
         due = min(due, now + MAX_RETRY_AFTER_S)
--- a/tests/test_permit_allocator.py
+++ b/tests/test_permit_allocator.py
@@ -5,6 +5,7 @@
 import pytest
 
 from nutmegscale import permit_allocator
+from nutmegscale import send_permits
 from tools import limit_window
 
 WINDOW_S = limit_window.WINDOW_S
@@ -46,6 +47,27 @@
         assert sent <= allowed
 
 
+@pytest.mark.parametrize("per_s", [0.2, 1.0, 2.8, 40.0, 1000.0])
+def test_permits_that_are_used_at_the_end_of_their_time_keep_to_the_limit(
+    per_s: float,
+) -> None:
+    """Hosts use what they got in that time together with later permits."""
+    shares = [_share(per_s=per_s) for _ in range(4)]
+    span_s = WINDOW_S + send_permits.PERMIT_TTL_S
+    sent = 0
+    for step in range(round((span_s + 20.0) / 0.05)):
+        now = 0.05 * step
+        for number, share in enumerate(shares):
+            # The buckets fill up before the permits are asked for.
+            if now >= 20.0:
+                sent += share.ask(now, f"host-{number}", 64, per_s).permits
+    allowed = (
+        limit_window.EXCESS_RATIO * per_s * WINDOW_S
+        + limit_window.EXTRA_REQUESTS
+    )
+    assert sent <= allowed
+
+
 def test_a_share_that_starts_later_gives_nothing_before() -> None:
     share = _share(shares=1, starts_at=3.0)
     assert share.ask(2.9, "a", 1, 2.8).permits == 0
