A cut that resets connections quarantines no innocent call

Seen: a call whose connection is reset by two cuts of its servers' failure domain in turn is refused as quarantined (503) after the second one, though no server has ended.

Cause: the check of a server that broke a connection looks at that server only. In a cut it refuses connections like a crashed one.

Change: if it accepts none, up to four other servers of its failure domain that answered within 5 s are tried at the same time. If there are two or more, and none accepts, it isn't known whether the server has crashed, and nothing is suspected (domain_unreachable). Servers that haven't answered lately may have been down before and don't count; without that, a request that crashes the last server of a domain would go on (test_refused_connections_between_two_crashes, 3 servers).

Measured: the test fails before (503) and passes; tests of crashes as before.

--- a/nutmegscale/reach_controller.py
+++ b/nutmegscale/reach_controller.py
@@ -25,6 +25,8 @@
 SILENCE_S = 0.6
 # Shortest time between two such checks, seconds.
 CHECK_PAUSE_S = 0.5
+# Time for which an answer of a server shows that it could be reached, seconds.
+NEARBY_MEMORY_S = 5.0
 # Servers that a check tries to connect to.
 CHECKED_SERVERS = 4
 
@@ -87,8 +89,8 @@
     async def check_connection(self, address: str) -> None:
         """Check that a server accepts a new connection.
 
-        While this host is cut off, that can't be known, and it counts as
-        accepting.
+        While this host is cut off, or its path to the failure domain of the
+        server is, that can't be known, and the server counts as accepting.
 
         Raises:
           errors.ConnectError: It accepts none.
@@ -97,9 +99,42 @@
             await self._pool.check_connection(address)
         except errors.ConnectError:
             await self.settle()
-            if not self._board.is_cut_off:
+            is_cut_off = self._board.is_cut_off
+            if not is_cut_off and not await self._is_domain_cut_off(address):
                 raise
 
+    async def _is_domain_cut_off(self, address: str) -> bool:
+        """Whether servers near one that have just answered are out of reach.
+
+        Those that haven't may have been down before.
+        """
+        board = self._board
+        heard_since = board.now() - NEARBY_MEMORY_S
+        servers = [s for s in self._board.backends.all() if not s.is_draining]
+        domains = {s.failure_domain for s in servers if s.address == address}
+        nearby = [
+            server
+            for server in servers
+            if server.failure_domain in domains
+            and server.address != address
+            and board.loads.heard_at(server) > heard_since
+        ]
+        self._rng.shuffle(nearby)
+        checks = [
+            defer.ensureDeferred(self._pool.check_connection(server.address))
+            for server in nearby[:CHECKED_SERVERS]
+        ]
+        if len(checks) < MIN_FAILED_SERVERS:
+            return False
+        # A list of outcomes if all failed, the first success otherwise.
+        outcome = await defer.DeferredList(
+            checks, fireOnOneCallback=True, consumeErrors=True
+        )
+        is_cut_off = isinstance(outcome, list)
+        if is_cut_off:
+            logs.get().info("domain_unreachable", domains=",".join(domains))
+        return is_cut_off
+
     async def settle(self) -> None:
         """Wait for the end of a check of whether this host is cut off."""
         if self._is_checking:
--- a/nutmegscale/server_calls.py
+++ b/nutmegscale/server_calls.py
@@ -97,7 +97,7 @@
         head: http_message.ResponseHead,
     ) -> None:
         """Record what the head of an answer asks of this host."""
-        self._board.loads.record_heard(server)
+        self._board.loads.record_heard(self._board.now(), server)
         self._record_limit(server, asked_at, is_permitted, head)
         if self._codec.is_leaving(head):
             self._notices.record_leaving(server)
--- a/nutmegscale/server_loads.py
+++ b/nutmegscale/server_loads.py
@@ -1,5 +1,6 @@
 """Loads and failures of backend servers, as one host knows them."""
 
+import math
 import random
 
 from nutmegscale import backend
@@ -30,6 +31,7 @@
         server can be reached again.
       asked_at: When the first request was sent since the server was heard
         last; 0 if none was.
+      heard_at: When data of an answer arrived last; -inf if none has.
     """
 
     def __init__(self) -> None:
@@ -42,6 +44,7 @@
         self.unreachable_until = 0.0
         self.is_probing = False
         self.asked_at = 0.0
+        self.heard_at = -math.inf
 
 
 class ServerLoads:
@@ -78,9 +81,16 @@
         record = self._record_of(server)
         record.asked_at = record.asked_at or now
 
-    def record_heard(self, server: backend.Backend) -> None:
+    def record_heard(self, now: float, server: backend.Backend) -> None:
         """Record that data of an answer of a server has arrived."""
-        self._record_of(server).asked_at = 0.0
+        record = self._record_of(server)
+        record.asked_at = 0.0
+        record.heard_at = now
+
+    def heard_at(self, server: backend.Backend) -> float:
+        """Return when a server answered last, seconds; -inf if it never did."""
+        record = self._records.get(server.key)
+        return record.heard_at if record is not None else -math.inf
 
     def silent_s(self, now: float, server: backend.Backend) -> float | None:
         """Return for how long a server hasn't answered any request, seconds.
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -569,7 +569,7 @@
                 run.last_event = splitter.last_id or run.last_event
                 if run.run_events >= BEGUN_EVENTS and not had_begun:
                     context.record_begun(self._crashes)
-                loads.record_heard(worker)
+                loads.record_heard(self._board.now(), worker)
                 incoming.write(complete)
                 await incoming.drained(max(0.0, context.left_s))
         if splitter.rest:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -354,3 +354,32 @@
             for head in worker.request_heads
         )
         assert crashes <= 2, f"seed {seed}: {crashes} crashes"
+
+
+def test_cuts_that_reset_connections_quarantine_no_innocent_call() -> None:
+    """All servers of a failure domain refuse connections, not only one."""
+    simulation = router_world.Simulation(
+        hosts=2, failure_domains=("maadi", "nasr")
+    )
+    simulation.configure()
+    names = ("w1", "w2", "w3")
+    for name in names:
+        simulation.add_worker(name)
+        simulation.workers[name].service_time_s = 0.2
+        simulation.write_entry(name, zone="nasr")
+    simulation.start()
+    addresses = [simulation.addresses[name] for name in names]
+    for _ in range(2):
+        # Each server has answered before the cut.
+        for _ in range(6):
+            simulation.send("slot")
+        simulation.run(1.0)
+        simulation.send("slot", method="GET", body=b"")
+        simulation.run(0.05)
+        for host in ("host-0", "host-1"):
+            simulation.net.cut(host, addresses, "reset")
+        simulation.run(1.0)
+        for host in ("host-0", "host-1"):
+            simulation.net.heal(host)
+        simulation.run(4.0)
+    assert simulation.ask("slot", method="GET", body=b"").status == 200
