Nothing but the rest of a stream follows what a caller has of it

Seen, on virtual time: a resumable stream broke off after its first event, and the next worker answered 500 or 404: its whole head and body were written into the chunked body, and the caller's parser failed. A 200 with a page, with events that the caller had, or without ids, was joined to the stream. A 200 without an event ended it as complete after one event of three. The answer to HEAD waited for a body that never comes (502), or had a chunked body. A 101 raised an error.

Cause: the runner sent on whatever the next worker answered, and the type that writes to callers sent a head at any time.

An error of the second worker is no answer to a caller who has the head of the first one. A 200 without an event doesn't show that the stream was over, so the caller is told that it broke off.

Change: an answer to a caller is waiting, streaming or ended; a head in the middle of it, or a body or an end without a head, cuts the connection (answer_out_of_order). What a worker answers to a resumed run is checked: status 200, the content type of the beginning, at least one event, each with an id that is higher than the last one. Anything else counts as a run that failed (resumption_failed): another worker goes on if the route allows, else the connection is cut. Streams whose events have no ids aren't resumed. Answers to HEAD, 204 and 304 have no body and no framing; a server's answer to HEAD ends with its head.

--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -63,6 +63,10 @@
     """What another program wrote can't be decoded; see `decoding`."""
 
 
+class ResumptionError(NutmegscaleError):
+    """The answer to a resumed stream isn't the rest of that stream."""
+
+
 class MalformedLimitError(NutmegscaleError):
     """A backend server states a limit on its requests that can't be read."""
 
--- a/nutmegscale/event_stream.py
+++ b/nutmegscale/event_stream.py
@@ -5,6 +5,8 @@
 # Longest event. One event may hold several tokens; the longest answers of a
 # model have some hundred KB in all.
 MAX_EVENT_BYTES = 256 << 10
+# Longest part of an event that an error names, bytes.
+MAX_QUOTED_BYTES = 40
 
 
 class EventSplitter:
@@ -47,7 +49,46 @@
                 self._last_id = line[3:].strip()
         return complete
 
+    @staticmethod
+    def check_continues(complete: bytes, after: bytes) -> None:
+        """Check that events follow one that was forwarded.
+
+        Args:
+          complete: Bytes returned by `feed`.
+          after: Id of the last event that was forwarded.
+
+        Raises:
+          errors.ResumptionError: An event has no id, or its number isn't higher
+            than that of the event before it.
+        """
+        for event in complete.split(b"\n\n")[:-1]:
+            lines = event.split(b"\n")
+            if all(line.startswith(b":") for line in lines):
+                continue
+            ids = [line[3:].strip() for line in lines if line[:3] == b"id:"]
+            if not ids:
+                raise errors.ResumptionError(
+                    f"event {event[:MAX_QUOTED_BYTES]!r} has no id, expected "
+                    f"one after {after!r}"
+                )
+            if not _is_higher(ids[-1], after):
+                raise errors.ResumptionError(
+                    f"event {ids[-1]!r} doesn't follow event {after!r}"
+                )
+            after = ids[-1]
+
     @staticmethod
     def count(complete: bytes) -> int:
         """Count the events in bytes returned by `feed`."""
         return complete.count(b"\n\n")
+
+
+def _is_higher(event_id: bytes, after: bytes) -> bool:
+    """Whether the id of an event may follow another id.
+
+    Ids that aren't numbers have no known order, but differ.
+    """
+    if event_id.isdigit() and after.isdigit():
+        known, found = after.lstrip(b"0"), event_id.lstrip(b"0")
+        return (len(found), found) > (len(known), known)
+    return event_id != after
--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+import enum
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
@@ -17,6 +18,7 @@
 from twisted.internet import protocol
 
 from nutmegscale import http_message
+from nutmegscale import logs
 from nutmegscale import tcp_options
 
 # How long the rest of a refused request is read and discarded, so that the
@@ -55,9 +57,21 @@
         ...
 
 
+class _AnswerState(enum.Enum):
+    """How much of an answer was sent."""
+
+    WAITING = enum.auto()
+    STREAMING = enum.auto()
+    ENDED = enum.auto()
+
+
 class IncomingRequest:
     """A complete request of a caller, with methods to respond to it.
 
+    An answer has one head: it is sent whole by `respond`, or by `start`, any
+    number of `write`, and `finish`. Any other order cuts the connection, so
+    that nothing is joined to an answer, and none looks complete by mistake.
+
     Attributes:
       head: Head of the request.
       body: Complete body.
@@ -74,9 +88,8 @@
     ) -> None:
         self._connection = connection
         self._on_disconnect: Callable[[], None] | None = None
-        self._is_chunked = False
-        self._is_started = False
-        self._is_ended = False
+        self._state = _AnswerState.WAITING
+        self._has_body = True
         self.head = head
         self.body = body
         self.arrived = arrived
@@ -85,12 +98,12 @@
     @property
     def is_started(self) -> bool:
         """Whether the head of the response was sent."""
-        return self._is_started
+        return self._state is not _AnswerState.WAITING
 
     @property
     def is_ended(self) -> bool:
         """Whether the response is complete or aborted, or the caller left."""
-        return self._is_ended
+        return self._state is _AnswerState.ENDED
 
     def watch_disconnect(self, on_disconnect: Callable[[], None]) -> None:
         """Set a function to call if the caller closes before the response ends.
@@ -106,29 +119,43 @@
         headers: list[http_message.Header],
         body: bytes,
     ) -> None:
-        """Send a complete response."""
-        if self._is_ended:
+        """Send a complete response.
+
+        In the response to a HEAD request, a Content-Length among the headers
+        stands for the body that is left out.
+        """
+        if not self._may("respond", _AnswerState.WAITING):
             return
-        self._is_started = True
-        sent = [*headers, (b"Content-Length", b"%d" % len(body))]
-        payload = b"" if self.head.method == b"HEAD" else body
+        is_head = self.head.method == b"HEAD"
+        has_length = http_message.find_header(headers, b"content-length")
+        sent = list(headers)
+        if http_message.may_have_body(status) and not (is_head and has_length):
+            sent.append((b"Content-Length", b"%d" % len(body)))
         self._connection.send_head(status, sent)
-        self._connection.send(payload)
+        if http_message.may_have_body(status) and not is_head:
+            self._connection.send(body)
         self._end()
 
     def start(self, status: int, headers: list[http_message.Header]) -> None:
         """Send the head of a chunked response."""
-        if self._is_ended:
+        if not self._may("start", _AnswerState.WAITING):
             return
-        self._is_started = True
-        self._is_chunked = True
-        sent = [*headers, (b"Transfer-Encoding", b"chunked")]
+        self._state = _AnswerState.STREAMING
+        sent = list(headers)
+        if http_message.may_have_body(status):
+            sent.append((b"Transfer-Encoding", b"chunked"))
+        is_head = self.head.method == b"HEAD"
+        self._has_body = http_message.may_have_body(status) and not is_head
         self._connection.send_head(status, sent)
         self._connection.begin_stream()
 
     def write(self, data: bytes) -> None:
         """Send a part of the body as a chunk."""
-        if data and not self._is_ended:
+        if self._may("write", _AnswerState.STREAMING):
+            self._send_chunk(data)
+
+    def _send_chunk(self, data: bytes) -> None:
+        if data and self._has_body:
             self._connection.send(b"%x\r\n%b\r\n" % (len(data), data))
 
     async def drained(self, timeout_s: float) -> None:
@@ -137,31 +164,51 @@
         Args:
           timeout_s: Longest wait, seconds; it then returns all the same.
         """
-        if not self._is_ended:
+        if not self.is_ended:
             await self._connection.drained(timeout_s)
 
     def finish(self) -> None:
         """End a chunked response."""
-        if not self._is_ended:
-            self._connection.end_stream()
+        if not self._may("finish", _AnswerState.STREAMING):
+            return
+        self._connection.end_stream()
+        if self._has_body:
             self._connection.send(b"0\r\n\r\n")
-            self._end()
+        self._end()
 
     def abort(self) -> None:
         """Abort the connection, so that the response doesn't look complete."""
-        if not self._is_ended:
-            self._is_ended = True
+        if not self.is_ended:
+            self._state = _AnswerState.ENDED
             self._connection.abort()
 
+    def _may(self, action: str, state: _AnswerState) -> bool:
+        """Whether an action fits the state of the answer.
+
+        One that doesn't is a defect and cuts the connection, unless the answer
+        has ended, or the caller has left.
+        """
+        if self._state is state:
+            return True
+        if not self.is_ended:
+            logs.get().error(
+                "answer_out_of_order",
+                action=action,
+                state=self._state.name.lower(),
+                expected=state.name.lower(),
+            )
+            self.abort()
+        return False
+
     def _end(self) -> None:
-        self._is_ended = True
+        self._state = _AnswerState.ENDED
         self._connection.on_response_sent()
 
     def on_connection_lost(self) -> None:
         """Handle the loss of the caller's connection."""
-        if self._is_ended:
+        if self.is_ended:
             return
-        self._is_ended = True
+        self._state = _AnswerState.ENDED
         if self._on_disconnect is not None:
             self._on_disconnect()
 
--- a/nutmegscale/http_message.py
+++ b/nutmegscale/http_message.py
@@ -82,6 +82,11 @@
         return find_header(self.headers, name)
 
 
+def may_have_body(status: int) -> bool:
+    """Whether a final answer of a status has a body and its framing."""
+    return status not in (204, 304)
+
+
 def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header; `name` is in lower case."""
     for sent, value in headers:
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -148,6 +148,9 @@
     def answer(self, head: http_message.ResponseHead, body: bytes) -> None:
         """Forward a server's complete answer."""
         headers = self._codec.answer_headers(head)
+        length = head.get(b"content-length")
+        if self.request.head.method == b"HEAD" and length is not None:
+            headers.append((b"Content-Length", length))
         self.incoming.respond(head.status, headers, body)
         self.record_answer(head.status)
         took_s = self._board.now() - self.incoming.arrived
--- a/nutmegscale/stream_run.py
+++ b/nutmegscale/stream_run.py
@@ -21,6 +21,7 @@
       events: Events forwarded to the caller.
       run_events: Those of the current run.
       last_event: Id of the last of them that has one, or b"".
+      content_type: Content type of the answer that was begun, or b"".
       version: Software version of the workers that brought its events; "" if
         unknown, or if there are none yet.
       granted_at: When the current slot was granted, seconds.
@@ -49,6 +50,7 @@
         self.events = 0
         self.run_events = 0
         self.last_event = b""
+        self.content_type = b""
         self.version = ""
         self.granted_at = 0.0
         self.prefill_worker = ""
@@ -100,7 +102,8 @@
         """Return whether another run of the stream is allowed."""
         if self.runs == 0:
             return True
-        if self.events and not self.version:
+        if self.events and not (self.version and self.last_event):
+            # No other run can go on where this one ended.
             return False
         return route.is_resumable and self.runs < route.max_attempts
 
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -332,12 +332,46 @@
                 self._record_rejection(context, run, decode, exc, source=source)
             case errors.ConnectError():
                 self._record_unreachable(context, run, decode, exc)
+            case errors.ResumptionError():
+                return self._handle_other_answer(context, run, decode, exc)
             case errors.TransportError():
                 return await self._handle_broken_run(context, run, decode, exc)
             case _:
                 raise exc
         return False
 
+    def _handle_other_answer(
+        self,
+        context: request_context.RequestContext,
+        run: stream_run.StreamRun,
+        decode: backend.Backend,
+        exc: errors.ResumptionError,
+    ) -> bool:
+        """Handle an answer that isn't the rest of a stream that has begun.
+
+        Returns:
+          Whether the request has ended; False if it may be resumed on another
+          worker.
+        """
+        run.runs += 1
+        run.avoid.append(decode.id)
+        context.record_failure_event(
+            "resumption_failed",
+            decode=decode.id,
+            why=str(exc),
+            last_event=run.last_event.decode("latin-1"),
+        )
+        self._board.loads.record_failure(self._board.now(), decode)
+        if run.may_run_again(context.route):
+            return False
+        context.fail(
+            errors.Failure(
+                502, "not_resumed", "the run broke off", "maybe_run"
+            ),
+            decode=decode.id,
+        )
+        return True
+
     def _record_rejection(
         self,
         context: request_context.RequestContext,
@@ -543,7 +577,10 @@
         head: http_message.ResponseHead,
         info: caller_request.ResponseInfo,
     ) -> None:
-        if head.status >= 300:
+        is_resumed = context.incoming.is_started
+        if is_resumed:
+            _check_resumption(run, head)
+        elif head.status >= 300:
             body = await call.body(context.left_s, MAX_ERROR_BYTES)
             context.answer(head, body)
             return
@@ -551,29 +588,62 @@
             raise errors.MalformedAnswerError(
                 f"answer with status {head.status} has no valid signature"
             )
-        incoming = context.incoming
-        if not incoming.is_started:
+        if not is_resumed:
+            run.content_type = _content_type(head)
             context.start(head)
-        loads = self._board.loads
+        await self._relay_events(
+            context, run, worker, call, is_resumed=is_resumed
+        )
+        self._end_complete(context, run, head)
+
+    async def _relay_events(
+        self,
+        context: request_context.RequestContext,
+        run: stream_run.StreamRun,
+        worker: backend.Backend,
+        call: upstream_call.Call,
+        *,
+        is_resumed: bool,
+    ) -> None:
+        """Forward the events of a run as they arrive, up to its end.
+
+        Raises:
+          errors.ResumptionError: They aren't the rest of a stream that was
+            resumed.
+          errors.TransportError: The run broke off.
+        """
+        incoming = context.incoming
         splitter = event_stream.EventSplitter()
-        while True:
-            data = await call.chunk(max(0.0, context.left_s))
-            if not data:
-                break
+        while data := await call.chunk(max(0.0, context.left_s)):
             complete = splitter.feed(data)
-            if complete:
-                had_begun = run.run_events >= BEGUN_EVENTS
-                if not run.run_events:
-                    self._record_begin(context, run, worker)
-                run.record_events(self._board.now(), splitter.count(complete))
-                run.last_event = splitter.last_id or run.last_event
-                if run.run_events >= BEGUN_EVENTS and not had_begun:
-                    context.record_begun(self._crashes)
-                loads.record_heard(self._board.now(), worker)
-                incoming.write(complete)
-                await incoming.drained(max(0.0, context.left_s))
+            if not complete:
+                continue
+            if is_resumed and run.events:
+                splitter.check_continues(complete, run.last_event)
+            had_begun = run.run_events >= BEGUN_EVENTS
+            if not run.run_events:
+                self._record_begin(context, run, worker)
+            run.record_events(self._board.now(), splitter.count(complete))
+            run.last_event = splitter.last_id or run.last_event
+            if run.run_events >= BEGUN_EVENTS and not had_begun:
+                context.record_begun(self._crashes)
+            self._board.loads.record_heard(self._board.now(), worker)
+            incoming.write(complete)
+            await incoming.drained(max(0.0, context.left_s))
         if splitter.rest:
             raise errors.TransportError("the stream ended within an event")
+        if is_resumed and not run.run_events:
+            # Nothing shows that the event forwarded last was the last one.
+            raise errors.ResumptionError("the answer has no event")
+
+    def _end_complete(
+        self,
+        context: request_context.RequestContext,
+        run: stream_run.StreamRun,
+        head: http_message.ResponseHead,
+    ) -> None:
+        """End an answer whose last event was forwarded."""
+        incoming = context.incoming
         run.ended_at = self._board.now()
         run.is_complete = True
         if run.run_events < BEGUN_EVENTS:
@@ -660,6 +730,31 @@
             context.refuse(reason, retry_after_s)
 
 
+def _check_resumption(
+    run: stream_run.StreamRun, head: http_message.ResponseHead
+) -> None:
+    """Check that the rest of a stream may follow a head.
+
+    Raises:
+      errors.ResumptionError: It may not.
+    """
+    if head.status != 200:
+        raise errors.ResumptionError(
+            f"status {head.status} for a stream that has begun, expected 200"
+        )
+    content_type = _content_type(head)
+    if content_type != run.content_type:
+        raise errors.ResumptionError(
+            f"content type {content_type!r} after {run.content_type!r}"
+        )
+
+
+def _content_type(head: http_message.ResponseHead) -> bytes:
+    """Return the content type of an answer without its parameters."""
+    stated = head.get(b"content-type") or b""
+    return stated.partition(b";")[0].strip().lower()
+
+
 def _origin_digest(request: caller_request.CallerRequest) -> bytes:
     """Return a digest by which hosts know the request of a stream again."""
     return request.content_digest()[:DIGEST_BYTES]
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -52,6 +52,7 @@
         self._request_id = b""
         self._carried_ids: set[bytes] = set()
         self._is_trusted = False
+        self._is_head_request = False
         self._is_closed = False
         self._is_ignoring_message = False
         self._must_abort = False
@@ -95,6 +96,7 @@
         self._request_id = request.request_id
         self._carried_ids.add(request.request_id)
         self._is_trusted = request.is_trusted
+        self._is_head_request = request.head.method == b"HEAD"
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._is_ignoring_message = False
@@ -112,7 +114,7 @@
         self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             # Also raised for data after a complete response.
             self._fail(
                 errors.MalformedAnswerError(f"malformed HTTP response: {exc}")
@@ -155,6 +157,11 @@
         if not self._is_ignoring_message:
             self._body_ends_at_close = _body_ends_at_close(head)
             self._call.got_head(head)
+            if self._is_head_request:
+                # The parser expects the body that the head describes, so the
+                # connection can't be used again.
+                self._completed_call, self._call = self._call, None
+                self._keeps_alive = False
 
     def _is_own(self, head: http_message.ResponseHead) -> bool:
         """Whether a response can only belong to the current request."""
@@ -302,7 +309,8 @@
 def _body_ends_at_close(head: http_message.ResponseHead) -> bool:
     has_length = head.get(b"content-length") is not None
     is_chunked = head.get(b"transfer-encoding") is not None
-    return not has_length and not is_chunked and head.status not in (204, 304)
+    has_body = http_message.may_have_body(head.status)
+    return has_body and not has_length and not is_chunked
 
 
 def _idle_timeout_s(headers: list[http_message.Header]) -> float:
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -84,6 +84,9 @@
       break_after_events: Number of events after which a stream breaks off,
         or None.
       handles_expire_at_once: Whether prefill handles expire at once.
+      continuation: Bytes that it answers to a resumed run, with `{id}` in place
+        of the request's id, or b""; it then closes the connection.
+      beginning: The same for a run that isn't resumed.
       poison: Body that crashes it when it runs, or b"".
       poison_prefix: Start of the paths that crash it when they run, or b"".
       poison_parts: Parts of prompts that crash it when it begins the answer.
@@ -134,6 +137,8 @@
         self.trailing_bytes = b""
         self.break_after_events: int | None = None
         self.handles_expire_at_once = False
+        self.continuation = b""
+        self.beginning = b""
         self.poison = b""
         self.poison_prefix = b""
         self.endless = b""
@@ -436,6 +441,14 @@
             wait_s = 0.001
         release_slot = self._occupy_slot(request)
         first = int(request.head.get(b"last-event-id") or b"0") + 1
+        raw = self.continuation if first > 1 else self.beginning
+        if raw:
+            named = _request_id(request).encode()
+            connection = request._connection
+            connection.send(raw.replace(b"{id}", named))
+            connection.transport.loseConnection()
+            release_slot()
+            return
         self._clock.callLater(
             wait_s, self._stream, request, first, release_slot, True
         )
--- a/standins/raw_caller.py
+++ b/standins/raw_caller.py
@@ -41,6 +41,10 @@
         self.received += data
         self._parser.feed_data(data)
 
+    def forget_answer(self) -> None:
+        """Expect a new answer, as after one to HEAD that has no body."""
+        self._parser = httptools.HttpResponseParser(self)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header; see httptools."""
         self.replies[-1].headers[name.lower()] = value
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -244,3 +244,69 @@
     harness.receive(b"x" * 5)
     assert [r.body for r in harness.handler.requests] == [b"x" * 20]
     assert harness.factory.buffered_body_bytes == 0
+
+
+def _answered(*actions: str) -> tuple[bytes, bool]:
+    """Answer a request by some actions in turn.
+
+    Returns:
+      What was sent, and whether the connection was cut.
+    """
+    harness = _Harness()
+    harness.receive(VALID_GET)
+    (request,) = harness.handler.requests
+    done = {
+        "respond": lambda: request.respond(500, [], b"text"),
+        "start": lambda: request.start(200, []),
+        "write": lambda: request.write(b"part"),
+        "finish": request.finish,
+    }
+    for action in actions:
+        done[action]()
+    return harness.transport.value(), harness.transport.is_aborted
+
+
+@pytest.mark.parametrize(
+    "actions",
+    [
+        ("start", "write", "respond"),
+        ("start", "write", "start"),
+        ("start", "respond", "finish"),
+        ("write", "finish"),
+        ("finish",),
+    ],
+)
+def test_an_answer_has_one_head_and_is_cut_by_any_other_order(
+    actions: tuple[str, ...],
+) -> None:
+    """A failure was written into the body of a stream that had begun."""
+    sent, is_cut = _answered(*actions)
+    assert sent.count(b"HTTP/1.1") <= 1
+    assert is_cut
+    assert b"text" not in sent
+    assert not sent.endswith(b"0\r\n\r\n")
+
+
+def test_nothing_follows_an_answer_that_has_ended() -> None:
+    whole, is_cut = _answered("respond")
+    assert not is_cut
+    again = ("respond", "start", "write", "finish")
+    assert _answered("respond", *again) == (whole, False)
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_an_answer_without_a_body_has_no_framing(status: int) -> None:
+    for is_streamed in (False, True):
+        harness = _Harness()
+        harness.receive(VALID_GET)
+        (request,) = harness.handler.requests
+        if is_streamed:
+            request.start(status, [])
+            request.write(b"part")
+            request.finish()
+        else:
+            request.respond(status, [], b"part")
+        head, _, body = harness.transport.value().partition(b"\r\n\r\n")
+        assert not body
+        assert b"Content-Length" not in head
+        assert b"Transfer-Encoding" not in head
