An answer without a length that is reset isn't whole to the own client

Looked for: a server that stops in the middle of an answer's head.

Seen beside it: the client of our own interface took a body without a length as whole when its connection was reset in the middle; its caller got a 200 with the first part. An odd name of a header raised a UnicodeDecodeError.

Cause: twisted reports PotentialDataLoss for such a body in either case; the client took that for an orderly end.

Change: the connection remembers how it ended, and only an orderly close ends such a body.

--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -90,9 +90,14 @@
 
 
 class _LimitedConnection(policies.ProtocolWrapper):
-    """Connection that is closed when a response's head gets too long."""
+    """Connection that is closed when a response's head gets too long.
+
+    Attributes:
+      is_broken: Whether the connection was lost other than by an orderly close.
+    """
 
     transport: Any
+    is_broken = False
 
     def __init__(self, factory: Any, wrapped: Any) -> None:
         super().__init__(factory, wrapped)
@@ -127,6 +132,13 @@
                 return
         super().dataReceived(data)  # type: ignore[no-untyped-call]
 
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Record how the connection ended, before its response ends."""
+        self.is_broken = not reason.check(error.ConnectionDone)
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+
 
 @implementer(iweb.IAgentEndpointFactory)
 class _LimitedEndpoints:
@@ -170,11 +182,16 @@
     def __init__(self) -> None:
         self._parts: list[bytes] = []
         self._size = 0
+        self._connection: Any = None
         self.done: defer.Deferred[bytes] = defer.Deferred(self._cancel)
 
     def _cancel(self, _: Any) -> None:
         _abort(self.transport)
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Remember the connection that carries the body."""
+        self._connection = getattr(self.transport, "_producer", None)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Keep a part of the body; abort if it gets too long."""
         self._size += len(data)
@@ -195,7 +212,14 @@
         """Complete the body, or fail if it broke off."""
         if self.done.called:
             return
-        if reason.check(client.ResponseDone, http.PotentialDataLoss):
+        # Without a length, only an orderly close shows that the body is whole.
+        is_broken = getattr(self._connection, "is_broken", False)
+        is_cut = is_broken and reason.check(http.PotentialDataLoss)
+        if is_cut:
+            self.done.errback(
+                errors.TransportError("connection reset within the body")
+            )
+        elif reason.check(client.ResponseDone, http.PotentialDataLoss):
             self.done.callback(b"".join(self._parts))
         else:
             self.done.errback(reason)
@@ -526,7 +550,7 @@
 
 def _last_header_values(response: Any) -> dict[str, str]:
     return {
-        name.decode().lower(): values[-1].decode("latin-1")
+        name.decode("latin-1").lower(): values[-1].decode("latin-1")
         for name, values in response.headers.getAllRawHeaders()
     }
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -84,6 +84,9 @@
       break_after_events: Number of events after which a stream breaks off,
         or None.
       handles_expire_at_once: Whether prefill handles expire at once.
+      raw_prefill: Bytes that it answers to a prefill before it closes the
+        connection, or b"".
+      resets_raw: Whether it resets the connection after raw bytes instead.
       continuation: Bytes that it answers to a resumed run, with `{id}` in place
         of the request's id, or b""; it then closes the connection.
       beginning: The same for a run that isn't resumed.
@@ -137,6 +140,8 @@
         self.trailing_bytes = b""
         self.break_after_events: int | None = None
         self.handles_expire_at_once = False
+        self.raw_prefill = b""
+        self.resets_raw = False
         self.continuation = b""
         self.beginning = b""
         self.poison = b""
@@ -391,9 +396,7 @@
             if request.is_ended or self.is_unresponsive:
                 return
             if self.raw_response:
-                connection = request._connection
-                connection.send(self.raw_response)
-                connection.transport.loseConnection()
+                self._send_raw(request, self.raw_response)
                 return
             headers = self._answer_headers(request)
             connection = request._connection
@@ -402,6 +405,18 @@
 
         self._clock.callLater(self.service_time_s, _answer)
 
+    def _send_raw(
+        self, request: http_ingress.IncomingRequest, raw: bytes
+    ) -> None:
+        """Send bytes, with `{id}` replaced, and end the connection."""
+        named = raw.replace(b"{id}", _request_id(request).encode())
+        transport = request._connection.transport
+        transport.write(named)
+        if self.resets_raw:
+            transport.abortConnection()
+        else:
+            transport.loseConnection()
+
     def _prefill(self, request: http_ingress.IncomingRequest) -> None:
         self._prefills += 1
         accepted = self.received[-1]._replace(is_accepted_prefill=True)
@@ -417,6 +432,9 @@
                 return
             ttl_s = 0.0 if self.handles_expire_at_once else HANDLE_TTL_S
             self.handles[name] = self._clock.seconds() + ttl_s
+            if self.raw_prefill:
+                self._send_raw(request, self.raw_prefill)
+                return
             body = {"handle": name, "tokens": 1, "version": 1}
             headers = self._common_headers(request)
             request.respond(200, headers, json.dumps(body).encode())
@@ -443,10 +461,7 @@
         first = int(request.head.get(b"last-event-id") or b"0") + 1
         raw = self.continuation if first > 1 else self.beginning
         if raw:
-            named = _request_id(request).encode()
-            connection = request._connection
-            connection.send(raw.replace(b"{id}", named))
-            connection.transport.loseConnection()
+            self._send_raw(request, raw)
             release_slot()
             return
         self._clock.callLater(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -72,6 +72,10 @@
             taken += len(piece)
         return taken
 
+    def lose(self, reason: Exception) -> None:
+        """Let the server close or reset the connection."""
+        self._protocol.connectionLost(failure.Failure(reason))
+
 
 def test_answer_is_read_whole() -> None:
     exchange = _Exchange()
@@ -97,6 +101,47 @@
     assert exchange.results[0].check(errors.TransportError)
 
 
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    "reason", [error.ConnectionDone(), error.ConnectionLost()]
+)
+def test_an_answer_that_breaks_off_anywhere_is_none(reason: Exception) -> None:
+    whole = HEAD + b"body"
+    for interim in (b"", b"HTTP/1.1 100 Continue\r\n\r\n"):
+        answer = interim + whole
+        for end in range(len(answer)):
+            exchange = _Exchange()
+            exchange.receive(answer[:end])
+            exchange.lose(reason)
+            assert exchange.results[0].check(errors.TransportError), end
+
+
+def test_an_answer_without_a_length_that_is_reset_is_none() -> None:
+    for reason, is_whole in (
+        (error.ConnectionDone(), True),
+        (error.ConnectionLost(), False),
+    ):
+        exchange = _Exchange()
+        exchange.receive(b"HTTP/1.1 200 OK\r\n\r\npart")
+        exchange.lose(reason)
+        result = exchange.results[0]
+        assert is_whole == isinstance(result, http_client.Response)
+
+
+def test_an_odd_name_of_a_header_ends_in_a_typed_error_or_an_answer() -> None:
+    exchange = _Exchange()
+    exchange.receive(
+        b"HTTP/1.1 200 OK\r\nX-\xff: y\r\nContent-Length: 0\r\n\r\n"
+    )
+    result = exchange.results[0]
+    is_answer = isinstance(result, http_client.Response)
+    assert is_answer or result.check(errors.TransportError)
+
+
 def test_small_body_that_decompresses_without_end_fails() -> None:
     packed = gzip.compress(b"x" * (64 << 20))
     exchange = _Exchange()
