Tasks that are stopped end, although they outlive defects

Since a follower or periodic task that was stopped in the middle of its work went on.

Cause: twisted's CancelledError is an Exception, so the clause for defects caught the cancellation of stop().

Change: both let it through.

Measured: two tests that failed before.

--- a/nutmegscale/periodic.py
+++ b/nutmegscale/periodic.py
@@ -80,6 +80,8 @@
                     error=type(exc).__name__,
                     message=str(exc),
                 )
+            except defer.CancelledError:
+                raise
             except Exception as exc:
                 log_defect(exc)
             await sleep(self._clock, self._period_s)
--- a/nutmegscale/table_follower.py
+++ b/nutmegscale/table_follower.py
@@ -92,6 +92,8 @@
                 continue
             except errors.StoreError as exc:
                 self._record_contact(False, exc)
+            except defer.CancelledError:
+                raise
             except Exception as exc:
                 # A defect must not end the host's view of the table.
                 self._record_failure("follower_failed", exc)
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -232,3 +232,39 @@
     sender.mesh.send("host-0", messages.RoutingRequest(0))
     simulation.run(5.0)
     assert sorted(receiver.board.membership.alive()) == ["host-0", "host-1"]
+
+
+def test_a_follower_that_is_stopped_while_it_waits_reads_no_more() -> None:
+    clock = task.Clock()
+    store = row_table.RowTable(clock)
+    seen: list[str] = []
+    follower = table_follower.TableFollower(
+        clock,
+        store.for_host("h"),
+        "t",
+        on_snapshot=lambda rows: None,
+        on_change=lambda row: seen.append(row.key),
+    )
+    follower.start()
+    clock.pump([0.01] * 50)
+    follower.stop()
+    store.put("t", "a", b"")
+    clock.pump([0.1] * 100)
+    assert not seen
+    assert not clock.getDelayedCalls()
+
+
+def test_a_periodic_task_that_is_stopped_within_a_run_runs_no_more() -> None:
+    clock = task.Clock()
+    runs: list[float] = []
+
+    async def _work() -> None:
+        runs.append(clock.seconds())
+        await periodic.sleep(clock, 1.0)
+
+    work = periodic.Periodic(clock, 1.0, _work)
+    work.start()
+    clock.pump([0.5])
+    work.stop()
+    clock.pump([0.5] * 20)
+    assert runs == [0.0]
