Attempts that end by a defect block nothing that comes after them

Same class as: a host whose first attempt to join met an error that nothing expected never joined; a read of the origins of streams that ended in one left all later take-ups waiting; a check whether the host is cut off left all later ones unmade; a claim's row that isn't a claim ended the writing of the claims behind it.

Change: joining logs the defect and tries again; flags and waiters are released in any case; a row that isn't a claim is logged and left as it is.

Measured: two tests that failed before (joining, take-ups). The check of a cut and the claim's row have none.

--- a/nutmegscale/claim_memory.py
+++ b/nutmegscale/claim_memory.py
@@ -152,7 +152,7 @@
             # or an earlier attempt: no attempt of this era counts yet.
             current = outcome.current
             version = current.version
-            if version and _is_final(claim.decode_row(current.value)):
+            if version and _is_final_row(key, current.value):
                 return
 
     async def _write_settled_era(self, era: int) -> None:
@@ -163,7 +163,16 @@
             )
 
 
-def _is_final(row: claim.ClaimRow) -> bool:
+def _is_final_row(key: str, value: bytes) -> bool:
+    """Whether a row must not be written over.
+
+    One that isn't a claim stays as it is: another program wrote it.
+    """
+    try:
+        row = claim.decode_row(value)
+    except errors.PlatformUnavailableError as exc:
+        logs.get().warning("claim_not_written", key=key, why=str(exc))
+        return True
     return row.state in ("done", "unknown")
 
 
--- a/nutmegscale/host_rows.py
+++ b/nutmegscale/host_rows.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import msgspec
+from twisted.internet import defer
 
 from nutmegscale import decoding
 from nutmegscale import errors
@@ -94,6 +95,10 @@
                 return
             except errors.StoreError as exc:
                 logs.get().warning("join_failed", message=str(exc))
+            except defer.CancelledError:
+                raise
+            except Exception as exc:
+                periodic.log_defect(exc)
             await periodic.sleep(
                 self._board.clock, pause_s * (0.7 + 0.6 * self._rng.random())
             )
--- a/nutmegscale/reach_controller.py
+++ b/nutmegscale/reach_controller.py
@@ -191,15 +191,17 @@
 
     async def _check_cut_off(self) -> None:
         """Find out whether any of some servers takes a connection."""
-        outcomes = await self._connect(self._sample())
-        if len(outcomes) >= MIN_FAILED_SERVERS and not any(outcomes):
-            self._set_cut_off(True)
-        self._check_ended_at = self._board.now()
-        self._is_checking = False
-        waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            if not waiter.called:
-                waiter.callback(None)
+        try:
+            outcomes = await self._connect(self._sample())
+            if len(outcomes) >= MIN_FAILED_SERVERS and not any(outcomes):
+                self._set_cut_off(True)
+        finally:
+            self._check_ended_at = self._board.now()
+            self._is_checking = False
+            waiters, self._waiters = self._waiters, []
+            for waiter in waiters:
+                if not waiter.called:
+                    waiter.callback(None)
 
     def _sample(self) -> list[backend.Backend]:
         """Return some servers in different failure domains.
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -169,11 +169,13 @@
         await waiter
 
     async def _read_for_all(self) -> None:
-        await self._read_rows()
-        readers, self._readers = self._readers or [], None
-        for waiter in readers:
-            if not waiter.called:
-                waiter.callback(None)
+        try:
+            await self._read_rows()
+        finally:
+            readers, self._readers = self._readers or [], None
+            for waiter in readers:
+                if not waiter.called:
+                    waiter.callback(None)
 
     async def _read_rows(self) -> None:
         try:
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -268,3 +268,44 @@
     work.stop()
     clock.pump([0.5] * 20)
     assert runs == [0.0]
+
+
+def test_a_host_joins_after_a_defect_in_an_attempt() -> None:
+    simulation = router_world.Simulation(hosts=2)
+    simulation.start_default_workers()
+    store = simulation.hosts[0].router._rows._store
+    write = store.write
+    calls: list[str] = []
+
+    async def _write(table: str, key: str, *args: Any, **more: Any) -> Any:
+        calls.append(table)
+        if len(calls) == 1:
+            raise KeyError("defect")
+        return await write(table, key, *args, **more)
+
+    store.write = _write  # type: ignore[method-assign]
+    simulation.start(5.0)
+    view = simulation.hosts[0].router.board.membership
+    assert sorted(view.alive()) == ["host-0", "host-1"]
+
+
+def test_streams_are_taken_up_again_after_a_defect_in_a_read() -> None:
+    """Every later take-up waited for the read that had failed."""
+    simulation = router_world.Simulation()
+    simulation.start_default_workers()
+    simulation.start()
+    registry = simulation.hosts[0].router._origins
+
+    async def _fail() -> list[Any]:
+        raise KeyError("defect")
+
+    read = registry._rows.read
+    registry._rows.read = _fail  # type: ignore[method-assign]
+    registry._read_at = -100.0
+    periodic.spawn(registry._read())
+    simulation.run(0.1)
+    registry._rows.read = read  # type: ignore[method-assign]
+    registry._read_at = -100.0
+    done = periodic.spawn(registry._read())
+    simulation.run(0.5)
+    assert done.called
