--- a/nutmegscale/decoding.py
+++ b/nutmegscale/decoding.py
@@ -22,9 +22,9 @@
 MAX_BYTES = 8 << 20
 # Deepest nesting of a value without a schema.
 MAX_DEPTH = 64
-# Largest whole number: all languages with 64-bit floats write it exactly.
-MAX_INTEGER = 2**53
-MAX_DIGITS = 15
+# Largest whole number, and the digits that it may have in text.
+MAX_INTEGER = 2**63 - 1
+MAX_DIGITS = 18
 MAX_PORT = 65_535
 # Longest host name or IP address of an address, and longest name of a server,
 # service or failure domain, characters.
--- a/nutmegscale/stream_run.py
+++ b/nutmegscale/stream_run.py
@@ -21,7 +21,7 @@
       events: Events forwarded to the caller.
       run_events: Those of the current run.
       last_event: Id of the last of them that has one, or b"".
-      content_type: Content type of the answer that was begun, or b"".
+      content_type: Content type of the answer in progress, or b"".
       version: Software version of the workers that brought its events; "" if
         unknown, or if there are none yet.
       granted_at: When the current slot was granted, seconds.
@@ -103,7 +103,7 @@
         if self.runs == 0:
             return True
         if self.events and not (self.version and self.last_event):
-            # No other run can go on where this one ended.
+            # No other run can continue where this one ended.
             return False
         return route.is_resumable and self.runs < route.max_attempts
 
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -347,7 +347,7 @@
         decode: backend.Backend,
         exc: errors.ResumptionError,
     ) -> bool:
-        """Handle an answer that isn't the rest of a stream that has begun.
+        """Handle an answer that isn't the rest of a stream in progress.
 
         Returns:
           Whether the request has ended; False if it may be resumed on another
@@ -740,7 +740,7 @@
     """
     if head.status != 200:
         raise errors.ResumptionError(
-            f"status {head.status} for a stream that has begun, expected 200"
+            f"status {head.status} for a stream in progress, expected 200"
         )
     content_type = _content_type(head)
     if content_type != run.content_type:
