A connection that can't be made for any reason ends in a typed error

Cause: the pool of connections expected refused and unanswered connections. A name that can't be resolved, or a host without file descriptors, raises an OSError.

Change: both count as a server that can't be reached, so that the next one is tried; the client of our own interface does the same for names.

--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -504,6 +504,7 @@
     error.ConnectError,
     error.TimeoutError,
     error.NoRouteError,
+    error.DNSLookupError,
     client.RequestNotSent,  # type: ignore[attr-defined]
 )
 _REQUEST_ERRORS = (
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -25,6 +25,13 @@
 # Bytes since a request was sent, or since the last part of its answer's body,
 # that aren't body: heads, trailers, and answers to other requests.
 MAX_OVERHEAD_BYTES = 256 << 10
+# Why no connection could be made: it was refused or not answered, the name of
+# the server can't be resolved, or the host has no more file descriptors.
+_CONNECT_ERRORS = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    OSError,
+)
 # Each connection remembers the ids of its requests.
 MAX_REQUESTS_PER_CONNECTION = 200
 
@@ -471,7 +478,7 @@
         factory.noisy = False
         try:
             connection: _Connection = await self._connect(address, factory)
-        except (error.ConnectError, error.ConnectingCancelledError) as exc:
+        except _CONNECT_ERRORS as exc:
             self._on_connect(address, exc)
             raise errors.ConnectError(f"{address}: {exc}") from exc
         self._on_connect(address, None)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,6 +9,7 @@
 
 import pytest
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import task
 from twisted.internet import testing
 
@@ -160,3 +161,26 @@
     defer.ensureDeferred(call.body(5.0, 4 << 20)).addCallback(small.append)
     net.connections[-1].dataReceived(RESPONSE)
     assert small == [b"ok"]
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        error.ConnectionRefusedError(),
+        error.TimeoutError(),
+        error.DNSLookupError("no address for no-such-server"),
+        OSError(24, "too many open files"),
+    ],
+)
+def test_a_connection_that_cannot_be_made_ends_in_a_typed_error(
+    failure: Exception,
+) -> None:
+    """A name that can't be resolved ended the request as a defect."""
+    clock = task.Clock()
+    pool = upstream.UpstreamPool(
+        None, clock, connect=lambda address, factory: defer.fail(failure)
+    )
+    outcomes: list[Any] = []
+    calling = defer.ensureDeferred(pool.call("no-such-server:80", _request()))
+    calling.addErrback(outcomes.append)
+    assert outcomes[0].check(errors.ConnectError)
