Soak: another program writes odd rows, and no task may end by a defect

Odd entries of servers and rows of hosts are written throughout each soak, drawn from standins/odd_rows, which test_odd_rows uses, too. A new promise: no host logs a defect (task_failed, row_skipped and the like).

--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -8,7 +8,6 @@
 import json
 from typing import Any
 
-import msgspec
 import pytest
 from twisted.internet import task
 
@@ -19,46 +18,14 @@
 from nutmegscale import table_follower
 from nutmegscale.platform import routing_config
 from nutmegscale.platform import worker_entries
+from standins import odd_rows
 from standins import platform_rows
 from standins import router_world
 from standins import row_table
 
-DEEP = b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}"
-
-
-def _entry(address: str = "w9:1000", **changes: Any) -> bytes:
-    return platform_rows.entry_row(
-        platform_rows.PLAIN_SERVICE, address, **changes
-    )
-
-
-def _with_number(name: str, digits: int) -> bytes:
-    """Return an entry with a number that Python can't write as text."""
-    return _entry().replace(
-        f'"{name}": '.encode(), f'"{name}": {"9" * digits}'.encode()
-    )
-
-
-ODD_ENTRIES = {
-    "nested": _entry()[:-1] + b"," + DEEP[1:],
-    "port of another script": _entry("w9:²"),
-    "port of many digits": _entry("w9:" + "9" * 5000),
-    "port out of range": _entry("w9:65536"),
-    "no port": _entry("w9"),
-    "blank in the address": _entry("w 9:1000"),
-    "NUL in the address": _entry("w9\x00:1000"),
-    "line break in the address": _entry("w9\r\nX: 1:1000"),
-    "large start time": _entry(born=10**30),
-    "large number of slots": _entry(slots=10**30),
-    "number of thousands of digits": _with_number("slots", 5000),
-    "infinite number": _entry().replace(b'"slots": 4', b'"slots": 1e999'),
-    "wrong type": _entry(zone=["x"]),
-    "not UTF-8": b'{"service":"\xff\xfe"}',
-    "lone surrogate": b'{"service":"\\ud800"}',
-    "truncated": _entry()[:40],
-    "empty": b"",
-    "too long": _entry() + b" " * (1 << 17),
-}
+ODD_ENTRIES = odd_rows.entries()
+ODD_CONFIGS = odd_rows.configs(7)
+ODD_HOSTS = odd_rows.hosts()
 
 
 @pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES.keys())
@@ -97,7 +64,7 @@
     for name in ("w1", "w2"):
         address = simulation.addresses[name]
         simulation.store.remove(worker_entries.TABLE, name)
-        row = _entry(address)
+        row = platform_rows.entry_row(platform_rows.PLAIN_SERVICE, address)
         simulation.store.put(worker_entries.TABLE, f"{name}\r\nX-Odd: 1", row)
     simulation.run(0.5)
     assert simulation.ask("slot").status == 503
@@ -105,20 +72,6 @@
     assert all(head.get(b"x-odd") is None for head in heads)
 
 
-ODD_CONFIGS = {
-    "nested": platform_rows.config_row(7)[:-1] + b"," + DEEP[1:],
-    "negative time": platform_rows.config_row(
-        7, limits={"idleTimeoutMs": -5.0}
-    ),
-    "infinite time": platform_rows.config_row(
-        7, limits={"idleTimeoutMs": 0.5}
-    ).replace(b"0.5", b"1e999"),
-    "large version": platform_rows.config_row(10**30),
-    "truncated": platform_rows.config_row(7)[:-20],
-    "not an object": b"[]",
-}
-
-
 @pytest.mark.parametrize("odd", ODD_CONFIGS.values(), ids=ODD_CONFIGS.keys())
 def test_a_host_adopts_a_configuration_after_an_odd_one(odd: bytes) -> None:
     simulation = router_world.Simulation()
@@ -134,16 +87,6 @@
     assert simulation.ask("slot").status == 200
 
 
-ODD_HOSTS = {
-    "nested": b"\x93" + b"\x91" * 5000,
-    "truncated": b"\x93\xa1",
-    "address that can't be dialed": msgspec.msgpack.encode(
-        ("tcp://\x00", "maadi", True)
-    ),
-    "number as address": msgspec.msgpack.encode((7, "maadi", True)),
-}
-
-
 @pytest.mark.parametrize("odd", ODD_HOSTS.values(), ids=ODD_HOSTS.keys())
 def test_hosts_find_each_other_beside_an_odd_row_of_a_host(odd: bytes) -> None:
     simulation = router_world.Simulation(hosts=3)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,6 +22,7 @@
 from tools import soak_callers
 from tools import soak_grey
 from tools import soak_limits
+from tools import soak_odd_rows
 from tools import soak_poison
 from tools import soak_resumes
 from tools import soak_world
@@ -79,6 +80,12 @@
         self._resumes = soak_resumes.ResumingCallers(
             self.deployment, self.callers, random.Random(arguments.seed + 4)
         )
+        self._odd_rows = soak_odd_rows.OddRows(
+            self.deployment,
+            self.callers,
+            folder,
+            random.Random(arguments.seed + 5),
+        )
         self._limits = soak_limits.LimitedServers(self.deployment, self.callers)
         self._has_limits = arguments.limits
         self.deployment.on_poison = self._crash_on_poison
@@ -106,6 +113,7 @@
         if self._has_grey_servers:
             self._grey.start()
         self._resumes.start()
+        self._odd_rows.start()
         if self._has_limits:
             self._limits.start()
         end = self._started_at + WARM_UP_S + self._duration_s
@@ -118,6 +126,7 @@
         self._poison.stop()
         self._grey.stop()
         self._resumes.stop()
+        self._odd_rows.stop()
         self._heal_all()
         await periodic.sleep(reactor, RECOVERY_S)
         healed_at = reactor.seconds()
@@ -367,6 +376,7 @@
         self._check_retries()
         self._check_limits()
         self._resumes.check()
+        self._odd_rows.check()
         for host in self.deployment.hosts:
             if not host.is_running:
                 self._record_violation(
@@ -394,6 +404,7 @@
             crashing_contents=self._poison.contents,
             statuses=statuses,
             violations=len(self.callers.violations),
+            odd_rows=self._odd_rows.count,
             resumed=self._resumes.resumed,
             went_on=self._resumes.went_on,
         )
