--- a/nutmegscale/crash_watch.py
+++ b/nutmegscale/crash_watch.py
@@ -162,6 +162,7 @@
         self._connect = connect
         self._servers = servers
         self._checks: dict[str, _Check] = {}
+        # Checks of servers that seem up, by key, until it is known.
         self._watched: dict[str, _Check] = {}
         self._sound_parts = sound_parts.SoundParts()
 
@@ -283,7 +284,7 @@
     async def is_quarantined_after_checks(
         self, content: quarantine.Content, *, disconnects: int, limit_s: float
     ) -> bool:
-        """Whether content must not run again after a broken connection.
+        """Whether content must not run again now, after a broken connection.
 
         The checks of its servers are awaited if it is a suspect already. A
         first broken connection is no reason to wait: most have other causes
@@ -302,10 +303,10 @@
                     await check.wait().addTimeout(
                         max(0.0, limit_s), self._clock, _end_wait
                     )
-        is_open = is_suspect and any(
+        may_have_crashed = is_suspect and any(
             content.digest in check.contents for check in self._watched.values()
         )
-        return is_open or self._suspects.refused_for_s(content) > 0.0
+        return may_have_crashed or self._suspects.refused_for_s(content) > 0.0
 
     async def wait_for_first_check(
         self, content: quarantine.Content, *, limit_s: float
@@ -332,8 +333,8 @@
         if self._suspects.is_suspect(content.digest) and left_s > 0.0:
             await periodic.sleep(self._clock, min(SHARE_DELAY_S, left_s))
 
-    def record_misdirected(self, server: Server) -> None:
-        """Record that another server answered at the address of a server."""
+    def record_replaced(self, server: Server) -> None:
+        """Record that another server has the address or id of a server."""
         check = self._watched.pop(server.key, None)
         if check is not None:
             self._record_crash(server, check, "replaced")
@@ -390,7 +391,7 @@
         until = self._clock.seconds() + REPLACEMENT_WATCH_S
         while self._clock.seconds() < until and server.key in self._watched:
             if self._servers.is_replaced(server):
-                self.record_misdirected(server)
+                self.record_replaced(server)
                 return
             await periodic.sleep(self._clock, REPLACEMENT_PERIOD_S)
         self._watched.pop(server.key, None)
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -237,7 +237,7 @@
             body = await call.body(context.left_s, MAX_BODY_BYTES)
             if info.is_misdirected:
                 self._pool.close_idle(server.address)
-                self._crashes.record_misdirected(server)
+                self._crashes.record_replaced(server)
                 raise errors.MisdirectedError(
                     f"another server has the address {server.address}"
                 )
