--- a/tests/test_hosts_cut_off_from_servers.py
+++ b/tests/test_hosts_cut_off_from_servers.py
@@ -6,6 +6,8 @@
 the other hosts.
 """
 
+from typing import Any
+
 import pytest
 
 from standins import raw_caller
@@ -207,3 +209,25 @@
     board = simulation.hosts[0].router.board
     assert not board.unreachable_services
     assert board.is_ready
+
+
+def test_a_check_that_ends_in_a_defect_is_made_again() -> None:
+    """Later checks were never made, so that the host stayed as it was."""
+    simulation = _simulation(hosts=2)
+    reach = simulation.hosts[0].router._reachability
+    connect = reach._connect
+    failed: list[bool] = []
+
+    async def _fail_once(servers: Any) -> list[bool]:
+        if not failed:
+            failed.append(True)
+            raise KeyError("defect")
+        return await connect(servers)
+
+    reach._connect = _fail_once  # type: ignore[method-assign]
+    _cut(simulation, [0], "reset")
+    callers = _send_for(simulation, 4.0, [0])
+    assert failed
+    assert simulation.hosts[0].router.board.is_cut_off
+    simulation.run(1.0)
+    assert _served(callers[40:]) >= MIN_RATIO
