Tasks end when they are stopped, also if their work hides the cancellation

A caller left while its host asked others where the stream began.

Cause: gatherResults wraps the cancellation of one call into a FirstError. It was logged as a defect; a periodic task or follower whose work does so would have run on after its stop since.

Change: periodic.gather raises the exception of the call itself. Loops end once they were stopped, whatever their work raised.

--- a/nutmegscale/periodic.py
+++ b/nutmegscale/periodic.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
+from typing import TypeVar
 
 from twisted.internet import defer
 from twisted.internet import task
@@ -11,12 +13,30 @@
 from nutmegscale import errors
 from nutmegscale import logs
 
+_T = TypeVar("_T")
+
 
 async def sleep(clock: Any, seconds: float) -> None:
     """Wait for a time in seconds on the given clock."""
     await task.deferLater(clock, seconds, lambda: None)
 
 
+async def gather(works: Iterable[Awaitable[_T]]) -> list[_T]:
+    """Run coroutines at the same time and return their results in order.
+
+    The first exception of one is raised as it is, a cancellation, too.
+    """
+    running: list[defer.Deferred[_T]] = [
+        defer.ensureDeferred(work)  # type: ignore[arg-type]
+        for work in works
+    ]
+    try:
+        return await defer.gatherResults(running, consumeErrors=True)
+    except defer.FirstError as exc:
+        assert exc.subFailure.value is not None
+        raise exc.subFailure.value from exc
+
+
 def spawn(work: Awaitable[Any]) -> defer.Deferred[Any]:
     """Run a coroutine in the background; log its failure unless cancelled."""
     running: defer.Deferred[Any] = defer.ensureDeferred(work)  # type: ignore[arg-type]
@@ -58,20 +78,24 @@
         self._period_s = period_s
         self._work = work
         self._running: defer.Deferred[Any] | None = None
+        self._starts = 0
 
     def start(self) -> None:
         """Start with an immediate first run, unless already started."""
         if self._running is None:
-            self._running = spawn(self._loop())
+            self._starts += 1
+            self._running = spawn(self._loop(self._starts))
 
     def stop(self) -> None:
         """Stop; cancels a run that is in progress."""
         running, self._running = self._running, None
         if running is not None:
+            self._starts += 1
             running.cancel()
 
-    async def _loop(self) -> None:
-        while True:
+    async def _loop(self, start: int) -> None:
+        # The work may turn its cancellation into another exception.
+        while start == self._starts:
             try:
                 await self._work()
             except errors.NutmegscaleError as exc:
--- a/nutmegscale/reach_controller.py
+++ b/nutmegscale/reach_controller.py
@@ -221,11 +221,8 @@
 
     async def _connect(self, servers: Iterable[backend.Backend]) -> list[bool]:
         """Return which servers take a new connection."""
-        return await defer.gatherResults(
-            [
-                defer.ensureDeferred(self._takes_connection(server))
-                for server in servers
-            ]
+        return await periodic.gather(
+            self._takes_connection(server) for server in servers
         )
 
     async def _takes_connection(self, server: backend.Backend) -> bool:
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -245,11 +245,8 @@
     ) -> list[stream_origins.Origin]:
         """Return what the hosts that may know a stream know of it."""
         query = messages.StreamQuery(content, stream)
-        replies = await defer.gatherResults(
-            [
-                defer.ensureDeferred(self._query(host, query))
-                for host in self._candidates(content)
-            ]
+        replies = await periodic.gather(
+            self._query(host, query) for host in self._candidates(content)
         )
         return [origin for reply in replies for origin in reply]
 
--- a/nutmegscale/table_follower.py
+++ b/nutmegscale/table_follower.py
@@ -58,6 +58,7 @@
         self._on_contact = on_contact
         self._rng = rng or random.Random()
         self._running: defer.Deferred[Any] | None = None
+        self._starts = 0
         self._version: int | None = None
         self._era = 0
         self._is_reachable: bool | None = None
@@ -65,17 +66,20 @@
     def start(self) -> None:
         """Start to follow the table, unless already started."""
         if self._running is None:
-            self._running = periodic.spawn(self._loop())
+            self._starts += 1
+            self._running = periodic.spawn(self._loop(self._starts))
 
     def stop(self) -> None:
         """Stop following, even while a call is in progress."""
         running, self._running = self._running, None
         if running is not None:
+            self._starts += 1
             running.cancel()
 
-    async def _loop(self) -> None:
+    async def _loop(self, start: int) -> None:
         pause_s = FIRST_RETRY_S
-        while True:
+        # A call may turn its cancellation into another exception.
+        while start == self._starts:
             try:
                 await self._step()
                 pause_s = FIRST_RETRY_S
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+from twisted.internet import defer
 from twisted.internet import task
 
 from nutmegscale import host_rows
@@ -213,6 +214,39 @@
     assert runs == [0.0]
 
 
+def test_a_stopped_task_whose_work_hides_the_cancellation_runs_no_more() -> (
+    None
+):
+    clock = task.Clock()
+    runs: list[float] = []
+
+    async def _work() -> None:
+        runs.append(clock.seconds())
+        try:
+            await periodic.sleep(clock, 1.0)
+        except defer.CancelledError as exc:
+            raise KeyError("another exception") from exc
+
+    work = periodic.Periodic(clock, 1.0, _work)
+    work.start()
+    clock.pump([0.5])
+    work.stop()
+    clock.pump([0.5] * 20)
+    assert runs == [0.0]
+
+
+def test_a_cancellation_of_several_calls_is_one() -> None:
+    """It came as another exception, and was logged as a defect."""
+    clock = task.Clock()
+    ended: list[Any] = []
+    running = defer.ensureDeferred(
+        periodic.gather(periodic.sleep(clock, 1.0) for _ in range(3))
+    )
+    running.addErrback(ended.append)
+    running.cancel()
+    assert ended[0].check(defer.CancelledError)
+
+
 def test_a_host_joins_after_a_defect_in_an_attempt() -> None:
     simulation = router_world.Simulation(hosts=2)
     simulation.start_default_workers()
