--- a/tools/loss_report.py
+++ b/tools/loss_report.py
@@ -34,7 +34,7 @@
     ("server_failed", "server failed"),
     ("server_rejected", "server rejected"),
 )
-_TIMED_LINE = re.compile(r"^\s*(\d+\.\d+)\s+\S+\s+(timestamp=.*)$")
+TIMED_LINE = re.compile(r"^\s*(\d+\.\d+)\s+\S+\s+(timestamp=.*)$")
 
 
 class Limits(NamedTuple):
@@ -84,7 +84,7 @@
     """Parse the log lines that belong to a request, in order of time."""
     found = []
     for line in lines:
-        timed = _TIMED_LINE.match(line)
+        timed = TIMED_LINE.match(line)
         if timed is None:
             continue
         log = log_lines.parse(timed.group(2))
