A pause outlives an entry of its server that is gone for a moment

A host forgot the pause that a server had asked for when the server's entry was gone for a moment (lapsed while the store was down, restored from a copy, or odd once) and sent it requests again.

Cause: what servers asked for was pruned with their entries; another entry that changed was enough. Class: what is known of a server is kept by its registration.

Measured: test_a_pause_outlives_an_entry_that_is_gone_for_a_moment failed before (requests within the pause) and passes now.

--- a/nutmegscale/server_notices.py
+++ b/nutmegscale/server_notices.py
@@ -94,6 +94,8 @@
     def keep_only(self, now: float, servers: Collection[str]) -> None:
         """Forget the other servers, departures only after some time.
 
+        Pauses are kept to their end, since an entry may be gone for a moment.
+
         Args:
           now: Current time, seconds.
           servers: Keys of the registered servers.
@@ -102,7 +104,7 @@
         self._paused_until = {
             key: until
             for key, until in self._paused_until.items()
-            if key in servers and until > now
+            if until > now
         }
         self._leaving_since = {
             key: since
--- a/tests/test_hosts_cut_off_from_servers.py
+++ b/tests/test_hosts_cut_off_from_servers.py
@@ -74,12 +74,20 @@
 
 @pytest.mark.parametrize("how", ["hang", "reset", "refuse"])
 @pytest.mark.parametrize(
-    "cut_off", [[0], [0, 1, 2], [0, 4], [0, 1, 2, 4, 5, 6]]
+    "cut_off",
+    [
+        [0],
+        [0, 1, 2],
+        [0, 4],
+        [0, 1, 2, 3],
+        [0, 1, 2, 4, 5, 6],
+        [0, 1, 2, 3, 4, 5, 6],
+    ],
 )
 def test_callers_of_hosts_without_servers_are_served(
     how: str, cut_off: list[int]
 ) -> None:
-    """One host, a third, all of a failure domain, and most hosts."""
+    """One host, a third, a failure domain, half, most, and all but one."""
     simulation = _simulation()
     others = [n for n in range(8) if n not in cut_off]
     _send_for(simulation, 1.0, list(range(8)))
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -301,3 +301,52 @@
     periodic.spawn(host_router.stages._send_order("notes-model", server, 1))
     simulation.run(1.0)
     assert len(worker.arrivals) == before
+
+
+def _late_in_pause(
+    simulation: router_world.Simulation, name: str, pause_s: float
+) -> list[tuple[str, float]]:
+    """Return the requests that reached a server in a pause of their host."""
+    worker = simulation.workers[name]
+    return [
+        arrival
+        for arrival in worker.arrivals_after(worker.pause_contacts)
+        if IN_FLIGHT_S < arrival[1] < pause_s
+    ]
+
+
+def test_a_pause_outlives_an_entry_that_is_gone_for_a_moment() -> None:
+    """Entries lapse while the store is down, or are odd for a moment."""
+    simulation = _simulation()
+    _pause(simulation, ("w1",), "4")
+    _send_for(simulation, "slot", seconds=1.0)
+    _resume(simulation, "w1")
+    simulation.store.remove("servers", "w1")
+    simulation.run(0.1)
+    simulation.write_entry("w1")
+    _send_for(simulation, "slot", seconds=2.0)
+    assert simulation.workers["w1"].pause_contacts
+    assert not _late_in_pause(simulation, "w1", 4.0)
+
+
+@pytest.mark.parametrize("paused", ["w1", "d1", "p1"])
+def test_no_sender_reaches_a_server_during_its_pause(paused: str) -> None:
+    """Plain calls, prefills, runs, second tries and passed-on requests."""
+    simulation = _simulation()
+    servers = list(simulation.addresses.values())
+    simulation.net.cut("host-0", servers, "reset")
+    _pause(simulation, (paused,), "5")
+    callers = []
+    for number in range(60):
+        route = ("slot", "confirm", "brief", "digest")[number % 4]
+        callers.append(simulation.send(route, host=number // 4 % 4))
+        simulation.run(0.04)
+    _resume(simulation, paused)
+    # Streams break off, so that the other worker resumes them.
+    other = {"d1": "d2"}.get(paused, "d1")
+    simulation.workers[other].break_after_events = 1
+    for number in range(40):
+        callers.append(simulation.send("digest", host=number % 4))
+        simulation.run(0.04)
+    assert simulation.workers[paused].pause_contacts
+    assert not _late_in_pause(simulation, paused, 5.0)
