A limit outlives an entry of its server that is gone for a moment

A server whose entry was gone for 0.1 s six times got 25 requests in 4 s, 21.8 allowed: each host forgot the limit and sent without permits until the next answer.

Cause: limits were pruned with the entries of their servers.

Measured: test_a_limit_outlives_an_entry_that_is_gone_for_a_moment failed before, passes now; the other tests of limits pass.

--- a/nutmegscale/server_limits.py
+++ b/nutmegscale/server_limits.py
@@ -78,7 +78,10 @@
         return self._ended.get(server, 0.0)
 
     def keep_only(self, now: float, servers: Collection[str]) -> None:
-        """Forget the limits of all other servers, and those long unconfirmed.
+        """Forget limits that were long unconfirmed.
+
+        Those of servers without an entry are kept, since an entry may be gone
+        for a moment; the end of a limit is forgotten after the same time.
 
         Args:
           now: Current time.
@@ -87,8 +90,10 @@
         self._limits = {
             key: limit
             for key, limit in self._limits.items()
-            if key in servers and now - limit.asked_at < RETENTION_S
+            if now - limit.asked_at < RETENTION_S
         }
         self._ended = {
-            key: at for key, at in self._ended.items() if key in servers
+            key: at
+            for key, at in self._ended.items()
+            if key in servers or now - at < RETENTION_S
         }
--- a/tests/test_limits_over_hosts.py
+++ b/tests/test_limits_over_hosts.py
@@ -256,3 +256,16 @@
     statuses = {c.replies[-1].status for c in callers if c.replies}
     assert 500 in statuses
     assert statuses <= {200, 500, 503}
+
+
+def test_a_limit_outlives_an_entry_that_is_gone_for_a_moment() -> None:
+    """Entries lapse while the store is down, or are odd for a moment."""
+    simulation = _simulation()
+    simulation.workers["w1"].limit = "2.8"
+    _send_for(simulation, "slot", seconds=4.0, per_second=25)
+    for _ in range(6):
+        simulation.store.remove("servers", "w1")
+        simulation.run(0.1)
+        simulation.write_entry("w1")
+        _send_for(simulation, "slot", seconds=0.8, per_second=25)
+    _check_limits(simulation)
