A stream is taken up by what the store shows now, also at the host that keeps its row

Streams that had begun at the new version were taken up there and went on at the old one (ORDER).

Cause: a host that sees no other names itself keeper of a service's row of versions, and the keeper took what it had read or written last for current. So did each host that had read the row once; its view of the servers may be old as well. An unnamed take-up was joined to an earlier stream of its request without hearing any other host. Class: a role that a host gives itself, or a copy that it can't confirm, taken as proof.

Change: for a take-up that no host remembers, each host reads the row and the changes of the servers' table, in a read that began after the take-up came (shared_read). Unnamed ones need the replies of all hosts that may know, or one version alone in the store. Rows of before a restore prove nothing. Readers of the two tests of shared reads now look at shared_read; they ask the same.

--- a/nutmegscale/origin_rows.py
+++ b/nutmegscale/origin_rows.py
@@ -29,6 +29,20 @@
     era: int
 
 
+class StoredVersions(NamedTuple):
+    """Row of a service as the store has it.
+
+    Attributes:
+      content: Its content.
+      row_version: Version of the row in the store.
+      is_current: Whether the store wasn't restored since it was written.
+    """
+
+    content: VersionRow
+    row_version: int
+    is_current: bool
+
+
 class OriginRow(NamedTuple):
     """Some streams of a service that began one after the other.
 
@@ -128,20 +142,24 @@
             self._segments[service] = _Segment(segment.sequence + 1)
         return True
 
-    async def read_versions(self, service: str) -> tuple[VersionRow, int, bool]:
-        """Return the row of a service, its version, and whether it is current.
+    async def read_versions(self) -> dict[str, StoredVersions]:
+        """Return the rows on versions, by service.
 
-        It isn't current if the store was restored since it was written.
+        Malformed rows are left out.
 
         Raises:
           errors.StoreError: The store gave no usable answer.
         """
         result = await self._store.read_table(VERSION_TABLE)
+        found = {}
         for row in result.rows:
-            if row.key == service:
-                content = _decode_versions(row)
-                return content, row.version, content.era == result.era
-        return VersionRow((), result.era), 0, True
+            content = _decode_versions(row)
+            if content is not None:
+                is_current = content.era == result.era
+                found[row.key] = StoredVersions(
+                    content, row.version, is_current
+                )
+        return found
 
     async def write_versions(
         self, service: str, versions: frozenset[str], *, era: int, expected: int
@@ -172,13 +190,9 @@
         return None
 
 
-def _decode_versions(row: row_store.Row) -> VersionRow:
-    """Decode the versions of a service.
-
-    Raises:
-      errors.StoreError: The row is malformed.
-    """
+def _decode_versions(row: row_store.Row) -> VersionRow | None:
     try:
         return _version_decoder.decode(row.value)
     except errors.MalformedDataError as exc:
-        raise errors.StoreError(f"{VERSION_TABLE}/{row.key}: {exc}") from exc
+        logs.get().warning("versions_skipped", key=row.key, why=str(exc))
+        return None
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -161,25 +161,24 @@
         self.backends = backend_controller.BackendController(
             self.board, self.mesh, codecs.decode_entry
         )
-        self._followers = [
-            table_follower.TableFollower(
-                clock,
-                store,
-                codecs.config_table,
-                on_snapshot=self.configs.apply_rows,
-                on_change=self.configs.apply_row,
-                rng=self._rng,
-            ),
-            table_follower.TableFollower(
-                clock,
-                store,
-                codecs.entry_table,
-                on_snapshot=self.backends.apply_rows,
-                on_change=self.backends.apply_row,
-                on_contact=self.backends.record_contact,
-                rng=self._rng,
-            ),
-        ]
+        configs = table_follower.TableFollower(
+            clock,
+            store,
+            codecs.config_table,
+            on_snapshot=self.configs.apply_rows,
+            on_change=self.configs.apply_row,
+            rng=self._rng,
+        )
+        entries = table_follower.TableFollower(
+            clock,
+            store,
+            codecs.entry_table,
+            on_snapshot=self.backends.apply_rows,
+            on_change=self.backends.apply_row,
+            on_contact=self.backends.record_contact,
+            rng=self._rng,
+        )
+        self._followers = [configs, entries]
         self._rows = host_rows.HostRegistry(
             self.board,
             store,
@@ -260,7 +259,11 @@
         )
         rows = origin_rows.OriginRows(store)
         self._versions = version_controller.VersionController(
-            self.board, self.mesh, rows, era=lambda: self._era.era
+            self.board,
+            self.mesh,
+            rows,
+            era=lambda: self._era.era,
+            refresh_servers=entries.refresh,
         )
         self._origins = stream_registry.StreamRegistry(
             self.board,
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Collection
 from collections.abc import Sequence
-
-from twisted.internet import defer
+from typing import NamedTuple
 
 from nutmegscale import errors
 from nutmegscale import logs
@@ -13,6 +12,7 @@
 from nutmegscale import periodic
 from nutmegscale import rendezvous
 from nutmegscale import routing_board
+from nutmegscale import shared_read
 from nutmegscale import stream_origins
 from nutmegscale import version_controller
 
@@ -35,6 +35,18 @@
 MAX_REPLIED = 8
 
 
+class _Asked(NamedTuple):
+    """What other hosts know of a stream.
+
+    Attributes:
+      origins: Its origins.
+      is_complete: Whether all hosts that were asked have replied.
+    """
+
+    origins: list[stream_origins.Origin]
+    is_complete: bool
+
+
 class StreamRegistry:
     """Tells some hosts where a stream began, and asks them for others.
 
@@ -73,8 +85,12 @@
         self._origins = stream_origins.StreamOrigins()
         self._unwritten: dict[str, list[tuple[bytes, str, str]]] = {}
         self._mixed: set[str] = set()
-        self._read_at = -READ_PAUSE_S
-        self._readers: list[defer.Deferred[None]] | None = None
+        self._reads = shared_read.SharedRead(
+            board.clock,
+            self._read_rows,
+            pause_s=READ_PAUSE_S,
+            failure_event="origins_unread",
+        )
         self._written_at = -WRITE_PERIOD_S
         self._is_writing = False
         self._writes = periodic.Periodic(
@@ -122,16 +138,38 @@
           Its origin; None if that isn't known, or if unnamed streams of this
           digest began at different versions.
         """
+        if not stream:
+            return await self._find_unnamed(content, services)
         known = self._origins.find(self._board.now(), content, stream)
-        if not known or not stream:
-            known += await self._ask(content, stream)
         if not known:
-            await self._read()
+            known = (await self._ask(content, stream)).origins
+        if not known:
+            await self._reads.wait()
             known = self._origins.find(self._board.now(), content, stream)
-        if known and (stream or self._remembers_all):
+        if known:
             return stream_origins.agreed(known)
         return await self._only_origin(stream, services)
 
+    async def _find_unnamed(
+        self, content: bytes, services: Collection[str]
+    ) -> stream_origins.Origin | None:
+        """Find out where a stream began whose caller names no attempt.
+
+        Streams of the same request may have begun that this host wasn't told
+        of, so that those it knows count only if all that may know others have
+        replied, or if the store shows one version alone.
+        """
+        known = self._origins.find(self._board.now(), content, "")
+        asked = await self._ask(content, "")
+        known += asked.origins
+        if not known:
+            await self._reads.wait()
+            known = self._origins.find(self._board.now(), content, "")
+        if known and asked.is_complete and self._remembers_all:
+            return stream_origins.agreed(known)
+        only = await self._only_origin("", services)
+        return only and stream_origins.agreed([only, *known])
+
     @property
     def _remembers_all(self) -> bool:
         """Whether this host can have forgotten no stream that may go on."""
@@ -150,39 +188,14 @@
             return None
         return stream_origins.Origin(stream, service, version)
 
-    async def _read(self) -> None:
-        """Remember the origins in the store, unless they were read just now.
+    async def _read_rows(self) -> None:
+        """Remember the origins in the store.
 
-        Who comes while they are being read waits for that. The read goes on if
-        a caller leaves.
+        Raises:
+          errors.StoreError: The store gave no usable answer.
         """
-        now = self._board.now()
-        if self._readers is None and now - self._read_at < READ_PAUSE_S:
-            return
-        waiter: defer.Deferred[None] = defer.Deferred()
-        if self._readers is None:
-            self._read_at = now
-            self._readers = [waiter]
-            periodic.spawn(self._read_for_all())
-        else:
-            self._readers.append(waiter)
-        await waiter
-
-    async def _read_for_all(self) -> None:
-        try:
-            await self._read_rows()
-        finally:
-            readers, self._readers = self._readers or [], None
-            for waiter in readers:
-                if not waiter.called:
-                    waiter.callback(None)
-
-    async def _read_rows(self) -> None:
-        try:
-            for content, origin in await self._rows.read():
-                self._origins.record(self._board.now(), content, origin)
-        except errors.StoreError as exc:
-            logs.get().warning("origins_unread", why=str(exc))
+        for content, origin in await self._rows.read():
+            self._origins.record(self._board.now(), content, origin)
 
     def _keep(self, content: bytes, origin: stream_origins.Origin) -> None:
         """Remember an origin, and write it soon if this host is to do so."""
@@ -240,25 +253,25 @@
             if not origins:
                 del self._unwritten[service]
 
-    async def _ask(
-        self, content: bytes, stream: str
-    ) -> list[stream_origins.Origin]:
-        """Return what the hosts that may know a stream know of it."""
+    async def _ask(self, content: bytes, stream: str) -> _Asked:
+        """Ask the hosts that may know a stream for what they know of it."""
         query = messages.StreamQuery(content, stream)
         replies = await periodic.gather(
             self._query(host, query) for host in self._candidates(content)
         )
-        return [origin for reply in replies for origin in reply]
+        origins = [o for reply in replies if reply for o in reply]
+        return _Asked(origins, is_complete=None not in replies)
 
     async def _query(
         self, host: str, query: messages.StreamQuery
-    ) -> list[stream_origins.Origin]:
+    ) -> list[stream_origins.Origin] | None:
+        """Return what a host knows of a stream, None if it doesn't reply."""
         try:
             reply = await self._mesh.call(
                 host, query, messages.StreamReply, timeout_s=QUERY_TIMEOUT_S
             )
         except errors.PeerError:
-            return []
+            return None
         return [stream_origins.Origin(*origin) for origin in reply.origins]
 
     def _receive(self, sender: str, message: messages.StreamBegan) -> None:
--- a/nutmegscale/table_follower.py
+++ b/nutmegscale/table_follower.py
@@ -106,6 +106,20 @@
             await periodic.sleep(self._clock, pause_s * jitter)
             pause_s = min(MAX_RETRY_S, pause_s * RETRY_FACTOR)
 
+    async def refresh(self) -> None:
+        """Apply all changes that were made before this call.
+
+        Raises:
+          errors.StoreError: The store gave no usable answer, or this follower
+            has no snapshot of its present content.
+        """
+        if self._version is None:
+            raise errors.StoreError(f"{self._table} wasn't read yet")
+        changes = await self._store.follow(self._table, self._version, 0.0)
+        if self._version is None or changes.era != self._era:
+            raise errors.StoreError(f"{self._table} was restored meanwhile")
+        self._apply_all(changes)
+
     async def _step(self) -> None:
         if self._version is None:
             snapshot = await self._store.read_table(self._table)
@@ -130,8 +144,14 @@
             )
             self._version = None
             return
+        self._apply_all(changes)
+
+    def _apply_all(self, changes: row_store.StoreResult) -> None:
+        """Apply changes, except those that a refresh has applied before."""
+        assert self._version is not None
         for row in changes.rows:
-            self._apply(row)
+            if row.version > self._version:
+                self._apply(row)
         self._version = max(self._version, changes.version)
 
     def _apply(self, row: row_store.Row) -> None:
--- a/nutmegscale/version_controller.py
+++ b/nutmegscale/version_controller.py
@@ -1,5 +1,6 @@
 """Keeps a row of the store for each service on the versions that served it."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -11,40 +12,42 @@
 from nutmegscale import rendezvous
 from nutmegscale import routing_board
 from nutmegscale import served_versions
+from nutmegscale import shared_read
 
 PERIOD_S = 0.5
-# Time for which a row that was read may be used again, seconds.
-ROW_AGE_S = 0.5
+# Shortest time between two reads for callers, seconds.
+READ_PAUSE_S = 0.3
 
 
 class _KnownRow(NamedTuple):
-    """A row as this host read or wrote it last.
+    """A row as its keeper read or wrote it last.
 
     Attributes:
       versions: Versions that it lists.
       era: Era of the store at that time.
       row_version: Version of the row.
-      at: When it was read or written, seconds.
     """
 
     versions: frozenset[str]
     era: int
     row_version: int
-    at: float
 
 
 class VersionController:
     """Knows which software versions served a service lately, over restarts.
 
     One host for each service, its keeper, writes the row, only when the
-    versions change. The others read it only when a caller takes up a stream
-    that no host remembers.
+    versions change. A host that sees no other takes itself for the keeper, so
+    that being it proves nothing: when a caller takes up a stream that no host
+    remembers, each host asks the store.
 
     Args:
       board: State of this host.
       link: Messages between hosts.
       rows: The rows.
       era: Returns the era of the store that this host saw last.
+      refresh_servers: Brings the registered servers up to date; raises
+        `errors.StoreError` if the store gives no usable answer.
     """
 
     def __init__(
@@ -54,13 +57,22 @@
         rows: origin_rows.OriginRows,
         *,
         era: Callable[[], int],
+        refresh_servers: Callable[[], Awaitable[None]],
     ) -> None:
         self._board = board
         self._mesh = link
         self._rows = rows
         self._era = era
         self._served = served_versions.ServedVersions()
+        self._refresh_servers = refresh_servers
         self._known: dict[str, _KnownRow] = {}
+        self._stored: dict[str, origin_rows.StoredVersions] = {}
+        self._confirmation = shared_read.SharedRead(
+            board.clock,
+            self._read_store,
+            pause_s=READ_PAUSE_S,
+            failure_event="versions_unread",
+        )
         self._period = periodic.Periodic(board.clock, PERIOD_S, self._check)
 
     def start(self) -> None:
@@ -88,21 +100,34 @@
     async def only_version(self, service: str) -> str | None:
         """Return the only version at which streams may have begun lately.
 
+        Both the row and the registered servers are read from the store for it:
+        this host may have missed a version, whether it keeps the row or not.
+
         Returns:
           The version; None if there are several, or if that isn't known.
         """
-        self._record_registered(service)
-        try:
-            await self._adopt(service)
-        except errors.StoreError as exc:
-            logs.get().warning("versions_unread", why=str(exc))
+        if not await self._confirmation.wait():
+            return None
+        stored = self._stored.get(service)
+        if stored is None or not stored.is_current:
             return None
-        known = self._known[service]
-        lately = self._served.lately(self._board.now(), service)
-        if not known.versions or served_versions.UNKNOWN in lately:
+        self._record_registered(service)
+        now = self._board.now()
+        self._served.record(now, service, stored.content.versions)
+        lately = self._served.lately(now, service)
+        if not stored.content.versions or served_versions.UNKNOWN in lately:
             return None
         return next(iter(lately)) if len(lately) == 1 else None
 
+    async def _read_store(self) -> None:
+        """Read the rows, and what has changed of the registered servers.
+
+        Raises:
+          errors.StoreError: The store gave no usable answer.
+        """
+        await self._refresh_servers()
+        self._stored = await self._rows.read_versions()
+
     def _record_registered(self, service: str) -> None:
         versions = {
             server.version
@@ -112,7 +137,7 @@
         self._served.record(self._board.now(), service, versions)
 
     async def _adopt(self, service: str) -> None:
-        """Read the row of a service, unless it was read just now.
+        """Read the row of a service, unless this host knows it.
 
         Raises:
           errors.StoreError: The store gave no usable answer.
@@ -120,16 +145,20 @@
         known = self._known.get(service)
         now = self._board.now()
         if known is not None and known.era == self._era():
-            is_fresh = now - known.at < ROW_AGE_S
-            if is_fresh or self._keeps(service):
-                return
-        row, row_version, is_current = await self._rows.read_versions(service)
-        self._served.record(now, service, row.versions)
-        if not is_current and known is None:
+            return
+        rows = await self._rows.read_versions()
+        stored = rows.get(service)
+        if stored is None:
+            self._known[service] = _KnownRow(frozenset(), self._era(), 0)
+            return
+        self._served.record(now, service, stored.content.versions)
+        if not stored.is_current and known is None:
             # What was written before the restore is unknown to this host.
             self._served.record(now, service, [served_versions.UNKNOWN])
         self._known[service] = _KnownRow(
-            frozenset(row.versions), row.era, row_version, now
+            frozenset(stored.content.versions),
+            stored.content.era,
+            stored.row_version,
         )
 
     def _keeps(self, service: str) -> bool:
@@ -167,7 +196,7 @@
         if written is None:
             self._known.pop(service, None)
             return
-        self._known[service] = _KnownRow(lately, era, written, now)
+        self._known[service] = _KnownRow(lately, era, written)
         logs.get().info(
             "versions_recorded",
             service=service,
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -278,11 +278,12 @@
 
     read = registry._rows.read
     registry._rows.read = _fail  # type: ignore[method-assign]
-    registry._read_at = -100.0
-    periodic.spawn(registry._read())
+    failed = periodic.spawn(registry._reads.wait())
     simulation.run(0.1)
+    meanwhile = periodic.spawn(registry._reads.wait())
     registry._rows.read = read  # type: ignore[method-assign]
-    registry._read_at = -100.0
-    done = periodic.spawn(registry._read())
     simulation.run(0.5)
-    assert done.called
+    assert (failed.result, meanwhile.result) == (False, True)
+    done = periodic.spawn(registry._reads.wait())
+    simulation.run(0.5)
+    assert done.result
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -3,8 +3,10 @@
 import random
 
 import pytest
+from twisted.internet import defer
 from twisted.internet import task
 
+from nutmegscale import errors
 from nutmegscale import row_store
 from nutmegscale import table_follower
 from standins import row_table
@@ -105,3 +107,43 @@
     reader.store.is_down = False
     reader.run(5.0)
     assert reader.rows == reader.stored()
+
+
+def test_a_refresh_applies_what_was_written_before_it() -> None:
+    """The poll of the feed gets no answer meanwhile."""
+    reader = _Reader()
+    reader.store.put(TABLE, "a", b"old")
+    reader.run(1.0)
+    reader.store.unresponsive_hosts.add("h")
+    reader.store.put(TABLE, "a", b"new")
+    reader.run(0.1)
+    assert reader.rows == {"a": b"old"}
+    refreshed = defer.ensureDeferred(reader.follower.refresh())
+    reader.run(0.1)
+    assert refreshed.called
+    assert reader.rows == reader.stored()
+
+
+def test_an_answer_that_a_refresh_has_overtaken_undoes_nothing() -> None:
+    reader = _Reader()
+    reader.store.put(TABLE, "a", b"1")
+    reader.run(1.0)
+    late = reader.store.changes_since(TABLE, 0)
+    reader.store.put(TABLE, "a", b"2")
+    reader.run(0.5)
+    result = row_store.StoreResult(late, late[-1].version, era=1)
+    reader.follower._apply_all(result)
+    assert reader.rows == {"a": b"2"}
+
+
+def test_a_refresh_without_the_store_ends_in_an_error() -> None:
+    reader = _Reader()
+    reader.run(1.0)
+    reader.store.refused_hosts = {"h"}
+    refreshed = defer.ensureDeferred(reader.follower.refresh())
+    failures: list[errors.StoreError] = []
+    refreshed.addErrback(
+        lambda found: failures.append(found.trap(errors.StoreError))
+    )
+    reader.run(0.1)
+    assert failures
--- a/tests/test_take_ups_after_restart.py
+++ b/tests/test_take_ups_after_restart.py
@@ -272,7 +272,7 @@
         )
     registry = simulation.hosts[3].router._origins
     for _ in range(100):
-        if registry._readers is not None:
+        if registry._reads.is_running:
             break
         simulation.clock.advance(0.001)
     connections[0].transport.abortConnection()
