A host that stops doesn't close a new connection before its first request

Cause: idle connections are closed every 50 ms, and a new one counts as idle.

Change: one without a request so far is closed after a second. The test of idle connections took a new one for idle; it now takes one that has served a request, and the new test says when a new one is closed.

Measured: test_a_new_connection_isnt_closed_before_its_first_request failed before (half closed at once), passes now.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -29,6 +29,9 @@
 # specification.
 MAX_BUFFERED_BODY_BYTES = 32 << 20
 BUSY_RETRY_AFTER_S = 1.0
+# A host that shuts down closes a new connection without a request only after
+# this time, seconds: its first request may be on the way.
+FIRST_REQUEST_WAIT_S = 1.0
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -228,6 +231,8 @@
         self._is_streaming = False
         self._is_blocked = False
         self._unblocked: defer.Deferred[None] | None = None
+        self._opened_at = factory.now()
+        self._has_received = False
         self._body_bytes = 0
         self._reset_message()
 
@@ -277,6 +282,7 @@
             # the response.
             self._is_closing = True
             return
+        self._has_received = True
         limits = self._factory.limits()
         if not self._head_bytes:
             self._start_timer(limits.header_timeout_s)
@@ -447,8 +453,13 @@
         self.transport.abortConnection()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless it receives or processes a request."""
-        if self.is_idle and not self._is_discarding:
+        """Close the connection unless it receives or processes a request.
+
+        A new one isn't closed while its first request may be on the way.
+        """
+        age_s = self._factory.now() - self._opened_at
+        is_new = not self._has_received and age_s < FIRST_REQUEST_WAIT_S
+        if self.is_idle and not self._is_discarding and not is_new:
             self._close_gracefully()
 
     def _close_gracefully(self) -> None:
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -222,10 +222,25 @@
     harness.handler.requests[0].respond(200, [], b"")
     assert b"Connection: close" in harness.transport.value()
     other = _Harness()
+    other.receive(VALID_GET)
+    other.handler.requests[0].respond(200, [], b"")
     other.factory.close_idle()
     assert other.transport.is_half_closed
 
 
+def test_a_new_connection_isnt_closed_before_its_first_request() -> None:
+    """Its request was on the way, and the caller's attempt failed."""
+    harness = _Harness()
+    harness.factory.is_draining = True
+    harness.factory.close_idle()
+    harness.clock.advance(0.2)
+    harness.factory.close_idle()
+    assert not harness.transport.is_half_closed
+    harness.clock.advance(http_ingress.FIRST_REQUEST_WAIT_S)
+    harness.factory.close_idle()
+    assert harness.transport.is_half_closed
+
+
 def test_bodies_of_all_connections_together_are_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
