A host that stops answers each request that it has read

Cause: while one request is in progress, a host takes plain calls up to its end, whatever time they need; what is in progress then is cut. Class: admission that doesn't look at the time that is left.

Change: planned_stop decides which requests a stopping host takes. A plain call is taken if twice the longest duration of its service lately, or its time limit, fits into the grace; others are refused as not run, with a Retry-After of 0.1 s, so that another host serves them. Requests of other hosts are refused at once. Calls end at the end of the grace; what is in progress then is answered 504 (may have run) or, if nothing was sent, 503. Passing a late call on gains nothing: its answer would have to come back through the host that ends.

--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -156,6 +156,7 @@
             return False
         request = self._codec.relay(context.request, context.left_s)
         call: upstream_call.Call | None = None
+        context.is_offered = True
         try:
             address = self._address_of(member.address)
             call = await self._pool.call(address, request)
@@ -186,6 +187,7 @@
     def _record_refusal(
         self, context: request_context.RequestContext, host: str, why: str
     ) -> None:
+        context.is_offered = False
         until = self._board.now() + UNREACHED_PAUSE_S
         self._unreached_until[host, context.service] = until
         context.log("not_passed_on", to=host, why=why)
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -35,7 +35,11 @@
       waited_s: How long its caller had waited before this attempt, seconds.
       tries: Ids of the backend servers that it was sent to, without prefill
         workers.
+      is_offered: Whether another host has been asked to serve it and hasn't
+        refused.
       sends: What it sent to servers.
+      outcome: "ran" once a server's answer was forwarded, the outcome of the
+        failure that was answered instead, "" before.
     """
 
     def __init__(
@@ -56,13 +60,11 @@
         self.request = request
         self.route = route
         self.service = service
-        patience_s = request.patience_s
-        limit_s = route.timeout_s
-        if patience_s is not None:
-            limit_s = min(limit_s, patience_s - ANSWER_MARGIN_S)
-        self.deadline = incoming.arrived + limit_s
+        self.deadline = incoming.arrived + limit_s(route, request)
         self.waited_s = waited_s
         self.tries: list[str] = []
+        self.is_offered = False
+        self.outcome = ""
         self._retries = retries
         self.sends = request_sends.RequestSends(
             retries, now=board.now, on_retry=self._record_retry
@@ -87,6 +89,11 @@
         """Whether another host has passed the request on."""
         return self.incoming.is_relayed
 
+    @property
+    def has_been_sent(self) -> bool:
+        """Whether it may have run: it was sent to a server or offered."""
+        return bool(self.tries) or self.is_offered
+
     def content(self) -> quarantine.Content:
         """Return the content of the request; see `CallerRequest`."""
         if self._content is None:
@@ -119,6 +126,7 @@
 
     def fail(self, failure: errors.Failure, **fields: Any) -> None:
         """Answer with a failure, or cut off an answer that has begun."""
+        self.outcome = failure.outcome
         headers = failure_headers(
             self._codec, failure, is_relayed=self.is_relayed
         )
@@ -158,6 +166,7 @@
 
     def record_answer(self, status: int, **fields: Any) -> None:
         """Record that a complete answer of a server was forwarded."""
+        self.outcome = "ran"
         result = "answered" if status < 400 else "server_failed"
         self._board.metrics.record_end(self.route.kind, result)
         self.log("request_answered", status=status, **fields)
@@ -198,6 +207,15 @@
         )
 
 
+def limit_s(
+    route: routes.Route, request: caller_request.CallerRequest
+) -> float:
+    """Return the time within which a request must be answered, seconds."""
+    if request.patience_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, request.patience_s - ANSWER_MARGIN_S)
+
+
 def failure_headers(
     codec: caller_request.CallerCodec,
     failure: errors.Failure,
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -33,11 +33,13 @@
 from nutmegscale import peer_watch
 from nutmegscale import periodic
 from nutmegscale import plain_runner
+from nutmegscale import planned_stop
 from nutmegscale import reach_controller
 from nutmegscale import request_context
 from nutmegscale import retry_share
 from nutmegscale import router_metrics
 from nutmegscale import router_settings
+from nutmegscale import routes
 from nutmegscale import routing_board
 from nutmegscale import routing_controller
 from nutmegscale import row_store
@@ -66,12 +68,9 @@
 # apart, before it sends new connections elsewhere, seconds. Until then they are
 # served.
 BALANCER_DRAIN_S = 2.2
-# Time after SIGTERM from which new streams are refused, seconds: they may last
-# longer than the time that is left until the process is killed.
-REFUSE_STREAMS_AFTER_S = 1.0
-# The drain ends this long before the process would be killed, even with
-# requests still running, seconds.
-KILL_MARGIN_S = 0.4
+# Retry-After of a request that comes too late for a host that shuts down: other
+# hosts can serve it at once, seconds.
+LEAVING_RETRY_AFTER_S = 0.1
 DRAIN_POLL_S = 0.05
 
 
@@ -284,9 +283,12 @@
             rng=self._rng,
         )
         self._patience = patience.PatienceEstimator()
-        self._live: set[http_ingress.IncomingRequest] = set()
+        self._live: dict[
+            request_context.RequestContext, defer.Deferred[Any] | None
+        ] = {}
         self._joining: defer.Deferred[Any] | None = None
-        self._drain_started_at = 0.0
+        self._stop: planned_stop.PlannedStop | None = None
+        self._durations = planned_stop.CallDurations()
         self._joined_at: float | None = None
 
     def _on_joined(self) -> None:
@@ -360,31 +362,47 @@
     ) -> None:
         """Shut down gracefully and finish the requests in progress.
 
-        New streams are refused after `REFUSE_STREAMS_AFTER_S`; other requests
-        are served until no caller is connected or the deadline has passed.
+        Requests that can't be answered in time are refused; the others are
+        served until no caller is connected or the deadline has passed. What is
+        in progress then ends with an answer that it may have run.
 
         Args:
           connections: Open connections of callers.
           close_idle: Closes the connections without a request.
           stop_accepting: Closes the listening port for callers.
         """
-        now = self.board.now()
+        stop = self._stop = planned_stop.PlannedStop(
+            self.board.now(), grace_s=self._settings.grace_s
+        )
         self.board.is_draining = True
-        self._drain_started_at = now
         self.members.leave()
         logs.get().info("draining", live=self.live)
-        deadline = now + self._settings.grace_s - KILL_MARGIN_S
         await periodic.sleep(self.board.clock, BALANCER_DRAIN_S)
-        while self._live and self.board.now() < deadline:
+        while self._live and self.board.now() < stop.answer_by:
             close_idle()
             await periodic.sleep(self.board.clock, DRAIN_POLL_S)
         # No connection is accepted from here on; those accepted before are
         # still served.
         stop_accepting()
-        while connections and self.board.now() < deadline:
+        while connections and self.board.now() < stop.answer_by:
             close_idle()
             await periodic.sleep(self.board.clock, DRAIN_POLL_S)
         logs.get().info("drained", left=self.live, open=len(connections))
+        self._end_unfinished()
+
+    def _end_unfinished(self) -> None:
+        """Answer the requests in progress before the process ends."""
+        for context, running in list(self._live.items()):
+            if context.has_been_sent:
+                context.fail(
+                    errors.Failure(
+                        504, "host_stopped", "the host stops", "maybe_run"
+                    )
+                )
+            else:
+                context.refuse("host_is_leaving", LEAVING_RETRY_AFTER_S)
+            if running is not None:
+                running.cancel()
 
     def handle(self, incoming: http_ingress.IncomingRequest) -> None:
         """Handle a caller's request; see `http_ingress.Handler`."""
@@ -407,12 +425,13 @@
             self._refuse(incoming, request, "no_server")
             return
         service = route.choose_service(self._rng, usable)
-        is_leaving = (
-            board.is_draining
-            and board.now() - self._drain_started_at > REFUSE_STREAMS_AFTER_S
-        )
-        if is_leaving and route.kind == "stream":
-            self._refuse(incoming, request, "host_is_leaving")
+        if self._comes_too_late(incoming, request, route, service):
+            self._refuse(
+                incoming,
+                request,
+                "host_is_leaving",
+                retry_after_s=LEAVING_RETRY_AFTER_S,
+            )
             return
         refused_for_s = self.crashes.admit(request.content)
         if refused_for_s:
@@ -432,18 +451,36 @@
             ),
             waited_s=self._patience.waited_s(route.name, request.patience_s),
         )
+        if self._stop is not None and route.kind != "stream":
+            context.deadline = min(context.deadline, self._stop.answer_by)
         self._run(context)
 
+    def _comes_too_late(
+        self,
+        incoming: http_ingress.IncomingRequest,
+        request: caller_request.CallerRequest,
+        route: routes.Route,
+        service: str,
+    ) -> bool:
+        """Whether this host shuts down before it could answer a request."""
+        return self._stop is not None and self._stop.refuses(
+            self.board.now(),
+            kind=route.kind,
+            is_relayed=incoming.is_relayed,
+            limit_s=request_context.limit_s(route, request),
+            longest_s=self._durations.longest_s(service),
+        )
+
     def _run(self, context: request_context.RequestContext) -> None:
         has_engine = self._has_engine(context.service)
         is_stream = context.route.kind == "stream" and has_engine
         runner = self._streams.run if is_stream else self._plain.run
-        incoming = context.incoming
-        self._live.add(incoming)
+        self._live[context] = None
         running = periodic.spawn(self._serve(context, runner))
         running.addBoth(self._on_run_ended, context)
         if not running.called:
-            incoming.watch_disconnect(
+            self._live[context] = running
+            context.incoming.watch_disconnect(
                 lambda: self._on_disconnect(context, running)
             )
 
@@ -482,8 +519,11 @@
     def _on_run_ended(
         self, result: Any, context: request_context.RequestContext
     ) -> None:
-        self._live.discard(context.incoming)
+        self._live.pop(context, None)
         context.sends.close()
+        if context.outcome in ("ran", "maybe_run"):
+            took_s = self.board.now() - context.incoming.arrived
+            self._durations.record(context.service, took_s)
         if not context.incoming.is_ended:
             # A defect: the runner ended without an answer.
             context.fail(
