The own interface answers calls that outlast a planned stop

A call of the own interface that was still in progress at the limit of the shutdown, or at a second signal, was cut without an answer; streams were ended with a failure.

Cause: only exchanges were ended at that limit.

Change: calls are ended as well, 504 and may have run; their claims stay, so that no repeat runs them again.

Measured: test_a_call_that_outlasts_a_planned_stop_ends_with_an_answer, GET and POST, failed before (no answer), passes now. Late requests aren't taken there: a draining host refuses new ones at once (tests/test_application.py, as before).

--- a/nutmegscale/application.py
+++ b/nutmegscale/application.py
@@ -169,7 +169,7 @@
         """Shut down gracefully: take no new requests, finish running ones.
 
         Returns when all exchanges, calls and cancels have ended, or when
-        `drain_limit_s` has passed and the remaining exchanges were cancelled.
+        `drain_limit_s` has passed and the remaining ones were ended.
         Model requests that are still being claimed aren't awaited.
         """
         if self.board.is_draining:
@@ -186,9 +186,14 @@
         while self._is_busy and self.board.now() < deadline:
             await periodic.sleep(self.board.clock, DRAIN_POLL_S)
         if self._is_busy:
-            self.exchanges.cancel_all()
+            self.cancel_all()
         self.board.record_event("host.drained", left=self.exchanges.live_count)
 
+    def cancel_all(self) -> None:
+        """End the exchanges and calls in progress; they may have run."""
+        self.exchanges.cancel_all()
+        self.calls.cancel_all()
+
     @property
     def _is_busy(self) -> bool:
         return bool(
--- a/nutmegscale/call_controller.py
+++ b/nutmegscale/call_controller.py
@@ -104,13 +104,13 @@
         self._budget = retry_budget.RetryBudget()
         self._outstanding: dict[str, int] = {}
         self._avoid_until: dict[str, float] = {}
-        self._live_count = 0
+        self._live: set[defer.Deferred[claim.Answer | errors.Failure]] = set()
         link.on(messages.AttemptRequest, self._receive_attempt)
 
     @property
     def live_count(self) -> int:
         """Number of calls that run on this host."""
-        return self._live_count
+        return len(self._live)
 
     def write_claims_again(self) -> None:
         """Write the claims of this host again after a restore of the table."""
@@ -130,11 +130,7 @@
         """
         refusal = self._check(call)
         if refusal is None:
-            self._live_count += 1
-            try:
-                result = await self._serve(call)
-            finally:
-                self._live_count -= 1
+            result = await self._serve_until_stopped(call)
         else:
             result = refusal
         if isinstance(result, errors.Failure):
@@ -143,6 +139,28 @@
             self._board.metrics.record_call(call.service)
         return result
 
+    async def _serve_until_stopped(
+        self, call: PlainCall
+    ) -> claim.Answer | errors.Failure:
+        running = defer.ensureDeferred(self._serve(call))
+        self._live.add(running)
+        try:
+            return await running
+        except defer.CancelledError:
+            return errors.Failure(
+                504,
+                "host_stopped",
+                "this host stopped before the call ended",
+                "maybe_run",
+            )
+        finally:
+            self._live.discard(running)
+
+    def cancel_all(self) -> None:
+        """Fail every call in progress when a drain exceeds its limit."""
+        for running in list(self._live):
+            running.cancel()
+
     def _check(self, call: PlainCall) -> errors.Failure | None:
         current = self._board.config
         if (
--- a/nutmegscale/daemon.py
+++ b/nutmegscale/daemon.py
@@ -145,7 +145,7 @@
     def shut_down(self, *, is_signal: bool = False) -> None:
         """Drain, then stop.
 
-        If the shutdown has already started, a signal cancels the exchanges in
+        If the shutdown has already started, a signal ends what is in
         progress and stops the daemon at once; any other call does nothing.
 
         Args:
@@ -157,7 +157,7 @@
             self._is_stopping = True
             periodic.spawn(self._drain())
         elif is_signal:
-            self._application.exchanges.cancel_all()
+            self._application.cancel_all()
             self._reactor.callLater(STOP_DELAY_S, self._stop)
 
     async def _drain(self) -> None:
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -1,7 +1,12 @@
 """Tests of graceful shutdown, restarts and partitioned failure domains."""
 
+from typing import Any
+
+import pytest
 from twisted.internet import defer
 
+from nutmegscale import call_controller
+from nutmegscale import errors
 from standins import answers
 from standins import deployment
 
@@ -123,3 +128,35 @@
     system.run_until(lambda: _are_done(*sinks), 20.0)
     ended = [s for s in sinks if s.end_count]
     assert len(ended) == 12
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_call_that_outlasts_a_planned_stop_ends_with_an_answer(
+    method: str,
+) -> None:
+    """Its connection was closed without one when the process ended."""
+    system = deployment.federation()
+    app = system.hosts["maadi-1"]
+    app.board.settings["drain_limit_s"] = 2.0
+    unanswered: defer.Deferred[Any] = defer.Deferred()
+
+    class _SilentClient:
+        """Client of a server that runs calls and never answers."""
+
+        async def request(self, *_: Any, **more: Any) -> Any:
+            await unanswered
+
+    app.calls._clients = lambda _: _SilentClient()  # type: ignore
+    call = call_controller.PlainCall(
+        "entry-pages", "k1", "entries-app", method, "/bib", "text/plain", b"x"
+    )
+    results: list[Any] = []
+    served = defer.ensureDeferred(app.calls.serve(call))
+    served.addBoth(results.append)
+    system.run(0.5)
+    assert not results
+    drained = defer.ensureDeferred(app.drain())
+    system.run_until(lambda: drained.called, 5.0)
+    assert isinstance(results[0], errors.Failure)
+    assert (results[0].status, results[0].outcome) == (504, "maybe_run")
+    assert app.calls.live_count == 0
