Soak: hosts cut off from all servers, and servers that ask for pauses

Cause: neither had been played with real daemons; how often the callers of such hosts are served, and what reaches a server in a pause, by host, was known on virtual time only.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -18,9 +18,30 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, ip: str, port: int) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        ip: str,
+        port: int,
+        *,
+        source: str = "",
+        sources: dict[int, str] | None = None,
+    ) -> None:
+        """Create a proxy that doesn't listen yet.
+
+        Args:
+          reactor: Twisted reactor.
+          ip: Address of the target.
+          port: Its port.
+          source: Name of the host whose connections it forwards; "" for that of
+            the proxy before it.
+          sources: Where the source of each connection to a target is recorded,
+            by its local port.
+        """
         self._reactor = reactor
         self._target = (ip, port)
+        self._source = source
+        self._sources = {} if sources is None else sources
         self._client_sides: set[_ClientSide] = set()
         self.delay_s = 0.0
         self.drops_to_target = False
@@ -50,6 +71,14 @@
         factory.noisy = False
         endpoint.connect(factory).addErrback(lambda _: client_side.abort())
 
+    def record_source(
+        self, client_side: "_ClientSide", target_side: "_TargetSide"
+    ) -> None:
+        """Record the host that opened a connection to the target."""
+        before = self._sources.get(client_side.transport.getPeer().port, "")
+        port = target_side.transport.getHost().port
+        self._sources[port] = self._source or before
+
     def remove(self, client_side: "_ClientSide") -> None:
         """Remove a closed connection."""
         self._client_sides.discard(client_side)
@@ -145,6 +174,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Attach this side to the client side."""
+        self._client_side.proxy.record_source(self._client_side, self)
         self._client_side.target_connected(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -106,12 +106,16 @@
       received: Requests of callers that reached it, rejected ones included.
       orders: Bodies of the orders that it accepted.
       on_stage_change: Called after its stage changed.
+      source_of: Returns the host that opened a connection, by its port, where
+        the connection doesn't say it.
       handles: Expiry of each prefill handle, seconds of the clock.
       freed: Handles that it was requested to free, in order.
       sources: All backend servers by address, to fetch prefill results from.
       cancelled: Ids of the requests whose connection closed while they ran.
     """
 
+    drip: bytes = b""
+
     def __init__(
         self, clock: Any, worker_id: str, *, stage: str = "", slots: int = 4
     ) -> None:
@@ -149,7 +153,6 @@
         self.endless = b""
         self.endless_answers = 0
         self.event_interval_s = EVENT_INTERVAL_S
-        self.drip = b""
         self._silent_until = 0.0
         self.poison_parts: frozenset[bytes] = frozenset()
         self.crashes_in_prefill = False
@@ -162,6 +165,7 @@
         self.freed: list[str] = []
         self.orders: list[dict[str, Any]] = []
         self.on_stage_change: Callable[[], None] = lambda: None
+        self.source_of: Callable[[int], str] = lambda _: ""
         self._running = 0
         self._prefills = 0
         self.sources: dict[str, PlatformWorker] = {}
@@ -242,7 +246,10 @@
         self, request: http_ingress.IncomingRequest
     ) -> limit_window.Contact:
         transport = request._connection.transport
-        source = getattr(transport, "source", "")
+        if hasattr(transport, "source"):
+            source = transport.source
+        else:
+            source = self.source_of(transport.getPeer().port)
         return limit_window.Contact(self._clock.seconds(), source)
 
     def _common_headers(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -77,3 +77,12 @@
     output = _run_soak(tmp_path, UNJOINED_SEED, *options)
     found = _without_poison(_violations(output, UNJOINED_SEED))
     assert not found, output[-2_000:]
+
+
+def test_soak_of_hosts_cut_off_from_servers_serves_their_callers(
+    tmp_path: pathlib.Path,
+) -> None:
+    options = ("--minutes", "0.35", "--hosts", "6", "--callers", "30", "--cuts")
+    output = _run_soak(tmp_path, SEED, *options)
+    assert not _violations(output), output[-2_000:]
+    assert "served there" in output
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,7 @@
 """Randomized soak test: checks guarantees of real daemons under faults.
 
     python -m tools.soak --seed N --minutes M [--hosts N] [--callers N]
-        [--grey] [--limits]
+        [--grey] [--limits] [--cuts]
 
 All random choices come from the seed. Writes faults and results as JSON lines
 to out/soak-SEED/soak-SEED.jsonl; ends only the processes that it started.
@@ -20,9 +20,11 @@
 
 from nutmegscale import periodic
 from tools import soak_callers
+from tools import soak_cuts
 from tools import soak_grey
 from tools import soak_limits
 from tools import soak_odd_rows
+from tools import soak_pauses
 from tools import soak_poison
 from tools import soak_resumes
 from tools import soak_world
@@ -88,6 +90,14 @@
         )
         self._limits = soak_limits.LimitedServers(self.deployment, self.callers)
         self._has_limits = arguments.limits
+        self._cuts = soak_cuts.HostCuts(
+            self.deployment, self.callers, random.Random(arguments.seed + 6)
+        )
+        self._pauses = soak_pauses.PausingServers(
+            self.deployment, self.callers, random.Random(arguments.seed + 7)
+        )
+        self._has_cuts = arguments.cuts
+        self.figures: list[str] = []
         self.deployment.on_poison = self._crash_on_poison
         self._log_file = open(folder / f"soak-{arguments.seed}.jsonl", "w")  # noqa: SIM115
         self._disturbed_at: dict[str, float] = {}
@@ -109,24 +119,32 @@
         """Run the test and return the number of violations."""
         self.deployment.start()
         await periodic.sleep(reactor, WARM_UP_S)
-        self._poison.start()
+        if not self._has_cuts:
+            self._poison.start()
         if self._has_grey_servers:
             self._grey.start()
         self._resumes.start()
         self._odd_rows.start()
         if self._has_limits:
             self._limits.start()
+        if self._has_cuts:
+            self._cuts.start()
+            self._pauses.start()
         end = self._started_at + WARM_UP_S + self._duration_s
         while reactor.seconds() < end:
             # Faults come in bursts and overlap.
             for _ in range(self._rng.choice((1, 1, 2, 3))):
-                if not self._has_limits:
+                if self._has_cuts:
+                    self._inject_planned_change()
+                elif not self._has_limits:
                     self._inject_fault()
             await periodic.sleep(reactor, self._rng.uniform(0.3, 3.0))
         self._poison.stop()
         self._grey.stop()
         self._resumes.stop()
         self._odd_rows.stop()
+        self._cuts.stop()
+        self._pauses.stop()
         self._heal_all()
         await periodic.sleep(reactor, RECOVERY_S)
         healed_at = reactor.seconds()
@@ -155,6 +173,11 @@
         )
         self._rng.choice(faults)()
 
+    def _inject_planned_change(self) -> None:
+        """Change what leaves hosts in touch with all others and the store."""
+        self._fault_count += 1
+        self._rng.choice((self._reload_host, self._change_config))()
+
     def _record_disturbance(self, host: soak_world.Host) -> None:
         self._disturbed_at[host.name] = reactor.seconds()
 
@@ -375,6 +398,7 @@
         self._poison.check()
         self._check_retries()
         self._check_limits()
+        self._check_cuts()
         self._resumes.check()
         self._odd_rows.check()
         for host in self.deployment.hosts:
@@ -427,6 +451,15 @@
             for name, window in self._limits.check():
                 self.log_event("limit", server=name, worst=str(window))
 
+    def _check_cuts(self) -> None:
+        """Check that hosts without servers serve, and that pauses are kept."""
+        if not self._has_cuts:
+            return
+        self.figures += self._cuts.check()
+        pauses, late = self._pauses.check()
+        self.figures.append(f"{pauses} pauses, {late} requests within one")
+        self.log_event("cuts", figures=self.figures)
+
     def _check_planned_stops(self) -> None:
         """Check that planned stops cut off no answer in progress."""
         for name, stopped_at in self._planned_stops:
@@ -487,6 +520,11 @@
         action="store_true",
         help="let servers state limits, without any fault",
     )
+    parser.add_argument(
+        "--cuts",
+        action="store_true",
+        help="cut hosts off from all servers, with pauses and without faults",
+    )
     parser.add_argument("--out", default="out")
     arguments = parser.parse_args()
     folder = pathlib.Path(arguments.out) / f"soak-{arguments.seed}"
@@ -512,6 +550,8 @@
         if violation_counts
         else "the soak test didn't complete"
     )
+    for figures in soak.figures:
+        print(figures)
     for violation in soak.callers.violations:
         print(f"  {violation.promise}: {violation.request} {violation.detail}")
     return 0 if count == 0 else 1
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -20,6 +20,7 @@
 from standins import platform_worker
 from standins import row_table
 from standins import store_site
+from tools import soak_links
 
 # Each host has a loopback address of its own, 127.SUBNET.0.x; ports are the
 # same on all. A soak derives its subnet from its process id, so that several
@@ -66,6 +67,8 @@
       disturbed_at: When it was last started or signalled, seconds of the
         reactor clock.
       store_proxy: Proxy of its connections to the store.
+      links: Its ways to the backend servers, by name.
+      cut: How it is cut off from all backend servers; "" if it isn't.
     """
 
     def __init__(
@@ -73,6 +76,8 @@
     ) -> None:
         self.name = f"host-{number}"
         self.ip = f"127.{subnet}.0.{number + 10}"
+        self.links: dict[str, soak_links.HostLink] = {}
+        self.cut = ""
         self.zone = zone
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
@@ -99,6 +104,27 @@
                 stderr=out,
             )
 
+    def add_link(self, name: str, link: soak_links.HostLink) -> None:
+        """Reach a new incarnation of a backend server through a link."""
+        before = self.links.get(name)
+        if before is not None:
+            before.close()
+        self.links[name] = link
+        if self.cut:
+            link.cut(self.cut)
+
+    def cut_off(self, how: str) -> None:
+        """Cut the host off from all servers; see `soak_links.CUT_KINDS`."""
+        self.cut = how
+        for link in self.links.values():
+            link.cut(how)
+
+    def heal_links(self) -> None:
+        """End a cut."""
+        self.cut = ""
+        for link in self.links.values():
+            link.heal()
+
     def signal(self, number: int) -> None:
         """Send a signal to the daemon if it runs."""
         if self.is_running:
@@ -170,6 +196,8 @@
         self.reactor = reactor
         self.rng = rng
         self.store = row_table.RowTable(reactor)
+        # Host of each connection to a server, by the port that it comes from.
+        self._sources: dict[int, str] = {}
         self.next_version = 1
         self._config = b""
         self.on_poison: Callable[[str], None] = self.crash_worker
@@ -231,14 +259,18 @@
     def _start_proxy(self, factory: Any) -> tuple[Any, list[Any]]:
         port = self._listen(factory)
         proxy: Any = fault_proxy.FaultProxy(
-            self.reactor, "127.0.0.1", port.getHost().port
+            self.reactor,
+            "127.0.0.1",
+            port.getHost().port,
+            sources=self._sources,
         )
         proxy_port = self._listen(proxy)
         proxy.address = f"127.0.0.1:{proxy_port.getHost().port}"
         return proxy, [port, proxy_port]
 
     def _start_store_proxy(self, host: Host) -> None:
-        site = store_site.StoreSite(self.store, host.name)
+        view: Any = soak_links.HostView(self.store, host.links)
+        site = store_site.StoreSite(view, host.name)
         factory = http_ingress.IngressFactory(
             self.reactor, site, http_ingress.Limits
         )
@@ -273,11 +305,30 @@
         worker.born = self._last_incarnation
         self.workers[name] = worker
         server.on_stage_change = lambda: self.write_entry(name)
-        sources = {w.address: w.server for w in self.workers.values()}
-        for other in self.workers.values():
-            other.server.sources = sources
+        server.source_of = lambda port: self._sources.get(port, "")
+        self._add_links(name, worker.address)
+        self._update_sources()
         self.write_entry(name)
 
+    def _add_links(self, name: str, address: str) -> None:
+        """Let each host reach a server through a link of its own."""
+        for host in self.hosts:
+            proxy = soak_links.make_proxy(
+                self.reactor, address, host=host.name, sources=self._sources
+            )
+            link = soak_links.HostLink(self.reactor, host.ip, proxy)
+            host.add_link(name, link)
+
+    def _update_sources(self) -> None:
+        """Tell all servers where prefill results can be fetched."""
+        sources = {w.address: w.server for w in self.workers.values()}
+        for host in self.hosts:
+            for name, link in host.links.items():
+                if name in self.workers:
+                    sources[link.address] = self.workers[name].server
+        for worker in self.workers.values():
+            worker.server.sources = sources
+
     def write_again(self) -> None:
         """Write the configuration and all entries after a restore.
 
@@ -318,6 +369,8 @@
         for port in ports:
             port.stopListening()
         worker.proxy.reset_all()
+        for host in self.hosts:
+            host.links[name].close()
         if ports:
             self.stopped_workers.append(worker)
 
