Hosts that reach no server ask the others again for a service that is back

Callers of these hosts got 503 at once, with reason unreached, while others were served.

Cause: when all servers of a service were down for a moment, each other host refused what was passed on to it, and wasn't asked for that service for the next five seconds. Class: a refusal is remembered for longer than what it says holds.

Change: a refusal is remembered for 0.5 s, the period in which hosts look for servers that are back; the report of a host that reaches none still holds for 5 s and is repeated.

--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -16,10 +16,13 @@
 
 # Hosts that one request may be offered to.
 MAX_OFFERS = 6
-# Time for which a host isn't asked that refused a request or reported that it
-# reaches no server, seconds; and the period of these reports.
-UNREACHED_PAUSE_S = 5.0
+# Time for which a host isn't asked that reported that it reaches no server,
+# seconds; and the period of these reports.
+REPORT_PAUSE_S = 5.0
 REPORT_PERIOD_S = 2.0
+# Time for which a host isn't asked for a service that it couldn't serve,
+# seconds. The servers of the service may all have been down for a moment.
+REFUSAL_PAUSE_S = 0.5
 # With less time left, no host is asked, seconds.
 MIN_TIME_LEFT_S = 0.01
 # Stands for all services, in what a host reports of itself.
@@ -86,7 +89,7 @@
         self, sender: str, report: messages.ReachReport
     ) -> None:
         if report.is_cut_off:
-            until = self._board.now() + UNREACHED_PAUSE_S
+            until = self._board.now() + REPORT_PAUSE_S
             self._unreached_until[sender, ANY_SERVICE] = until
         else:
             self._unreached_until.pop((sender, ANY_SERVICE), None)
@@ -188,7 +191,7 @@
         self, context: request_context.RequestContext, host: str, why: str
     ) -> None:
         context.is_offered = False
-        until = self._board.now() + UNREACHED_PAUSE_S
+        until = self._board.now() + REFUSAL_PAUSE_S
         self._unreached_until[host, context.service] = until
         context.log("not_passed_on", to=host, why=why)
 
--- a/tests/test_hosts_cut_off_from_servers.py
+++ b/tests/test_hosts_cut_off_from_servers.py
@@ -239,3 +239,34 @@
     assert simulation.hosts[0].router.board.is_cut_off
     simulation.run(1.0)
     assert _served(callers[40:]) >= MIN_RATIO
+
+
+@pytest.mark.parametrize("cut_off", [[0], [0, 1, 2, 3]])
+def test_a_service_that_is_back_is_reached_through_other_hosts_at_once(
+    cut_off: list[int],
+) -> None:
+    """They had refused its requests while all its servers were down."""
+    simulation = _simulation()
+    others = [n for n in range(8) if n not in cut_off]
+    _cut(simulation, cut_off, "reset")
+    simulation.run(SETTLED_S)
+    for name in ("w1", "w2"):
+        simulation.crash_worker(name, 2.0)
+    plain = {"slot", "confirm"}
+    for number in range(48):
+        for route in sorted(plain):
+            simulation.send(route, host=number % 8)
+        simulation.run(0.03)
+    simulation.run(0.5)
+    served = {}
+    for name, hosts in (("there", cut_off), ("elsewhere", others)):
+        callers = []
+        for number in range(40):
+            for route in sorted(plain):
+                host = hosts[number % len(hosts)]
+                callers.append(simulation.send(route, host=host))
+            simulation.run(0.005)
+        simulation.run(0.3)
+        served[name] = _served(callers)
+    assert served["elsewhere"] >= 0.9
+    assert served["there"] >= MIN_RATIO * served["elsewhere"]
