Soak: planned stops with calls up to the end of the grace, beside hosts that stand still

Cause: the soak judged only requests that were in progress when a host was stopped; calls that come late in the grace, second signals and releases beside hosts that stand still (SIGSTOP) weren't played with real daemons.

Long streams keep it running to the end of its grace, while callers open a connection each 0.1 s and send a call that must not run twice. Meanwhile another host stands still for up to 4 s and a decode worker is replaced by one of another version.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -86,3 +86,12 @@
     output = _run_soak(tmp_path, SEED, *options)
     assert not _violations(output), output[-2_000:]
     assert "served there" in output
+
+
+def test_soak_of_planned_stops_leaves_no_call_without_an_answer(
+    tmp_path: pathlib.Path,
+) -> None:
+    options = ("--minutes", "0.25", "--hosts", "4", "--callers", "12")
+    output = _run_soak(tmp_path, SEED, *options, "--stops")
+    assert not _violations(output), output[-2_000:]
+    assert " calls while hosts stopped, 0 cut" in output
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,7 @@
 """Randomized soak test: checks guarantees of real daemons under faults.
 
     python -m tools.soak --seed N --minutes M [--hosts N] [--callers N]
-        [--grey] [--limits] [--cuts]
+        [--grey] [--limits] [--cuts] [--stops]
 
 All random choices come from the seed. Writes faults and results as JSON lines
 to out/soak-SEED/soak-SEED.jsonl; ends only the processes that it started.
@@ -27,6 +27,7 @@
 from tools import soak_pauses
 from tools import soak_poison
 from tools import soak_resumes
+from tools import soak_stops
 from tools import soak_world
 
 reactor: Any = _reactor
@@ -97,6 +98,10 @@
             self.deployment, self.callers, random.Random(arguments.seed + 7)
         )
         self._has_cuts = arguments.cuts
+        self._stops = soak_stops.PlannedStops(
+            self.deployment, self.callers, random.Random(arguments.seed + 8)
+        )
+        self._has_stops = arguments.stops
         self.figures: list[str] = []
         self.deployment.on_poison = self._crash_on_poison
         self._log_file = open(folder / f"soak-{arguments.seed}.jsonl", "w")  # noqa: SIM115
@@ -119,7 +124,8 @@
         """Run the test and return the number of violations."""
         self.deployment.start()
         await periodic.sleep(reactor, WARM_UP_S)
-        if not self._has_cuts:
+        is_planned = self._has_cuts or self._has_stops
+        if not is_planned:
             self._poison.start()
         if self._has_grey_servers:
             self._grey.start()
@@ -130,11 +136,13 @@
         if self._has_cuts:
             self._cuts.start()
             self._pauses.start()
+        if self._has_stops:
+            self._stops.start()
         end = self._started_at + WARM_UP_S + self._duration_s
         while reactor.seconds() < end:
             # Faults come in bursts and overlap.
             for _ in range(self._rng.choice((1, 1, 2, 3))):
-                if self._has_cuts:
+                if is_planned:
                     self._inject_planned_change()
                 elif not self._has_limits:
                     self._inject_fault()
@@ -145,6 +153,7 @@
         self._odd_rows.stop()
         self._cuts.stop()
         self._pauses.stop()
+        await self._stops.stop()
         self._heal_all()
         await periodic.sleep(reactor, RECOVERY_S)
         healed_at = reactor.seconds()
@@ -399,6 +408,8 @@
         self._check_retries()
         self._check_limits()
         self._check_cuts()
+        if self._has_stops:
+            self.figures.append(self._stops.check())
         self._resumes.check()
         self._odd_rows.check()
         for host in self.deployment.hosts:
@@ -525,6 +536,11 @@
         action="store_true",
         help="cut hosts off from all servers, with pauses and without faults",
     )
+    parser.add_argument(
+        "--stops",
+        action="store_true",
+        help="stop hosts as planned, with calls up to the end of their grace",
+    )
     parser.add_argument("--out", default="out")
     arguments = parser.parse_args()
     folder = pathlib.Path(arguments.out) / f"soak-{arguments.seed}"
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -146,6 +146,21 @@
                 return
             await periodic.sleep(self._deployment.reactor, POLL_S)
 
+    async def send_once(self, host: soak_world.Host, route: str) -> bool:
+        """Send one request to a host on a new connection.
+
+        Returns:
+          Whether the host took the connection.
+        """
+        connection = await self.connect(host)
+        if connection is None:
+            return False
+        record = await self._send_request(connection, host, route=route)
+        self.records.append(record)
+        self._check_answer(record)
+        connection.transport.abortConnection()
+        return True
+
     async def _use_connection(
         self, connection: raw_caller.Caller, host: soak_world.Host
     ) -> None:
@@ -167,11 +182,15 @@
         connection.transport.abortConnection()
 
     async def _send_request(
-        self, connection: raw_caller.Caller, host: soak_world.Host
+        self,
+        connection: raw_caller.Caller,
+        host: soak_world.Host,
+        *,
+        route: str = "",
     ) -> RequestRecord:
         self._request_count += 1
         request = f"s{self._request_count}"
-        route = self._rng.choice(list(ROUTES))
+        route = route or self._rng.choice(list(ROUTES))
         body = f"{request} {self._rng.random()}".encode()
         lines = [
             f"POST /{route}/x HTTP/1.1",
@@ -246,6 +265,14 @@
         """Return the id of the request of each run."""
         return [name for server in self._all_servers() for name in server.ran]
 
+    def all_received(self) -> set[str]:
+        """Return the ids of the requests that reached a server."""
+        return {
+            received.request
+            for server in self._all_servers()
+            for received in server.received
+        }
+
     def all_stream_events(self) -> list[platform_worker.StreamEvent]:
         """Return the events of all streams that servers wrote."""
         return [
