What a request needs is looked at once more when its connection is there

A request was sent although its caller's time had ended, or its server had asked for a pause or said that it leaves, while the connection was being made.

Cause: departures, pauses and the time were looked at before the connection was made, which takes up to 0.25 s and longer on a host that is behind. Class: a decision is used later than it was made.

Change: the pool calls a check right before it writes a request; a connection made for nothing is kept. Plain calls, prefills and runs carry the time by which they must be sent.

--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -91,6 +91,10 @@
     """A backend server asked for a pause that goes on; nothing was sent."""
 
 
+class TooLateError(NotSentError):
+    """The time of a request has ended before it was sent."""
+
+
 class LimitedError(NotSentError):
     """A backend server's limit allows no request to it now; none was sent."""
 
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -230,7 +230,9 @@
         call: upstream_call.Call | None = None
         try:
             with context.sends.send():
-                call = await self._calls.send(server, request)
+                call = await self._calls.send(
+                    server, request, send_by=context.deadline
+                )
                 head = await call.head(context.left_s)
             info = self._codec.read_head(head)
             loads.record_load(self._board.now(), server, info.load)
--- a/nutmegscale/prefill_runner.py
+++ b/nutmegscale/prefill_runner.py
@@ -127,7 +127,10 @@
         try:
             with context.sends.send() as send:
                 call = await self._calls.send(
-                    worker, request, is_permitted=is_permitted
+                    worker,
+                    request,
+                    is_permitted=is_permitted,
+                    send_by=context.deadline,
                 )
                 head = await call.head(timeout_s)
                 if head.status == 200:
--- a/nutmegscale/server_calls.py
+++ b/nutmegscale/server_calls.py
@@ -1,5 +1,7 @@
 """Requests to backend servers: the one place that sends them."""
 
+import math
+
 from nutmegscale import backend
 from nutmegscale import caller_request
 from nutmegscale import errors
@@ -40,23 +42,30 @@
         *,
         reserved: upstream.ReservedConnection | None = None,
         is_permitted: bool = False,
+        send_by: float = math.inf,
     ) -> upstream_call.Call:
         """Send a request; see `upstream.UpstreamPool.call`.
 
+        Making a connection takes a time, so that what the server asked for and
+        the time of the request are looked at once more when it is there.
+
         Args:
           server: The server.
           request: The request.
           reserved: Connection to the server that was reserved for the request.
           is_permitted: Whether a planner has used a permit for the request;
             otherwise this host uses one if the server states a limit.
+          send_by: Time after which the request isn't sent, seconds of the
+            host's clock.
 
         Raises:
           errors.BackendLeftError: The server leaves; nothing was sent.
           errors.ServerPausedError: It wants a pause; nothing was sent.
           errors.LimitedError: There is no permit; nothing was sent.
+          errors.TooLateError: Its time has ended; nothing was sent.
           errors.ConnectError: No connection could be made; nothing was sent.
         """
-        self._check_wanted(server)
+        self._check_wanted(server, send_by)
         asked_at = self._board.now()
         is_limited = self._limits.permits(server) is not None
         needs_permit = is_limited and not is_permitted
@@ -73,17 +82,20 @@
                 server.address,
                 request,
                 reserved=reserved,
+                check=lambda: self._check_wanted(server, send_by),
                 on_head=lambda head: self._record_notices(
                     server, asked_at, is_permitted, head
                 ),
             )
-        except errors.ConnectError:
+        except (errors.ConnectError, errors.NotSentError):
             if needs_permit:
                 self._limits.give_back(server)
             raise
 
-    def _check_wanted(self, server: backend.Backend) -> None:
+    def _check_wanted(self, server: backend.Backend, send_by: float) -> None:
         notices = self._board.notices
+        if self._board.now() >= send_by:
+            raise errors.TooLateError(f"too late for a request to {server.id}")
         if notices.is_leaving(server.key):
             raise errors.BackendLeftError(f"{server.id} has said it leaves")
         if notices.is_paused(self._board.now(), server.key):
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -56,6 +56,7 @@
     errors.BackendLeftError: "decode_left",
     errors.LimitedError: "decode_limited",
     errors.ServerPausedError: "decode_paused",
+    errors.TooLateError: "decode_too_late",
 }
 
 
@@ -546,6 +547,7 @@
                     request,
                     reserved=connection,
                     is_permitted=is_permitted,
+                    send_by=context.deadline,
                 )
                 head = await call.head(max(0.0, context.left_s))
             info = self._codec.read_head(head)
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -388,6 +388,7 @@
         request: upstream_call.Request,
         *,
         reserved: "ReservedConnection | None" = None,
+        check: Callable[[], None] = lambda: None,
         on_head: Callable[[http_message.ResponseHead], None] = lambda _: None,
     ) -> upstream_call.Call:
         """Send a request to a server.
@@ -397,6 +398,8 @@
           request: The request.
           reserved: Connection to the server that was reserved for the request;
             another one is used if it was closed meanwhile.
+          check: Called once there is a connection, right before the request is
+            sent; raises `errors.NotSentError` if it must not be.
           on_head: Called with the head of the response as soon as it arrives.
 
         Returns:
@@ -404,6 +407,7 @@
 
         Raises:
           errors.ConnectError: No connection could be made; nothing was sent.
+          errors.NotSentError: `check` has raised it; nothing was sent.
         """
         connection = reserved.take(request) if reserved else None
         if connection is None:
@@ -412,6 +416,11 @@
             )
         if connection is None:
             connection = await self._open(address)
+        try:
+            check()
+        except errors.NotSentError:
+            self.add_idle(connection, IDLE_TIMEOUT_S)
+            raise
         call = upstream_call.Call(
             connection, self._clock, self._bodies, on_head=on_head
         )
