A host whose event loop lags refuses what may be too late, and states its lag

Cause: a request's time is counted from when the loop reads it, though it may have waited in its socket as long as the loop is behind; what is written leaves later by the same.

It is taken off the time of each request that comes, and a request is sent only if its time is longer than the lag. Holds for a host that has stood still as well.

Measured: test_a_host_whose_loop_lags_refuses_what_may_be_too_late failed before (200 after a lag of 0.5 s, of 0.4 s that the caller waits), passes now.

--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -60,7 +60,9 @@
         self.request = request
         self.route = route
         self.service = service
-        self.deadline = incoming.arrived + limit_s(route, request)
+        # It may have waited in its socket while the event loop was behind.
+        arrived = incoming.arrived - board.loop_lag_s
+        self.deadline = arrived + limit_s(route, request)
         self.waited_s = waited_s
         self.tries: list[str] = []
         self.is_offered = False
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -23,6 +23,7 @@
 from nutmegscale import lease_rows
 from nutmegscale import limit_controller
 from nutmegscale import logs
+from nutmegscale import loop_lag
 from nutmegscale import membership
 from nutmegscale import membership_controller
 from nutmegscale import mesh
@@ -187,6 +188,7 @@
             on_key=self._sealer.set_key,
             on_joined=self._on_joined,
         )
+        self._lag = loop_lag.LoopLag(self.board)
         self._peers = peer_watch.PeerWatch(clock, self.mesh, rng=self._rng)
         self._domains = domain_watch.DomainWatch(
             self.board, self.mesh, pool, rng=self._rng
@@ -323,6 +325,7 @@
 
     def start(self) -> None:
         """Start every component."""
+        self._lag.start()
         for follower in self._followers:
             follower.start()
         self.backends.start()
@@ -353,6 +356,7 @@
         self.backends.stop()
         for follower in self._followers:
             follower.stop()
+        self._lag.stop()
 
     async def drain(
         self,
--- a/nutmegscale/router_metrics.py
+++ b/nutmegscale/router_metrics.py
@@ -27,6 +27,10 @@
             "nutmegscale_router_limited_sends",
             description="requests to servers that state a limit, by result",
         )
+        self._loop_lag = meter.create_gauge(
+            "nutmegscale_router_loop_lag_seconds",
+            description="how far the event loop is behind",
+        )
         self._first_event = meter.create_histogram(
             "nutmegscale_router_first_event_seconds",
             explicit_bucket_boundaries_advisory=FIRST_EVENT_BOUNDS_S,
@@ -52,6 +56,10 @@
         """Record how many servers state a limit, as this host knows it."""
         self._limited_servers.set(count)
 
+    def record_loop_lag(self, seconds: float) -> None:
+        """Record how far the event loop is behind."""
+        self._loop_lag.set(seconds)
+
     def record_limited_send(self, *, is_sent: bool) -> None:
         """Count a request to a server with a limit: sent or held back."""
         result = "sent" if is_sent else "held_back"
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -41,6 +41,7 @@
       cut_domains: Failure domains that this host is cut off from; domain
         watch.
       is_draining: Whether a graceful shutdown has begun; router.
+      loop_lag_s: How far the event loop is behind, seconds; loop lag.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         self.is_cut_off = False
         self.cut_domains: frozenset[str] = frozenset()
         self.is_draining = False
+        self.loop_lag_s = 0.0
 
     @property
     def is_ready(self) -> bool:
--- a/nutmegscale/server_calls.py
+++ b/nutmegscale/server_calls.py
@@ -94,7 +94,7 @@
 
     def _check_wanted(self, server: backend.Backend, send_by: float) -> None:
         notices = self._board.notices
-        if self._board.now() >= send_by:
+        if self._board.now() + self._board.loop_lag_s >= send_by:
             raise errors.TooLateError(f"too late for a request to {server.id}")
         if notices.is_leaving(server.key):
             raise errors.BackendLeftError(f"{server.id} has said it leaves")
--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -88,3 +88,23 @@
         w.arrivals for n, w in simulation.workers.items() if n[0] == "p"
     ]
     assert not any(prefills)
+
+
+@pytest.mark.parametrize("route", ["slot", "confirm"])
+def test_a_host_whose_loop_lags_refuses_what_may_be_too_late(
+    route: str,
+) -> None:
+    """Requests wait in their sockets, and bytes leave later, for the lag."""
+    simulation = _simulation(connect_s=0.0)
+    assert simulation.ask(route, 0.1, patience_ms=400).status == 200
+    for worker in simulation.workers.values():
+        worker.arrivals.clear()
+    caller = simulation.open_connection()
+    simulation.clock.advance(0.6)
+    simulation.send(route, on=caller, patience_ms=400)
+    simulation.run(0.02)
+    assert caller.replies[-1].status == 503
+    arrivals = [a for w in simulation.workers.values() for a in w.arrivals]
+    assert not arrivals
+    simulation.run(0.5)
+    assert simulation.ask(route, 0.1, patience_ms=400).status == 200
