A host whose loop lags takes no new streams, and counts the wait for an accepted connection

Cause: a request on a new connection waits for its acceptance and then in its socket, once for the lag each; and streams were taken while the loop couldn't notice that callers leave.

Change: the time since the acceptance counts, up to the lag; new streams are refused (503, host_is_busy, Retry-After 0.5 to 1.5 s) while the lag is 0.25 s or more. A host that passes requests on asks another one then.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -80,6 +80,8 @@
       body: Complete body.
       arrived: Monotonic time when the request was complete, seconds.
       is_relayed: Whether another host has passed it on.
+      since_open_s: Time from the acceptance of its connection to `arrived`,
+        seconds; 0 if it isn't the first request there.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         self.body = body
         self.arrived = arrived
         self.is_relayed = False
+        self.since_open_s = 0.0
 
     @property
     def is_started(self) -> bool:
@@ -233,6 +236,7 @@
         self._unblocked: defer.Deferred[None] | None = None
         self._opened_at = factory.now()
         self._has_received = False
+        self._is_first = True
         self._body_bytes = 0
         self._reset_message()
 
@@ -373,6 +377,9 @@
         self._is_closing = self._is_closing or not self._keeps_alive
         self._reset_message()
         self._request = IncomingRequest(self, head, body, self._factory.now())
+        if self._is_first:
+            self._is_first = False
+            self._request.since_open_s = self._factory.now() - self._opened_at
         self._factory.handler.handle(self._request)
 
     def _refuse(self, status: int) -> None:
--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -31,7 +31,14 @@
 MAX_BODY_BYTES = 4 << 20
 # Reasons of a refusal for which another host is asked.
 OWN_REASONS = frozenset(
-    {b"unreached", b"no_config", b"no_route", b"no_server", b"host_is_leaving"}
+    {
+        b"unreached",
+        b"no_config",
+        b"no_route",
+        b"no_server",
+        b"host_is_leaving",
+        b"host_is_busy",
+    }
 )
 
 
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -60,9 +60,10 @@
         self.request = request
         self.route = route
         self.service = service
-        # It may have waited in its socket while the event loop was behind.
-        arrived = incoming.arrived - board.loop_lag_s
-        self.deadline = arrived + limit_s(route, request)
+        sent_at = incoming.arrived - socket_wait_s(
+            board.loop_lag_s, incoming.since_open_s
+        )
+        self.deadline = sent_at + limit_s(route, request)
         self.waited_s = waited_s
         self.tries: list[str] = []
         self.is_offered = False
@@ -218,6 +219,19 @@
     return min(route.timeout_s, request.patience_s - ANSWER_MARGIN_S)
 
 
+def socket_wait_s(loop_lag_s: float, since_open_s: float) -> float:
+    """Return how long a request may have waited until it was read, seconds.
+
+    It waits once for the event loop in its socket, and before that once for the
+    acceptance of its connection, if it is the first one there.
+
+    Args:
+      loop_lag_s: How far the event loop is behind, seconds.
+      since_open_s: Time since the acceptance, seconds; 0 if it isn't the first.
+    """
+    return loop_lag_s + min(loop_lag_s, since_open_s)
+
+
 def failure_headers(
     codec: caller_request.CallerCodec,
     failure: errors.Failure,
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -73,6 +73,11 @@
 # hosts can serve it at once, seconds.
 LEAVING_RETRY_AFTER_S = 0.1
 DRAIN_POLL_S = 0.05
+# New streams are refused while the event loop is further behind, seconds: it
+# couldn't notice in time that their callers leave.
+MAX_STREAM_LAG_S = 0.25
+# Bounds of the Retry-After of a stream that is refused for that, seconds.
+BUSY_RETRY_AFTER_S = (0.5, 1.5)
 
 
 class Router:
@@ -429,6 +434,14 @@
             self._refuse(incoming, request, "no_server")
             return
         service = route.choose_service(self._rng, usable)
+        if route.kind == "stream" and board.loop_lag_s >= MAX_STREAM_LAG_S:
+            self._refuse(
+                incoming,
+                request,
+                "host_is_busy",
+                retry_after_s=self._rng.uniform(*BUSY_RETRY_AFTER_S),
+            )
+            return
         if self._comes_too_late(incoming, request, route, service):
             self._refuse(
                 incoming,
--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -10,6 +10,7 @@
 from twisted.internet import task
 
 from nutmegscale import backend
+from nutmegscale import request_context
 from standins import router_world
 
 
@@ -108,3 +109,23 @@
     assert not arrivals
     simulation.run(0.5)
     assert simulation.ask(route, 0.1, patience_ms=400).status == 200
+
+
+def test_a_new_connection_may_have_waited_for_its_acceptance_as_well() -> None:
+    assert request_context.socket_wait_s(0.3, 0.0) == 0.3
+    assert request_context.socket_wait_s(0.3, 0.2) == 0.5
+    # The caller took its time, rather than the event loop.
+    assert request_context.socket_wait_s(0.3, 5.0) == 0.6
+    assert request_context.socket_wait_s(0.0, 5.0) == 0.0
+
+
+def test_a_host_whose_loop_lags_takes_no_new_streams_meanwhile() -> None:
+    simulation = _simulation(connect_s=0.0)
+    caller = simulation.open_connection()
+    simulation.clock.advance(0.6)
+    simulation.send("brief", on=caller)
+    simulation.run(0.02)
+    reply = caller.replies[-1]
+    assert (reply.status, bool(reply.headers[b"retry-after"])) == (503, True)
+    simulation.run(0.5)
+    assert simulation.ask("brief", 2.0).status == 200
