Safe calls that wait when a host is cut off go to other hosts

Cause: only calls for which no connection could be made were passed on.

Change: once the host finds that it is cut off, calls that may run twice and whose server is silent for 0.3 s go to another host, paid from the retry budget. Others wait as before; if no host serves such a call, the answer is 504 (may have run), not 503.

--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -51,6 +51,10 @@
     """No response arrived in time; the request may have taken effect."""
 
 
+class CutOffError(ResponseTimeoutError):
+    """The host was cut off from a server that hasn't answered a request."""
+
+
 class ConnectionResetTransportError(TransportError):
     """The connection was reset before the response was complete."""
 
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -21,6 +21,9 @@
 MAX_OFFERS = 3
 # With less time left, no server is tried, seconds.
 MIN_TIME_LEFT_S = 0.01
+# Silence of a server from which on this host doesn't wait for it once it is cut
+# off: connections may live on while new ones are refused, seconds.
+MIN_SILENCE_S = 0.3
 # Retry-After of a call that ran on no server, seconds.
 REJECTED_RETRY_AFTER_S = 0.3
 
@@ -68,13 +71,27 @@
         self._crashes = crashes
         self._limits = limits
         self._rng = rng
+        # Calls that may run twice and whose answer hasn't begun.
+        self._waiting: dict[upstream_call.Call, backend.Backend] = {}
+
+    def abandon_unanswered(self) -> None:
+        """Stop waiting for servers that this host is cut off from.
+
+        Calls that may run twice go to other hosts instead. Those on connections
+        that still deliver answers, and those that must not run twice, wait on.
+        """
+        now, loads = self._board.now(), self._board.loads
+        for call, server in list(self._waiting.items()):
+            silent_s = loads.silent_s(now, server)
+            if silent_s is not None and silent_s >= MIN_SILENCE_S:
+                call.failed(errors.CutOffError(f"cut off from {server.id}"))
 
     async def run(self, context: request_context.RequestContext) -> None:
         """Run a call until it is answered, refused or failed.
 
         Raises:
-          errors.UnreachedError: No server took a connection; the call isn't
-            answered.
+          errors.UnreachedError: No server took a connection, or this host was
+            cut off from the one that runs it; the call isn't answered.
         """
         attempt = _Attempt()
         for offer in range(MAX_OFFERS):
@@ -97,6 +114,12 @@
                 )
                 attempt.unreached += isinstance(exc, errors.ConnectError)
                 continue
+            except errors.CutOffError as exc:
+                context.may_have_run = True
+                if not context.sends.record_offer():
+                    self._fail_after_error(context, exc)
+                    return
+                raise errors.UnreachedError(str(exc)) from exc
             except errors.TransportError as exc:
                 if await self._may_run_again(context, attempt, server, exc):
                     continue
@@ -233,6 +256,8 @@
                 call = await self._calls.send(
                     server, request, send_by=context.deadline
                 )
+                if context.route.is_idempotent and not context.is_relayed:
+                    self._waiting[call] = server
                 head = await call.head(context.left_s)
             info = self._codec.read_head(head)
             loads.record_load(self._board.now(), server, info.load)
@@ -263,6 +288,7 @@
         finally:
             loads.record_ended(server)
             if call is not None:
+                self._waiting.pop(call, None)
                 call.abort()
         return head, body
 
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -35,6 +35,7 @@
       waited_s: How long its caller had waited before this attempt, seconds.
       tries: Ids of the backend servers that it was sent to, without prefill
         workers.
+      may_have_run: Whether a server that it was sent to hasn't answered.
       is_offered: Whether another host has been asked to serve it and hasn't
         refused.
       sends: What it sent to servers.
@@ -66,6 +67,7 @@
         self.deadline = sent_at + limit_s(route, request)
         self.waited_s = waited_s
         self.tries: list[str] = []
+        self.may_have_run = False
         self.is_offered = False
         self.outcome = ""
         self._retries = retries
--- a/nutmegscale/request_sends.py
+++ b/nutmegscale/request_sends.py
@@ -71,6 +71,17 @@
                 f"the retry budget allows no send after {self._arrivals}"
             )
 
+    def record_offer(self) -> bool:
+        """Pay for a send that another host makes, after one of this host.
+
+        Returns:
+          Whether it may be made; False if the retry budget is spent.
+        """
+        if not self.reserve():
+            return False
+        self.end(is_accepted_prefill=False)
+        return True
+
     def end(self, *, is_accepted_prefill: bool) -> None:
         """Record a send that arrived; see `Send`."""
         if is_accepted_prefill and not self._has_prefilled:
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -224,9 +224,7 @@
             self.board,
             pool,
             rng=self._rng,
-            on_change=lambda is_cut_off: self._relay.report(
-                is_cut_off=is_cut_off
-            ),
+            on_change=self._on_cut_off_changed,
             while_cut_off=lambda: self._relay.repeat_report(),
         )
         self._relay = peer_relay.PeerRelay(
@@ -306,6 +304,11 @@
         self.configs.ask_peers()
         self._suspects.ask_peers()
 
+    def _on_cut_off_changed(self, is_cut_off: bool) -> None:
+        self._relay.report(is_cut_off=is_cut_off)
+        if is_cut_off:
+            self._plain.abandon_unanswered()
+
     def _on_store_restored(self) -> None:
         """Write again what this host wrote, and expect older entries."""
         self.backends.record_restore()
@@ -522,7 +525,13 @@
         except errors.UnreachedError as exc:
             context.log("unreached", why=str(exc))
             await self._reachability.settle()
-            if not (board.is_cut_off and await self._relay.serve(context)):
+            if board.is_cut_off and await self._relay.serve(context):
+                return
+            if context.may_have_run:
+                context.fail(
+                    errors.Failure(504, "unreached", "cut off", "maybe_run")
+                )
+            else:
                 context.refuse("unreached", NOT_READY_RETRY_AFTER_S)
 
     def _on_disconnect(
--- a/tests/test_hosts_cut_off_from_servers.py
+++ b/tests/test_hosts_cut_off_from_servers.py
@@ -8,8 +8,10 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
+from standins import platform_rows
 from standins import raw_caller
 from standins import router_world
 
@@ -270,3 +272,73 @@
         served[name] = _served(callers)
     assert served["elsewhere"] >= 0.9
     assert served["there"] >= MIN_RATIO * served["elsewhere"]
+
+
+def _cut_while_calls_wait(
+    simulation: router_world.Simulation, route: str, count: int = 20
+) -> list[raw_caller.Caller]:
+    """Send calls to a host, and let it be cut off before they are answered."""
+    for name in ("w1", "w2"):
+        simulation.workers[name].slots = 20
+        simulation.workers[name].service_time_s = 0.03
+    for _ in range(8):
+        simulation.ask(route, 0.1, host=0)
+    callers = [simulation.send(route, host=0) for _ in range(count)]
+    _cut(simulation, [0], "hang")
+    # Further calls let the host notice.
+    simulation.send(route, host=0)
+    return callers
+
+
+def test_safe_calls_that_wait_when_a_cut_begins_go_to_other_hosts() -> None:
+    """They waited for the time limit of their route on dead connections."""
+    simulation = _slow_routes(_simulation(), timeout_ms=5_000)
+    callers = _cut_while_calls_wait(simulation, "slot")
+    simulation.run(2.0)
+    assert _served(callers) >= MIN_RATIO
+
+
+def test_calls_that_must_not_run_twice_wait_for_their_server_in_a_cut() -> None:
+    simulation = _slow_routes(_simulation(), timeout_ms=5_000)
+    callers = _cut_while_calls_wait(simulation, "confirm")
+    simulation.run(6.0)
+    runs = [name for w in simulation.workers.values() for name in w.ran]
+    assert len(runs) == len(set(runs))
+    refused = [c for c in callers if c.replies[-1].status == 503]
+    assert not refused
+
+
+def test_a_call_that_may_have_run_isnt_said_not_to_have_run_in_a_cut() -> None:
+    """No other host reaches servers either."""
+    simulation = _slow_routes(_simulation(hosts=2), timeout_ms=5_000)
+    _cut(simulation, [1], "hang")
+    callers = _cut_while_calls_wait(simulation, "slot")
+    simulation.run(6.0)
+    ran = {name for w in simulation.workers.values() for name in w.ran}
+    assert ran
+    assert all(caller.replies for caller in callers)
+    names = [f"r{len(simulation.sent) - n}" for n in range(len(callers), 0, -1)]
+    for name, caller in zip(names, callers, strict=True):
+        assert name not in ran or caller.replies[-1].status != 503
+
+
+def test_retries_through_other_hosts_are_paid_from_the_budget() -> None:
+    simulation = _slow_routes(_simulation(retry_extra=0.0), timeout_ms=5_000)
+    callers = _cut_while_calls_wait(simulation, "slot", count=40)
+    simulation.run(6.0)
+    arrivals = sum(len(w.received) for w in simulation.workers.values())
+    # A fifth of the calls may be sent once more.
+    assert arrivals <= 1.2 * (len(simulation.sent)) + 1
+    assert all(caller.replies for caller in callers)
+
+
+def _slow_routes(
+    simulation: router_world.Simulation, *, timeout_ms: int
+) -> router_world.Simulation:
+    """Let requests of all routes wait for a longer time."""
+    state = msgspec.json.decode(platform_rows.config_row(2))
+    for route in state["routes"]:
+        route["timeoutMs"] = timeout_ms
+    simulation.store.put("op", "config", msgspec.json.encode(state))
+    simulation.run(0.5)
+    return simulation
