--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -329,24 +329,41 @@
     assert not _late_in_pause(simulation, "w1", 4.0)
 
 
-@pytest.mark.parametrize("paused", ["w1", "d1", "p1"])
-def test_no_sender_reaches_a_server_during_its_pause(paused: str) -> None:
-    """Plain calls, prefills, runs, second tries and passed-on requests."""
-    simulation = _simulation()
-    servers = list(simulation.addresses.values())
-    simulation.net.cut("host-0", servers, "reset")
-    _pause(simulation, (paused,), "5")
-    callers = []
+def _send_in_all_ways(
+    simulation: router_world.Simulation, unwilling: str
+) -> None:
+    """Send plain calls, prefills and runs, also passed on and second tries."""
     for number in range(60):
         route = ("slot", "confirm", "brief", "digest")[number % 4]
-        callers.append(simulation.send(route, host=number // 4 % 4))
+        simulation.send(route, host=number // 4 % 4)
         simulation.run(0.04)
-    _resume(simulation, paused)
     # Streams break off, so that the other worker resumes them.
-    other = {"d1": "d2"}.get(paused, "d1")
+    other = {"d1": "d2"}.get(unwilling, "d1")
     simulation.workers[other].break_after_events = 1
     for number in range(40):
-        callers.append(simulation.send("digest", host=number % 4))
+        simulation.send("digest", host=number % 4)
         simulation.run(0.04)
+
+
+@pytest.mark.parametrize("paused", ["w1", "d1", "p1"])
+def test_no_sender_reaches_a_server_during_its_pause(paused: str) -> None:
+    simulation = _simulation()
+    servers = list(simulation.addresses.values())
+    simulation.net.cut("host-0", servers, "reset")
+    _pause(simulation, (paused,), "5")
+    simulation.clock.callLater(2.5, _resume, simulation, paused)
+    _send_in_all_ways(simulation, paused)
     assert simulation.workers[paused].pause_contacts
     assert not _late_in_pause(simulation, paused, 5.0)
+
+
+@pytest.mark.parametrize("leaver", ["w1", "d1", "p1"])
+def test_no_sender_reaches_a_server_that_told_its_host_it_leaves(
+    leaver: str,
+) -> None:
+    simulation = _simulation()
+    servers = list(simulation.addresses.values())
+    simulation.net.cut("host-0", servers, "reset")
+    simulation.workers[leaver].is_leaving = True
+    _send_in_all_ways(simulation, leaver)
+    _check_left(simulation, leaver)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -97,6 +97,9 @@
         self._pauses = soak_pauses.PausingServers(
             self.deployment, self.callers, random.Random(arguments.seed + 7)
         )
+        self._leavers = soak_pauses.LeavingServers(
+            self.deployment, self.callers, random.Random(arguments.seed + 9)
+        )
         self._has_cuts = arguments.cuts
         self._stops = soak_stops.PlannedStops(
             self.deployment, self.callers, random.Random(arguments.seed + 8)
@@ -136,6 +139,7 @@
         if self._has_cuts:
             self._cuts.start()
             self._pauses.start()
+            self._leavers.start()
         if self._has_stops:
             self._stops.start()
         end = self._started_at + WARM_UP_S + self._duration_s
@@ -153,6 +157,7 @@
         self._odd_rows.stop()
         self._cuts.stop()
         self._pauses.stop()
+        self._leavers.stop()
         await self._stops.stop()
         self._heal_all()
         await periodic.sleep(reactor, RECOVERY_S)
@@ -466,9 +471,13 @@
         """Check that hosts without servers serve, and that pauses are kept."""
         if not self._has_cuts:
             return
-        self.figures += self._cuts.check()
+        self.figures += [*self._cuts.check(), self._cuts.times()]
         pauses, late = self._pauses.check()
         self.figures.append(f"{pauses} pauses, {late} requests within one")
+        left, late = self._leavers.check()
+        self.figures.append(
+            f"{left} servers left, {late} requests of hosts that were told"
+        )
         self.log_event("cuts", figures=self.figures)
 
     def _check_planned_stops(self) -> None:
@@ -534,7 +543,7 @@
     parser.add_argument(
         "--cuts",
         action="store_true",
-        help="cut hosts off from all servers, with pauses and without faults",
+        help="cut hosts off from all servers, which pause and leave meanwhile",
     )
     parser.add_argument(
         "--stops",
--- a/tools/soak_cuts.py
+++ b/tools/soak_cuts.py
@@ -1,6 +1,7 @@
 """Hosts of the soak test that are cut off from all backend servers."""
 
 import random
+import statistics
 from typing import Any
 from typing import NamedTuple
 
@@ -109,6 +110,31 @@
                 self._callers.record_violation(PROMISE, "", line)
         return lines
 
+    def times(self) -> str:
+        """Return the median times of plain calls there and elsewhere."""
+        times: dict[bool, list[float]] = {True: [], False: []}
+        for cut in self._cuts:
+            settled_at = cut.began_at + cut_report.SETTLED_S
+            for record in self._callers.records:
+                is_call = soak_callers.ROUTES[record.route] != "stream"
+                is_served = record.status == 200 and record.is_complete
+                if (
+                    is_call
+                    and is_served
+                    and settled_at <= record.sent_at < cut.ended_at
+                ):
+                    took_s = record.ended_at - record.sent_at
+                    times[record.host in cut.hosts].append(took_s)
+        there, elsewhere = (
+            f"{statistics.median(times[name]) * 1000:.0f} ms"
+            if times[name]
+            else "none"
+            for name in (True, False)
+        )
+        return (
+            f"median time of plain calls: {there} there, {elsewhere} elsewhere"
+        )
+
     def _count(self, cut: Cut) -> tuple[cut_report.Count, cut_report.Count]:
         """Count the first tries at the hosts of a cut, and elsewhere."""
         counted: dict[bool, list[bool]] = {True: [], False: []}
