--- a/tools/soak.py
+++ b/tools/soak.py
@@ -538,7 +538,7 @@
     parser.add_argument(
         "--limits",
         action="store_true",
-        help="let servers state limits, without any fault",
+        help="let servers state limits; without any fault but --stops",
     )
     parser.add_argument(
         "--cuts",
--- a/tools/soak_limits.py
+++ b/tools/soak_limits.py
@@ -24,27 +24,33 @@
         self._deployment = deployment
         self._callers = callers
         self._since = 0.0
+        self._servers: dict[str, platform_worker.PlatformWorker] = {}
 
     def start(self) -> None:
         """Let the servers state their limits from now on."""
         for name, limit in LIMITS.items():
-            self._deployment.workers[name].server.limit = limit
+            self._servers[name] = self._deployment.workers[name].server
+            self._servers[name].limit = limit
         self._since = self._deployment.reactor.seconds()
 
     def check(self) -> list[tuple[str, limit_window.WorstWindow | None]]:
         """Check the requests of all hosts; return the worst windows."""
         found = []
-        for name in LIMITS:
-            worst = self._worst_window(self._deployment.workers[name].server)
-            found.append((name, worst))
-            if worst is not None and worst.is_exceeded:
-                self._callers.record_violation(PROMISE, "", f"{name}: {worst}")
+        for name, server in self._servers.items():
+            for worst in (
+                self._worst_window(server),
+                server.worst_limit_window(),
+            ):
+                found.append((name, worst))
+                if worst is not None and worst.is_exceeded:
+                    detail = f"{name}: {worst}"
+                    self._callers.record_violation(PROMISE, "", detail)
         return found
 
     def _worst_window(
         self, server: platform_worker.PlatformWorker
     ) -> limit_window.WorstWindow | None:
-        # Proxies hide which host sends, so that all count as told.
+        # All hosts count as told, whoever told them.
         told_at = self._since + TOLD_AFTER_S
         return limit_window.worst_window(
             server.limit_statements,
--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -112,7 +112,11 @@
 
     def _release(self) -> None:
         """Replace a worker by one of another software version."""
-        decodes = [n for n in self._deployment.workers if n.startswith("d")]
+        decodes = [
+            name
+            for name, worker in self._deployment.workers.items()
+            if name.startswith("d") and not worker.server.limit
+        ]
         name = self._rng.choice(sorted(decodes))
         self._deployment.remove_worker(name)
         self._deployment.add_worker(name, "decode")
