Take-ups that no host remembers don't keep a version that has gone

The keeper now reads its row for such take-ups as well, and counted what it lists as seen just then: with one take-up in two minutes a version whose workers were gone stayed in the row for good.

Cause: a read of what a host wrote itself was recorded as an observation.

Change: the row only joins the answer.

Measured: test_take_ups_dont_keep_a_version_that_has_gone failed before (mixed after 140 s), passes now.

--- a/nutmegscale/version_controller.py
+++ b/nutmegscale/version_controller.py
@@ -112,12 +112,14 @@
         if stored is None or not stored.is_current:
             return None
         self._record_registered(service)
-        now = self._board.now()
-        self._served.record(now, service, stored.content.versions)
-        lately = self._served.lately(now, service)
-        if not stored.content.versions or served_versions.UNKNOWN in lately:
+        # What the row lists isn't recorded as seen now: the keeper would write
+        # it again, and a version that has gone would never end.
+        versions = self._served.lately(self._board.now(), service) | set(
+            stored.content.versions
+        )
+        if not stored.content.versions or served_versions.UNKNOWN in versions:
             return None
-        return next(iter(lately)) if len(lately) == 1 else None
+        return next(iter(versions)) if len(versions) == 1 else None
 
     async def _read_store(self) -> None:
         """Read the rows, and what has changed of the registered servers.
--- a/tests/test_take_ups_after_restart.py
+++ b/tests/test_take_ups_after_restart.py
@@ -278,3 +278,29 @@
     connections[0].transport.abortConnection()
     simulation.run(5.0)
     assert connections[1].replies[-1].status == 200
+
+
+def test_take_ups_dont_keep_a_version_that_has_gone() -> None:
+    """Each read of the row at its keeper had counted as seeing the version."""
+    simulation = _simulation(("v1", "v2"))
+    for name in ("d0", "d2", "p0", "p2"):
+        simulation.store.remove("servers", name)
+    for _ in range(14):
+        simulation.run(10.0)
+        for host in range(8):
+            simulation.send(
+                "digest",
+                host=host,
+                Prompt_Prefix=streams.PARTS,
+                resource="unknown",
+                Last_Event_Id="1",
+                Resumes="unknown",
+            )
+    simulation.run(2.0)
+    versions = simulation.hosts[0].router._versions
+    assert not versions.is_mixed("notes-model")
+    keeper = versions.keeper("notes-model")
+    found = next(
+        h.router for h in simulation.hosts if h.router.board.host == keeper
+    )
+    assert not found._versions.is_mixed("notes-model")
