A defect while the loop's lag is recorded doesn't leave an old lag in force

Cause: the next measurement was due only after the metric and the log line of this one.

Change: it is due first. Found by reading; no test.

--- a/nutmegscale/loop_lag.py
+++ b/nutmegscale/loop_lag.py
@@ -43,6 +43,8 @@
 
     def _measure(self) -> None:
         lag_s = max(0.0, self._board.now() - self._due_at)
+        # First, so that a defect below doesn't leave an old lag in force.
+        self._schedule()
         worst_s = max(lag_s, self._before_s)
         was_logged = self._board.loop_lag_s >= LOGGED_LAG_S
         self._before_s = lag_s
@@ -50,4 +52,3 @@
         self._board.metrics.record_loop_lag(worst_s)
         if worst_s >= LOGGED_LAG_S and not was_logged:
             logs.get().warning("loop_lagged", lag_s=round(worst_s, 3))
-        self._schedule()
