A host that leaves hears of the contents that crash servers

Cause: suspicions were told to hosts that may own state, which leaving ones don't. Class: who is told of what follows from who owns something, not from who serves.

Change: they go to all hosts that aren't known to be dead.

Measured: test_a_host_that_leaves_hears_of_the_crashes_elsewhere failed before (3 servers of 2), passes now.

--- a/nutmegscale/membership.py
+++ b/nutmegscale/membership.py
@@ -214,6 +214,17 @@
         member = self._members.get(host)
         return member is not None and member.state == State.DEAD
 
+    def serving(self) -> list[str]:
+        """Return the hosts that serve callers, sorted by name.
+
+        They include those that are leaving, which own no more state.
+        """
+        return [
+            member.host
+            for member in self.members()
+            if member.state != State.DEAD
+        ]
+
     def alive(
         self,
         failure_domains: Iterable[str] | None = None,
--- a/nutmegscale/shared_quarantine.py
+++ b/nutmegscale/shared_quarantine.py
@@ -160,7 +160,7 @@
         | messages.SuspicionCleared
         | messages.SuspectTried,
     ) -> None:
-        for host in self._members.alive():
+        for host in self._members.serving():
             if host != self._host:
                 self._mesh.send(host, message)
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from nutmegscale import periodic
 from nutmegscale.platform import worker_entries
 from standins import platform_worker
 from standins import raw_caller
@@ -192,3 +193,24 @@
         assert callers
         simulation.run(1.0)
     assert simulation.ask("slot", method="GET", body=b"").status == 200
+
+
+def test_a_host_that_leaves_hears_of_the_crashes_elsewhere() -> None:
+    """It serves to the end of its grace, and its callers send the request."""
+    service = _Service(down_s=20.0)
+    simulation = service.simulation
+    leaver = simulation.hosts[0]
+    periodic.spawn(
+        leaver.router.drain(
+            leaver.ingress.connections, leaver.ingress.close_idle, lambda: None
+        )
+    )
+    # A long stream isn't needed: the host takes connections for 2.2 s.
+    simulation.run(0.5)
+    service.send(host=1)
+    simulation.run(0.5)
+    assert len(service.crashes) == 2
+    caller = service.send(host=0)
+    simulation.run(0.5)
+    assert len(service.crashes) == 2
+    assert caller.replies[-1].status == 503
