A crashing request beside innocent calls that meet it twice: a test, known red

Traced: an innocent call ran beside the crashing one on both servers, since hosts heard of the first crash only after both had been sent on; neither is told from the other then.

Not mended: the hosts would have to wait longer before a second try.

--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -11,6 +11,7 @@
 
 from nutmegscale import periodic
 from nutmegscale.platform import worker_entries
+from standins import fake_network
 from standins import platform_worker
 from standins import raw_caller
 from standins import router_world
@@ -214,3 +215,19 @@
     simulation.run(0.5)
     assert len(service.crashes) == 2
     assert caller.replies[-1].status == 503
+
+
+def test_innocent_calls_beside_a_crashing_one_cost_no_third_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Hosts that are slow to hear of each other let both run side by side."""
+    monkeypatch.setattr(fake_network, "DELAY_S", 0.03)
+    service = _Service(seed=2)
+    for name in SERVERS:
+        service.simulation.workers[name].service_time_s = 0.2
+        service.simulation.workers[name].slots = 20
+    for number in range(28):
+        body = b"innocent %d" % number
+        service.simulation.send("slot", host=number % HOSTS, body=body)
+    service.send_repeatedly(seconds=5.0, period_s=0.25)
+    assert len(service.crashes) <= 2
