A refusal of another host doesn't deny a run before it

Cause: a safe call that waited when the cut began goes to another host; when that host refused it (too little time, pauses), its 503 was passed back as the answer. It is true for the other host only. Class: a statement of one attempt taken for the whole request.

Change: after a run that may have happened, 408, 421, 429 and 503 of the other host become 502 (may have run), relay_refused.

--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -42,6 +42,10 @@
 )
 
 
+# Statuses that say that a request hasn't run and won't.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class PeerRelay:
     """Passes requests on to other hosts, and their answers to the callers.
 
@@ -176,6 +180,17 @@
                 self._record_refusal(context, host, reason.decode("latin-1"))
                 return False
             self._record(context, host, head.status)
+            if context.may_have_run and head.status in NOT_RUN_STATUSES:
+                # That holds for the other host only.
+                context.fail(
+                    errors.Failure(
+                        502,
+                        "relay_refused",
+                        "the other host refused",
+                        "maybe_run",
+                    )
+                )
+                return True
             await self._pass_back(context, call, head)
             return True
         except errors.ConnectError as exc:
--- a/tests/test_hosts_cut_off_from_servers.py
+++ b/tests/test_hosts_cut_off_from_servers.py
@@ -342,3 +342,27 @@
     simulation.store.put("op", "config", msgspec.json.encode(state))
     simulation.run(0.5)
     return simulation
+
+
+@pytest.mark.parametrize("why", ["paused", "too_late"])
+def test_a_refusal_of_the_other_host_doesnt_deny_a_run_before_it(
+    why: str,
+) -> None:
+    """The call ran at a server that this host was then cut off from."""
+    simulation = _slow_routes(_simulation(hosts=2), timeout_ms=5_000)
+    callers = _cut_while_calls_wait(simulation, "slot", count=8)
+    simulation.run(0.05)
+    ran = {name for w in simulation.workers.values() for name in w.ran}
+    names = [f"r{len(simulation.sent) - n}" for n in range(8, 0, -1)]
+    assert ran.intersection(names)
+    other = simulation.hosts[1].router.board
+    if why == "paused":
+        for server in other.backends.all():
+            other.notices.record_pause(other.now(), server.key, 10.0)
+    else:
+        other.loop_lag_s = 6.0
+        simulation.hosts[1].router._lag.stop()
+    simulation.run(3.0)
+    for name, caller in zip(names, callers, strict=True):
+        assert caller.replies
+        assert name not in ran or caller.replies[-1].status != 503
