--- a/nutmegscale/server_notices.py
+++ b/nutmegscale/server_notices.py
@@ -94,7 +94,7 @@
     def keep_only(self, now: float, servers: Collection[str]) -> None:
         """Forget the other servers, departures only after some time.
 
-        Pauses are kept to their end, since an entry may be missing for a moment.
+        Pauses are kept to their end: an entry may be missing for a moment.
 
         Args:
           now: Current time, seconds.
--- a/nutmegscale/shared_read.py
+++ b/nutmegscale/shared_read.py
@@ -15,9 +15,9 @@
     """Lets callers share a read that began after each of them asked.
 
     A read that is in progress when a caller asks may miss what was written just
-    before, so that this caller waits for the next one. Reads continue if a caller
-    leaves. Answers many callers that ask within a short time for what only the
-    store knows.
+    before, so that this caller waits for the next one. Reads continue if a
+    caller leaves. Answers many callers that ask within a short time for what
+    only the store knows.
     """
 
     def __init__(
