--- a/nutmegscale/server_limits.py
+++ b/nutmegscale/server_limits.py
@@ -80,8 +80,8 @@
     def keep_only(self, now: float, servers: Collection[str]) -> None:
         """Forget limits that were long unconfirmed.
 
-        Those of servers without an entry are kept: an entry may be missing for a
-        moment; the end of a limit is forgotten after the same time.
+        Those of servers without an entry are kept: it may be missing for a
+        moment. The end of a limit is forgotten after the same time.
 
         Args:
           now: Current time.
