--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -224,16 +224,46 @@
         self.delay_s = 0.045
         self.answer_bytes = 800
         self._address = ""
+        self._server: asyncio.Server | None = None
         self._registration: asyncio.Future[None] | None = None
+        self._fillers: list[socket.socket] = []
 
     async def start(self, ip: str, service: str, zone: str) -> None:
         """Listen on a free port, and register until the end."""
         server = await asyncio.start_server(self._serve, ip, 0, limit=1 << 23)
+        self._server = server
         self._address = f"{ip}:{server.sockets[0].getsockname()[1]}"
         self._registration = asyncio.ensure_future(
             self._register(service, zone)
         )
 
+    async def go_dark(self) -> None:
+        """Answer no new connection, and write no heartbeat, from now on.
+
+        The queue of the listening socket is filled, so that the kernel drops
+        the opening packets of further connections.
+        """
+        assert self._server is not None and self._registration is not None
+        self._registration.cancel()
+        self._server.close()
+        await self._server.wait_closed()
+        ip, _, port = self._address.partition(":")
+        for _ in range(5):
+            self._fillers.append(socket.socket())
+            self._fillers[-1].setblocking(False)
+        listener = self._fillers[0]
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((ip, int(port)))
+        listener.listen(0)
+        for filler in self._fillers[1:]:
+            filler.connect_ex((ip, int(port)))
+        self._record.add(f"{self.id} goes dark")
+        loop = asyncio.get_running_loop()
+        loop.call_later(3 * HEARTBEAT_S, self._lapse)
+
+    def _lapse(self) -> None:
+        self._store.put("servers", self.id, None)
+
     async def _register(self, service: str, zone: str) -> None:
         sequence = 0
         while True:
@@ -327,6 +357,26 @@
     _entry = {"slots": 40, "stage": "decode", "models": [{"name": "m"}]}
 
 
+class PrefillServer(PlainServer):
+    """An engine in the prefill stage; its handles can always be used."""
+
+    _entry = {"slots": 40, "stage": "prefill", "models": [{"name": "m"}]}
+
+    async def _answer(
+        self, head: Head, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        request_id = head.headers.get("request-id", "")
+        if head.start[0] == "DELETE":
+            writer.write(message("HTTP/1.1 200 OK", {"Request-Id": request_id}))
+            return
+        await asyncio.sleep(self.delay_s)
+        handle = f"{random.getrandbits(48):012x}"
+        answer = {"handle": handle, "tokens": 100, "version": 1}
+        headers = {"Request-Id": request_id, "Content-Type": "application/json"}
+        data = json.dumps(answer).encode()
+        writer.write(message("HTTP/1.1 200 OK", headers, data))
+
+
 class Daemon:
     """A daemon of the project, started as the deploy file says."""
 
