Review case 3: a take-up after a moved route joins two versions

After all hosts were killed, a stream that began before its route was moved goes on at the new service, whatever version its software has.

--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -212,8 +212,10 @@
       ran: Ids of the requests that it ran, in order.
       delay_s: Time that a request takes, seconds.
       answer_bytes: Length of its answers.
+      version: Version of its software.
     """
 
+    version = "v1"
     _entry: dict[str, Any] = {"slots": 6}
 
     def __init__(self, store: Store, record: Record, name: str) -> None:
@@ -272,7 +274,7 @@
                 "service": service,
                 "address": self._address,
                 "zone": zone,
-                "version": "v1",
+                "version": self.version,
                 "state": "ready",
                 "coldRemainingMs": 0,
                 "sequence": sequence,
@@ -345,7 +347,8 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(int(after or 0) + 1, self.events + 1):
             await asyncio.sleep(self.event_s)
-            event = b"id: %d\ndata: %b\n\n" % (number, b"t" * 280)
+            text = self.version.encode() + b" " + b"t" * 280
+            event = b"id: %d\ndata: %b\n\n" % (number, text)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -476,8 +479,22 @@
             return [base, base + 1, base + 2]
 
 
+def _engine_service(name: str) -> dict[str, Any]:
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConnections": 160,
+        "engine": {
+            "slots": 40,
+            "kvCapacity": 400_000,
+            "kvTokenBytes": 18_432,
+            "handleTtlS": 0.5,
+        },
+    }
+
+
 def config(version: int, routes: list[dict[str, Any]], **limits: int) -> bytes:
-    """Return a desired state with a plain service and an engine service."""
+    """Return a desired state with a plain service and two engine services."""
     defaults = {
         "hostname": HOST_NAME,
         "service": "entries-app",
@@ -495,17 +512,8 @@
                 "healthPath": "/health",
                 "maxConnections": 110,
             },
-            {
-                "name": "notes-model",
-                "healthPath": "/health",
-                "maxConnections": 160,
-                "engine": {
-                    "slots": 40,
-                    "kvCapacity": 400_000,
-                    "kvTokenBytes": 18_432,
-                    "handleTtlS": 0.5,
-                },
-            },
+            _engine_service("notes-model"),
+            _engine_service("notes-model-2"),
         ],
         "limits": {
             "maxHeaderBytes": 16_384,
