Streams: how a place is found is apart from what a stream is

Cause: StreamRunner held both the grants of planners with their prefills and what is the same for every stream (events, origin, version, resumption, ends).

Change: a Protocol `stream_places.StreamPlaces` finds a place and learns how its run went; `planned_places` has the slots and prefills of engines, `stream_relay` the events of an answer. The choice of a server by load (`server_choice`) and the calls that a host that is cut off may abandon (`waiting_calls`) leave the runner of plain calls.

One test names the prefill runner's new owner.

--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -1,31 +1,23 @@
 """Runs calls of plain services, with a retry elsewhere where that is safe."""
 
-import random
-
 from nutmegscale import backend
 from nutmegscale import caller_request
 from nutmegscale import crash_watch
 from nutmegscale import errors
 from nutmegscale import http_message
-from nutmegscale import limit_controller
 from nutmegscale import request_context
 from nutmegscale import routing_board
 from nutmegscale import server_calls
+from nutmegscale import server_choice
 from nutmegscale import upstream
 from nutmegscale import upstream_call
+from nutmegscale import waiting_calls
 
 # Longest answer of a plain service, bytes. Answers are buffered completely
 # before they are passed on, so that a call can be retried if one is cut short.
 MAX_BODY_BYTES = 4 << 20
 # Servers that one request may be offered to.
 MAX_OFFERS = 3
-# With less time left, no server is tried, seconds.
-MIN_TIME_LEFT_S = 0.01
-# Silence of a server from which on this host doesn't wait for it once it is cut
-# off: connections may live on while new ones are refused, seconds.
-MIN_SILENCE_S = 0.3
-# Retry-After of a call that ran on no server, seconds.
-REJECTED_RETRY_AFTER_S = 0.3
 
 
 class _Attempt:
@@ -60,31 +52,16 @@
         calls: server_calls.ServerCalls,
         codec: caller_request.ServerCodec,
         crashes: crash_watch.CrashWatch,
-        limits: limit_controller.LimitController,
-        *,
-        rng: random.Random,
+        servers: server_choice.ServerChoice,
+        waiting: waiting_calls.WaitingCalls,
     ) -> None:
         self._board = board
         self._pool = pool
         self._calls = calls
         self._codec = codec
         self._crashes = crashes
-        self._limits = limits
-        self._rng = rng
-        # Calls that may run twice and whose answer hasn't begun.
-        self._waiting: dict[upstream_call.Call, backend.Backend] = {}
-
-    def abandon_unanswered(self) -> None:
-        """Stop waiting for servers that this host is cut off from.
-
-        Calls that may run twice go to other hosts instead. Those on connections
-        that still deliver answers, and those that must not run twice, wait on.
-        """
-        now, loads = self._board.now(), self._board.loads
-        for call, server in list(self._waiting.items()):
-            silent_s = loads.silent_s(now, server)
-            if silent_s is not None and silent_s >= MIN_SILENCE_S:
-                call.failed(errors.CutOffError(f"cut off from {server.id}"))
+        self._servers = servers
+        self._waiting = waiting
 
     async def run(self, context: request_context.RequestContext) -> None:
         """Run a call until it is answered, refused or failed.
@@ -95,8 +72,8 @@
         """
         attempt = _Attempt()
         for offer in range(MAX_OFFERS):
-            server = await self._choose_with_permit(context)
-            if server is None or context.left_s < MIN_TIME_LEFT_S:
+            server = await self._servers.choose_with_permit(context)
+            if server is None or context.left_s < server_choice.MIN_TIME_LEFT_S:
                 break
             if not context.sends.reserve():
                 break
@@ -130,7 +107,7 @@
                 head.status >= 500
                 and offer + 1 < MAX_OFFERS
                 and self._may_retry(context, attempt)
-                and self._choose(context) is not None
+                and self._servers.choose(context) is not None
                 and context.sends.reserve()
             ):
                 context.record_failure_event(
@@ -184,60 +161,6 @@
                 return False
         return self._may_retry(context, attempt)
 
-    async def _choose_with_permit(
-        self, context: request_context.RequestContext
-    ) -> backend.Backend | None:
-        """Choose a server, once permits for limited ones were asked for."""
-        if self._board.notices.limits:
-            await self._limits.prepare(
-                self._board.wanted_servers(context.service),
-                priority=context.route.priority,
-            )
-        return self._choose(context)
-
-    def _limited_servers(
-        self, context: request_context.RequestContext
-    ) -> tuple[backend.Backend, ...]:
-        """Return the servers that only their limits keep from being chosen."""
-        loads, now = self._board.loads, self._board.now()
-        return tuple(
-            server
-            for server in self._board.wanted_servers(context.service)
-            if server.id not in context.tries
-            and not self._limits.may_call(server, context.route.priority)
-            and not loads.is_paused(now, server)
-        )
-
-    def _choose(
-        self, context: request_context.RequestContext
-    ) -> backend.Backend | None:
-        loads, now = self._board.loads, self._board.now()
-        servers = self._board.wanted_servers(context.service)
-        if self._board.notices.limits:
-            rank = context.route.priority
-            servers = tuple(
-                s for s in servers if self._limits.may_call(s, rank)
-            )
-        healthy = {
-            server.id: server
-            for server in servers
-            if server.id not in context.tries
-            and not loads.is_paused(now, server)
-        }
-        apart = self._crashes.server_apart(context.content, healthy)
-        if apart is not None:
-            return healthy[apart]
-        return loads.choose(
-            now,
-            servers,
-            self._board.failure_domain,
-            avoid=frozenset(context.tries),
-            # A permit is lost if it isn't used soon.
-            preferred=frozenset(
-                server.id for server in servers if self._limits.permits(server)
-            ),
-        )
-
     def _may_retry(
         self, context: request_context.RequestContext, attempt: _Attempt
     ) -> bool:
@@ -257,7 +180,7 @@
                     server, request, send_by=context.deadline
                 )
                 if context.route.is_idempotent and not context.is_relayed:
-                    self._waiting[call] = server
+                    self._waiting.add(call, server)
                 head = await call.head(context.left_s)
             info = self._codec.read_head(head)
             loads.record_load(self._board.now(), server, info.load)
@@ -288,7 +211,7 @@
         finally:
             loads.record_ended(server)
             if call is not None:
-                self._waiting.pop(call, None)
+                self._waiting.discard(call)
                 call.abort()
         return head, body
 
@@ -310,18 +233,6 @@
             context.fail(
                 errors.Failure(502, "no_other_server", "failed", "maybe_run")
             )
-        elif context.left_s < MIN_TIME_LEFT_S:
-            # No server ran it, so the caller may safely retry, even a call
-            # that must not run twice.
-            context.refuse("too_little_time", REJECTED_RETRY_AFTER_S)
-        elif limited := self._limited_servers(context):
-            retry_after_s = self._limits.refuse(
-                context.service, limited, priority=context.route.priority
-            )
-            context.refuse("limited", retry_after_s)
-        elif paused_s := self._board.paused_for_s(
-            context.service, priority=context.route.priority, rng=self._rng
-        ):
-            context.refuse("paused", paused_s)
         else:
-            context.refuse("no_server", REJECTED_RETRY_AFTER_S)
+            why = self._servers.explain(context)
+            context.refuse(why.reason, why.retry_after_s)
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -34,7 +34,9 @@
 from nutmegscale import peer_watch
 from nutmegscale import periodic
 from nutmegscale import plain_runner
+from nutmegscale import planned_places
 from nutmegscale import planned_stop
+from nutmegscale import prefill_runner
 from nutmegscale import reach_controller
 from nutmegscale import request_context
 from nutmegscale import retry_share
@@ -45,6 +47,7 @@
 from nutmegscale import routing_controller
 from nutmegscale import row_store
 from nutmegscale import server_calls
+from nutmegscale import server_choice
 from nutmegscale import server_loads
 from nutmegscale import server_presence
 from nutmegscale import shared_quarantine
@@ -56,6 +59,7 @@
 from nutmegscale import table_follower
 from nutmegscale import upstream
 from nutmegscale import version_controller
+from nutmegscale import waiting_calls
 
 PROBE_PERIOD_S = 0.8
 # A host with a slower link plans only if no other can, Mbit/s. The smallest
@@ -252,14 +256,17 @@
             self._reachability.check_connection,
             servers=server_presence.ServerPresence(self.board),
         )
+        self._waiting = waiting_calls.WaitingCalls(self.board)
         self._plain = plain_runner.PlainRunner(
             self.board,
             pool,
             calls,
             codecs.servers,
             self.crashes,
-            self._limits,
-            rng=self._rng,
+            server_choice.ServerChoice(
+                self.board, self.crashes, self._limits, rng=self._rng
+            ),
+            self._waiting,
         )
         rows = origin_rows.OriginRows(store)
         self._versions = version_controller.VersionController(
@@ -276,16 +283,21 @@
             rows,
             is_first_start=settings.is_first_start,
         )
+        self._prefills = prefill_runner.PrefillRunner(
+            self.board, pool, calls, codecs.servers, self.slots, self.crashes
+        )
+        planned = planned_places.PlannedPlaces(
+            self.board, self.slots, self._prefills, rng=self._rng
+        )
         self._streams = stream_runner.StreamRunner(
             self.board,
             pool,
             calls,
             codecs.servers,
-            self.slots,
             self.crashes,
             self._origins,
+            places_of=lambda _: planned,
             retries_of=self._retry_share,
-            rng=self._rng,
         )
         self._patience = patience.PatienceEstimator()
         self._live: dict[
@@ -307,7 +319,7 @@
     def _on_cut_off_changed(self, is_cut_off: bool) -> None:
         self._relay.report(is_cut_off=is_cut_off)
         if is_cut_off:
-            self._plain.abandon_unanswered()
+            self._waiting.abandon()
 
     def _on_store_restored(self) -> None:
         """Write again what this host wrote, and expect older entries."""
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -297,7 +297,7 @@
         board.notices.record_pause(board.now(), server.key, 5.0)
     handle = caller_request.KvHandle(server, "h1")
     before = len(worker.arrivals)
-    periodic.spawn(host_router._streams._prefills.free(handle))
+    periodic.spawn(host_router._prefills.free(handle))
     periodic.spawn(host_router.stages._send_order("notes-model", server, 1))
     simulation.run(1.0)
     assert len(worker.arrivals) == before
