Resumable streams of services without engines are resumed, not repeated

Cause: the router sent a stream of a service without engine to the runner of plain calls.

Evidence: the servers' record shows Last-Event-Id none for each take-up. The new tests fail on in 5 of 10 cases: 0 of 15 events after 1 s (three tests), [] for events 58 to 60 of a resumption, and 200 for take-ups that the moved route no longer allows. The other 5 hold both before and after: they keep what the runner of plain calls did for such streams (another server after a rejection or a 500, answers without events).

Change: one runner for resumable streams of both kinds. `chosen_places` finds a server by load where there is no planner. What the runner of plain calls could do and the runner of streams couldn't is now there for both: a 5xx before the first event goes to another server if one is free, a host that is cut off hands waiting streams to another host, a load that an answer states counts, and an answer that is no series of events is passed on whole.

Why it works: the decision what to resume, where, and after which event is made in one place for all streams, before a server is chosen.

Tests without soak, processes and traces pass.

--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -67,6 +67,10 @@
     """What another program wrote can't be decoded; see `decoding`."""
 
 
+class ServerFailedError(NutmegscaleError):
+    """A backend server ran a request and answered that it failed."""
+
+
 class ResumptionError(NutmegscaleError):
     """The answer to a resumed stream isn't the rest of that stream."""
 
--- a/nutmegscale/planned_places.py
+++ b/nutmegscale/planned_places.py
@@ -107,6 +107,10 @@
         if source is not None and not self._run.is_source_used and not is_kept:
             periodic.spawn(self._prefills.free(source))
 
+    def has_other(self) -> bool:
+        """False: a planner may queue it; see `stream_places.Place`."""
+        return False
+
     def record_rejection(
         self, *, source: caller_request.KvHandle | None
     ) -> None:
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -14,6 +14,7 @@
 
 from nutmegscale import backend_controller
 from nutmegscale import caller_request
+from nutmegscale import chosen_places
 from nutmegscale import crash_watch
 from nutmegscale import domain_watch
 from nutmegscale import envelope
@@ -257,15 +258,16 @@
             servers=server_presence.ServerPresence(self.board),
         )
         self._waiting = waiting_calls.WaitingCalls(self.board)
+        servers = server_choice.ServerChoice(
+            self.board, self.crashes, self._limits, rng=self._rng
+        )
         self._plain = plain_runner.PlainRunner(
             self.board,
             pool,
             calls,
             codecs.servers,
             self.crashes,
-            server_choice.ServerChoice(
-                self.board, self.crashes, self._limits, rng=self._rng
-            ),
+            servers,
             self._waiting,
         )
         rows = origin_rows.OriginRows(store)
@@ -289,6 +291,7 @@
         planned = planned_places.PlannedPlaces(
             self.board, self.slots, self._prefills, rng=self._rng
         )
+        chosen = chosen_places.ChosenPlaces(self.board, self.crashes, servers)
         self._streams = stream_runner.StreamRunner(
             self.board,
             pool,
@@ -296,7 +299,10 @@
             codecs.servers,
             self.crashes,
             self._origins,
-            places_of=lambda _: planned,
+            self._waiting,
+            places_of=lambda service: (
+                planned if self._has_engine(service) else chosen
+            ),
             retries_of=self._retry_share,
         )
         self._patience = patience.PatienceEstimator()
@@ -504,8 +510,9 @@
         )
 
     def _run(self, context: request_context.RequestContext) -> None:
-        has_engine = self._has_engine(context.service)
-        is_stream = context.route.kind == "stream" and has_engine
+        is_stream = context.route.kind == "stream" and (
+            context.route.is_resumable or self._has_engine(context.service)
+        )
         runner = self._streams.run if is_stream else self._plain.run
         self._live[context] = None
         running = periodic.spawn(self._serve(context, runner))
--- a/nutmegscale/stream_places.py
+++ b/nutmegscale/stream_places.py
@@ -50,6 +50,10 @@
         """Keep a KV cache for the next place, or free it if it is unused."""
         ...
 
+    def has_other(self) -> bool:
+        """Whether another server can be tried without waiting for it."""
+        ...
+
     def record_rejection(
         self, *, source: caller_request.KvHandle | None
     ) -> None:
--- a/nutmegscale/stream_relay.py
+++ b/nutmegscale/stream_relay.py
@@ -13,8 +13,11 @@
 from nutmegscale import stream_run
 from nutmegscale import upstream_call
 
+EVENTS_TYPE = b"text/event-stream"
 # Longest body of a run's answer with a status from 300, bytes.
 MAX_ERROR_BYTES = 65_536
+# Longest answer without events, bytes.
+MAX_WHOLE_BYTES = 4 << 20
 # Events of a run after which its answer is past its beginning, where a part of
 # the prompt may crash the worker.
 BEGUN_EVENTS = 4
@@ -55,13 +58,15 @@
         if is_resumed:
             _check_resumption(run, head)
         elif head.status >= 300:
-            body = await call.body(context.left_s, MAX_ERROR_BYTES)
-            context.answer(head, body)
+            context.answer(*await self.read_failure(context, call, head))
             return
         if not info.is_genuine:
             raise errors.MalformedAnswerError(
                 f"answer with status {head.status} has no valid signature"
             )
+        if not is_resumed and not _has_events(head):
+            await self._relay_whole(context, call, head)
+            return
         if not is_resumed:
             run.content_type = _content_type(head)
             context.start(head)
@@ -70,6 +75,31 @@
         )
         self._end_complete(context, run, head)
 
+    async def read_failure(
+        self,
+        context: request_context.RequestContext,
+        call: upstream_call.Call,
+        head: http_message.ResponseHead,
+    ) -> tuple[http_message.ResponseHead, bytes]:
+        """Return a complete answer with a status from 300.
+
+        Raises:
+          errors.TransportError: It broke off or is too long.
+        """
+        return head, await call.body(context.left_s, MAX_ERROR_BYTES)
+
+    async def _relay_whole(
+        self,
+        context: request_context.RequestContext,
+        call: upstream_call.Call,
+        head: http_message.ResponseHead,
+    ) -> None:
+        """Pass on an answer without events once it is complete."""
+        body = await call.body(context.left_s, MAX_WHOLE_BYTES)
+        context.record_begun(self._crashes)
+        self._crashes.record_success(context.content)
+        context.answer(head, body)
+
     async def _relay_events(
         self,
         context: request_context.RequestContext,
@@ -189,6 +219,17 @@
         )
 
 
+def _has_events(head: http_message.ResponseHead) -> bool:
+    """Whether the body of an answer is a series of events.
+
+    A body without a stated type is one, unless its length is known beforehand.
+    """
+    content_type = _content_type(head)
+    if content_type:
+        return content_type == EVENTS_TYPE
+    return head.get(b"content-length") is None
+
+
 def _content_type(head: http_message.ResponseHead) -> bytes:
     """Return the content type of an answer without its parameters."""
     stated = head.get(b"content-type") or b""
--- a/nutmegscale/stream_run.py
+++ b/nutmegscale/stream_run.py
@@ -1,6 +1,7 @@
 """State of one stream across its slot grants, prefills and runs."""
 
 from nutmegscale import caller_request
+from nutmegscale import http_message
 from nutmegscale import routes
 
 
@@ -15,6 +16,9 @@
       is_source_used: Whether a decode worker used the KV cache.
       cache_worker: Worker whose KV cache the last run used, or "".
       runs: Runs that started and ended early.
+      unreached: Offers for which no connection could be made.
+      failed_answer: Complete answer of a server that failed, which the caller
+        gets if no other server runs the stream.
       source_rejections: Rejected runs from the KV cache of the last prefill.
       disconnects: Prefills and runs whose server broke the connection.
       is_trial: Whether it tries content after its quarantine.
@@ -44,6 +48,10 @@
         self.is_source_used = False
         self.cache_worker = ""
         self.runs = 0
+        self.unreached = 0
+        self.failed_answer: tuple[http_message.ResponseHead, bytes] | None = (
+            None
+        )
         self.source_rejections = 0
         self.disconnects = 0
         self.is_trial = False
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -6,6 +6,7 @@
 from nutmegscale import caller_request
 from nutmegscale import crash_watch
 from nutmegscale import errors
+from nutmegscale import http_message
 from nutmegscale import request_context
 from nutmegscale import retry_share
 from nutmegscale import routing_board
@@ -17,6 +18,7 @@
 from nutmegscale import stream_run
 from nutmegscale import upstream
 from nutmegscale import upstream_call
+from nutmegscale import waiting_calls
 
 # Places that one request may be given in turn.
 MAX_OFFERS = 4
@@ -50,6 +52,7 @@
         codec: caller_request.ServerCodec,
         crashes: crash_watch.CrashWatch,
         registry: stream_registry.StreamRegistry,
+        waiting: waiting_calls.WaitingCalls,
         *,
         places_of: Callable[[str], stream_places.StreamPlaces],
         retries_of: Callable[[str], retry_share.RetryShare],
@@ -63,6 +66,7 @@
           codec: Codec of these requests.
           crashes: Content that crashes servers.
           registry: Where resumable streams began.
+          waiting: Calls that another host can serve if this one is cut off.
           places_of: Returns what finds places for the streams of a service.
           retries_of: Returns the share of the retry budget of a service.
         """
@@ -72,6 +76,7 @@
         self._codec = codec
         self._crashes = crashes
         self._registry = registry
+        self._waiting = waiting
         self._places_of = places_of
         self._retries_of = retries_of
         self._relay = stream_relay.StreamRelay(board, crashes, registry)
@@ -112,6 +117,8 @@
         if refused_for_s:
             self._give_up(context, run, "quarantined", refused_for_s)
             return
+        if run.unreached == MAX_OFFERS:
+            raise errors.UnreachedError(f"no connection to {run.avoid}")
         self._give_up(
             context, run, "rejected_by_servers", REJECTED_RETRY_AFTER_S
         )
@@ -195,12 +202,7 @@
                 self._check_not_quarantined(context, run)
                 self._check_not_draining(server)
                 await self._send(
-                    context,
-                    run,
-                    server,
-                    source,
-                    connection,
-                    is_permitted=place.is_permitted,
+                    context, run, place, server, source, connection
                 )
             finally:
                 connection.release()
@@ -260,6 +262,14 @@
                 place.record_rejection(source=source)
             case errors.ConnectError():
                 self._record_unreachable(context, run, place, server, exc)
+            case errors.CutOffError():
+                return self._leave_to_other_host(context, server, exc)
+            case errors.ServerFailedError():
+                run.runs += 1
+                run.avoid.append(server.id)
+                context.record_failure_event(
+                    "server_failed", server=server.id, why=str(exc)
+                )
             case errors.ResumptionError():
                 return self._handle_other_answer(context, run, server, exc)
             case errors.TransportError():
@@ -270,6 +280,29 @@
                 raise exc
         return False
 
+    def _leave_to_other_host(
+        self,
+        context: request_context.RequestContext,
+        server: backend.Backend,
+        exc: errors.CutOffError,
+    ) -> bool:
+        """Handle a run whose server this host was cut off from.
+
+        Returns:
+          True: the request has ended, since its retries are spent.
+
+        Raises:
+          errors.UnreachedError: Another host may serve the request.
+        """
+        context.may_have_run = True
+        if context.sends.record_offer():
+            raise errors.UnreachedError(str(exc)) from exc
+        context.fail(
+            errors.Failure(504, "timeout", "cut off", "maybe_run"),
+            decode=server.id,
+        )
+        return True
+
     def _handle_other_answer(
         self,
         context: request_context.RequestContext,
@@ -382,21 +415,19 @@
         self,
         context: request_context.RequestContext,
         run: stream_run.StreamRun,
+        place: stream_places.Place,
         server: backend.Backend,
         source: caller_request.KvHandle | None,
         connection: upstream.ReservedConnection,
-        *,
-        is_permitted: bool,
     ) -> None:
         """Send a run to its server, and pass its answer on."""
         loads = self._board.loads
-        last_event = run.last_event or context.request.last_event
         request = self._codec.decode(
             context.request,
             server,
             context.left_s,
             source=source,
-            last_event=last_event,
+            last_event=run.last_event or context.request.last_event,
         )
         context.tries.append(server.id)
         loads.record_sent(server)
@@ -408,21 +439,20 @@
                     server,
                     request,
                     reserved=connection,
-                    is_permitted=is_permitted,
+                    is_permitted=place.is_permitted,
                     send_by=context.deadline,
                 )
-                head = await call.head(max(0.0, context.left_s))
+                head = await self._wait_for_head(context, server, call)
             info = self._codec.read_head(head)
-            if info.is_misdirected:
-                self._pool.close_idle(server.address)
-                raise errors.MisdirectedError(
-                    f"another server has the address {server.address}"
-                )
-            if not info.has_run:
-                run.load = info.load
-                raise errors.RejectedError(
-                    f"rejected with status {head.status}"
+            loads.record_load(self._board.now(), server, info.load)
+            self._check_has_run(run, server, head, info)
+            if head.status >= 500 and self._may_try_another(
+                context, run, place
+            ):
+                run.failed_answer = await self._relay.read_failure(
+                    context, call, head
                 )
+                raise errors.ServerFailedError(f"status {head.status}")
             run.is_source_used = source is not None
             run.cache_worker = source.server.id if source else ""
             await self._relay.relay(context, run, server, call, head, info)
@@ -432,6 +462,66 @@
             if call is not None:
                 call.abort()
 
+    async def _wait_for_head(
+        self,
+        context: request_context.RequestContext,
+        server: backend.Backend,
+        call: upstream_call.Call,
+    ) -> http_message.ResponseHead:
+        """Wait for the head of an answer, unless another host can serve it.
+
+        Raises:
+          errors.CutOffError: This host was cut off from the server, and the
+            stream may run once more.
+          errors.TransportError: The answer has no head.
+        """
+        is_started = context.incoming.is_started
+        if context.route.is_resumable and not (
+            is_started or context.is_relayed
+        ):
+            self._waiting.add(call, server)
+        try:
+            return await call.head(max(0.0, context.left_s))
+        finally:
+            self._waiting.discard(call)
+
+    def _check_has_run(
+        self,
+        run: stream_run.StreamRun,
+        server: backend.Backend,
+        head: http_message.ResponseHead,
+        info: caller_request.ResponseInfo,
+    ) -> None:
+        """Check that a server has run a request.
+
+        Raises:
+          errors.RejectedError: It states that it hasn't.
+        """
+        if info.is_misdirected:
+            self._pool.close_idle(server.address)
+            self._crashes.record_replaced(server)
+            raise errors.MisdirectedError(
+                f"another server has the address {server.address}"
+            )
+        if not info.has_run:
+            run.load = info.load
+            raise errors.RejectedError(f"rejected with status {head.status}")
+
+    def _may_try_another(
+        self,
+        context: request_context.RequestContext,
+        run: stream_run.StreamRun,
+        place: stream_places.Place,
+    ) -> bool:
+        """Whether a stream whose server failed may run on another one now."""
+        route = context.route
+        return (
+            not context.incoming.is_started
+            and route.is_resumable
+            and run.runs + 1 < route.max_attempts
+            and place.has_other()
+        )
+
     def _record_unreachable(
         self,
         context: request_context.RequestContext,
@@ -446,6 +536,7 @@
         self._board.loads.record_unreachable(self._board.now(), server)
         place.record_lost()
         run.avoid.append(server.id)
+        run.unreached += 1
 
     def _give_up(
         self,
@@ -455,7 +546,9 @@
         retry_after_s: float,
     ) -> None:
         """End a request that isn't run again."""
-        if run.runs:
+        if run.failed_answer is not None and not context.incoming.is_started:
+            context.answer(*run.failed_answer)
+        elif run.runs:
             context.fail(
                 errors.Failure(502, "run_lost", "the run broke", "maybe_run")
             )
--- a/standins/platform_rows.py
+++ b/standins/platform_rows.py
@@ -60,6 +60,24 @@
     return json.dumps({**state, **changes}).encode()
 
 
+def split_route(
+    name: str, weights: dict[str, int], *, resumable: bool = False
+) -> dict[str, Any]:
+    """Return a stream route whose requests are split among services.
+
+    Args:
+      name: Its name, which is also its path.
+      weights: Weight of each service.
+      resumable: Whether its streams may be resumed.
+    """
+    route = _route(name, "stream", "", 14_000, 900, 2, resumable=resumable)
+    route["trafficSplit"] = [
+        {"service": service, "weight": weight}
+        for service, weight in weights.items()
+    ]
+    return route
+
+
 def _route(
     name: str,
     kind: str,
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -63,6 +63,9 @@
       stream_events: All events of streams that it wrote, in order.
       handle_versions: Versions of the workers whose prefills it ran from.
       event_count: Number of events of each stream.
+      has_streams: Whether it answers with streams, in a plain service.
+      has_framing: Whether its streams come in chunks; otherwise they end with
+        their connections.
       service_time_s: Time that a plain call takes, seconds.
       is_full: Whether it rejects every request.
       rejects_every: It rejects each request whose number, from 1, is a multiple
@@ -115,6 +118,8 @@
     """
 
     drip: bytes = b""
+    has_streams = False
+    has_framing = True
 
     def __init__(
         self, clock: Any, worker_id: str, *, stage: str = "", slots: int = 4
@@ -233,7 +238,7 @@
             self._misdirect(request)
         elif self._must_reject():
             self._reject(request)
-        elif self.stage == "":
+        elif self.stage == "" and not self.has_streams:
             self._run_plain(request)
         elif head.get(b"stage") == b"prefill":
             self._prefill(request)
@@ -486,7 +491,7 @@
             return
         if is_first:
             headers = [(b"Content-Type", b"text/event-stream")]
-            request.start(200, headers + self._answer_headers(request))
+            self._start(request, headers + self._answer_headers(request))
             if self._has_poison_part(request):
                 self._clock.callLater(0, self.on_crash)
                 return
@@ -494,15 +499,15 @@
             self.break_after_events is not None
             and number > self.break_after_events
         ):
-            request.write(b"id: %d\ndat" % number)
-            self._clock.callLater(0, request.abort)
+            self._write(request, b"id: %d\ndat" % number)
+            self._clock.callLater(0, self._break_off, request)
             release_slot()
             return
         first = request.head.get(b"resumes") or _request_id(request).encode()
         self.stream_events.append(
             StreamEvent(first.decode(), self.version, number)
         )
-        request.write(b"id: %d\ndata: token\n\n" % number)
+        self._write(request, b"id: %d\ndata: token\n\n" % number)
         if self.endless:
             release_slot()
             self._send_without_end(request)
@@ -522,7 +527,38 @@
             )
         else:
             release_slot()
+            self._finish(request)
+
+    def _start(
+        self,
+        request: http_ingress.IncomingRequest,
+        headers: list[http_message.Header],
+    ) -> None:
+        if self.has_framing:
+            request.start(200, headers)
+            return
+        lines = [b"HTTP/1.1 200 OK", *(b"%b: %b" % pair for pair in headers)]
+        self._write(request, b"\r\n".join(lines) + b"\r\n\r\n")
+
+    def _write(
+        self, request: http_ingress.IncomingRequest, data: bytes
+    ) -> None:
+        if self.has_framing:
+            request.write(data)
+        else:
+            request._connection.transport.write(data)
+
+    def _break_off(self, request: http_ingress.IncomingRequest) -> None:
+        if self.has_framing:
+            request.abort()
+        else:
+            request._connection.transport.loseConnection()
+
+    def _finish(self, request: http_ingress.IncomingRequest) -> None:
+        if self.has_framing:
             request.finish()
+        else:
+            request._connection.transport.loseConnection()
 
 
 def _request_id(request: http_ingress.IncomingRequest) -> str:
