A stream that ends inside an event never looks complete, at any service

Cause: streams whose route isn't resumable still went to the runner of plain calls at services without engines. An answer without a length or chunks ends with its connection; that runner has nothing but the closed connection to judge it by. Only the events show the break, and only the runner of streams reads them.

Change: all streams go to the runner of streams; what a route allows (resumption, attempts) it reads from the route.

Why it works: there is one place where a stream ends as complete, and it looks whether the last event was whole.

--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -510,9 +510,7 @@
         )
 
     def _run(self, context: request_context.RequestContext) -> None:
-        is_stream = context.route.kind == "stream" and (
-            context.route.is_resumable or self._has_engine(context.service)
-        )
+        is_stream = context.route.kind == "stream"
         runner = self._streams.run if is_stream else self._plain.run
         self._live[context] = None
         running = periodic.spawn(self._serve(context, runner))
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -99,13 +99,14 @@
 
 
 def test_events_reach_the_caller_as_the_server_sends_them() -> None:
-    simulation = _simulation()
-    (caller,) = _send(simulation, 1)
-    simulation.run(1.0)
-    assert 15 <= len(_ids(caller)) < EVENTS
-    simulation.run(3.0)
-    assert _ids(caller) == list(range(1, EVENTS + 1))
-    assert caller.replies[-1].is_complete
+    for resumable in (False, True):
+        simulation = _simulation(resumable=resumable)
+        (caller,) = _send(simulation, 1)
+        simulation.run(1.0)
+        assert 15 <= len(_ids(caller)) < EVENTS
+        simulation.run(3.0)
+        assert _ids(caller) == list(range(1, EVENTS + 1))
+        assert caller.replies[-1].is_complete
 
 
 def test_a_resumed_stream_holds_no_event_twice() -> None:
@@ -243,3 +244,37 @@
     assert _ids(resumed) == [58, 59, 60]
     heads = simulation.workers["w0"].request_heads
     assert [head.get(b"last-event-id") for head in heads] == [None, b"57"]
+
+
+def test_a_stream_that_ends_inside_an_event_never_looks_complete() -> None:
+    """Its server states no length, so that only the event shows the break."""
+    for resumable in (False, True):
+        simulation = _simulation(resumable=resumable, versions=("v1",))
+        simulation.workers["w0"].has_framing = False
+        simulation.workers["w0"].break_after_events = 20
+        (caller,) = _send(simulation, 1)
+        simulation.run(4.0)
+        assert _ids(caller) == list(range(1, 21))
+        assert not caller.replies[-1].is_complete
+
+
+def test_a_stream_that_ends_with_its_connection_is_complete() -> None:
+    for resumable in (False, True):
+        simulation = _simulation(resumable=resumable, versions=("v1",))
+        simulation.workers["w0"].has_framing = False
+        (caller,) = _send(simulation, 1)
+        simulation.run(4.0)
+        assert _ids(caller) == list(range(1, EVENTS + 1))
+        assert caller.replies[-1].is_complete
+
+
+def test_a_stream_broken_off_inside_an_event_is_resumed_elsewhere() -> None:
+    simulation = _simulation()
+    simulation.workers["w0"].has_framing = False
+    simulation.workers["w0"].break_after_events = 20
+    callers = _send(simulation, 6)
+    simulation.run(5.0)
+    assert "r1" in simulation.workers["w0"].ran
+    for caller in callers:
+        assert _ids(caller) == list(range(1, EVENTS + 1))
+        assert caller.replies[-1].is_complete
