Streams of services without engines are resumed after all hosts died

Callers would see: with all hosts killed, every take-up at such a service is refused as unknown.

Cause: the rows on served versions leave out services without an engine.

Change: rows are kept for services with engines and for targets of resumable routes.

Readable both ways: rows and messages are unchanged; "unknown" was in rows before. While an earlier build keeps the row of such a service, take-ups that no host remembers are refused, none joined.

--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -277,6 +277,7 @@
             rows,
             era=lambda: self._era.era,
             refresh_servers=entries.refresh,
+            is_first_start=settings.is_first_start,
         )
         self._origins = stream_registry.StreamRegistry(
             self.board,
--- a/nutmegscale/routes.py
+++ b/nutmegscale/routes.py
@@ -116,6 +116,19 @@
     limits: http_ingress.Limits
 
 
+def resumable_services(config: RoutingConfig) -> frozenset[str]:
+    """Return the services with engines or with streams that may be resumed."""
+    with_engines = {s.name for s in config.services.values() if s.engine}
+    return frozenset(
+        with_engines.union(
+            target.service
+            for route in config.routes
+            if route.is_resumable
+            for target in route.targets
+        )
+    )
+
+
 class RouteTable:
     """Index that finds a route in time independent of their number."""
 
--- a/nutmegscale/version_controller.py
+++ b/nutmegscale/version_controller.py
@@ -10,6 +10,7 @@
 from nutmegscale import origin_rows
 from nutmegscale import periodic
 from nutmegscale import rendezvous
+from nutmegscale import routes
 from nutmegscale import routing_board
 from nutmegscale import served_versions
 from nutmegscale import shared_read
@@ -48,6 +49,8 @@
       era: Returns the era of the store that this host saw last.
       refresh_servers: Brings the registered servers up to date; raises
         `errors.StoreError` if the store gives no usable answer.
+      is_first_start: Whether the whole system starts for the first time, so
+        that there are no earlier streams.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         *,
         era: Callable[[], int],
         refresh_servers: Callable[[], Awaitable[None]],
+        is_first_start: bool,
     ) -> None:
         self._board = board
         self._mesh = link
@@ -65,8 +69,11 @@
         self._era = era
         self._served = served_versions.ServedVersions()
         self._refresh_servers = refresh_servers
+        self._is_first_start = is_first_start
         self._known: dict[str, _KnownRow] = {}
         self._stored: dict[str, origin_rows.StoredVersions] = {}
+        self._config: routes.RoutingConfig | None = None
+        self._resumable: frozenset[str] = frozenset()
         self._confirmation = shared_read.SharedRead(
             board.clock,
             self._read_store,
@@ -151,6 +158,9 @@
         rows = await self._rows.read_versions()
         stored = rows.get(service)
         if stored is None:
+            if not self._is_first_start:
+                # Streams may have begun there while no host kept a row.
+                self._served.record(now, service, [served_versions.UNKNOWN])
             self._known[service] = _KnownRow(frozenset(), self._era(), 0)
             return
         self._served.record(now, service, stored.content.versions)
@@ -163,6 +173,14 @@
             stored.row_version,
         )
 
+    def _resumable_services(
+        self, config: routes.RoutingConfig
+    ) -> frozenset[str]:
+        if config is not self._config:
+            self._config = config
+            self._resumable = routes.resumable_services(config)
+        return self._resumable
+
     def _keeps(self, service: str) -> bool:
         return self.keeper(service) == self._board.host
 
@@ -170,9 +188,7 @@
         config = self._board.config
         if config is None:
             return
-        for service, spec in config.services.items():
-            if spec.engine is None:
-                continue
+        for service in self._resumable_services(config):
             self._record_registered(service)
             if self._keeps(service):
                 await self._keep_row(service)
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -278,3 +278,50 @@
     for caller in callers:
         assert _ids(caller) == list(range(1, EVENTS + 1))
         assert caller.replies[-1].is_complete
+
+
+def test_a_stream_is_resumed_after_all_hosts_were_killed() -> None:
+    simulation = _simulation(versions=("v1", "v1"))
+    callers = _send(simulation, 8)
+    simulation.run(1.0)
+    for host in range(3):
+        simulation.restart_host(host)
+    simulation.run(2.5)
+    resumed = _resume(simulation, callers, host=1)
+    simulation.run(5.0)
+    for before, after in zip(callers, resumed, strict=True):
+        assert _ids(before) + _ids(after) == list(range(1, EVENTS + 1))
+
+
+def test_a_stream_isnt_joined_to_the_version_left_after_all_hosts_died() -> (
+    None
+):
+    simulation = _simulation(versions=("v1", "v2"))
+    callers = _send(simulation, 8)
+    simulation.run(1.0)
+    simulation.store.remove("servers", "w0")
+    for host in range(3):
+        simulation.restart_host(host)
+    simulation.run(2.5)
+    _resume(simulation, callers, host=1)
+    simulation.run(5.0)
+    assert all(len(seen) == 1 for seen in _versions(simulation).values())
+
+
+def test_a_first_row_doesnt_deny_versions_that_were_never_recorded() -> None:
+    """Hosts of an earlier build kept no row of such services."""
+    simulation = _simulation(versions=("v1",))
+    for running in simulation.hosts:
+        running.router._versions.stop()
+    simulation.store.remove("nutmegscale-versions", PLAIN)
+    simulation.workers["w0"].event_count = 400
+    callers = _send(simulation, 4)
+    simulation.run(1.0)
+    simulation.add_worker("w1", slots=40, version="v2").has_streams = True
+    simulation.store.remove("servers", "w0")
+    for host in range(3):
+        simulation.restart_host(host)
+    simulation.run(2.5)
+    _resume(simulation, callers, host=1)
+    simulation.run(2.0)
+    assert all(len(seen) == 1 for seen in _versions(simulation).values())
