A moved route joins no two services once all hosts died

Cause: a host that knows of no stream takes the only version of the route's present service for the one that began it. Nothing in the store said that the route had another service when the stream may have begun.

Change: the rows on versions get one more subject, the stream routes with their services; its versions are digests. A stream of which no host remembers the beginning is resumed only if one digest alone was in force in the last 120 s. Weights, times and plain routes don't change it.

Why it works: the row must agree with the routes in force, so a move that wasn't recorded before the kill shows as a second digest, as one that was. It is coarse on purpose: any moved stream route refuses such take-ups for two minutes after a loss of all hosts that know the stream.

Readable both ways: the row has the form of the others, under a name that no service has. While an earlier build keeps it, it is missing, and the take-ups that depend on it are refused at new hosts.

A changed timeout still lets take-ups continue (0.8 or more).

--- a/nutmegscale/routes.py
+++ b/nutmegscale/routes.py
@@ -1,12 +1,18 @@
 """Routing configuration: routes, services, and the lookup of a route."""
 
 from collections.abc import Iterable
+import hashlib
 import random
 from typing import Literal
 from typing import NamedTuple
 
+import msgspec
+
 from nutmegscale import http_ingress
 
+# Enough to distinguish the configurations of a few minutes.
+DIGEST_BYTES = 8
+
 RouteKind = Literal["safe", "unsafe", "stream"]
 
 
@@ -129,6 +135,18 @@
     )
 
 
+def stream_digest(config: RoutingConfig) -> str:
+    """Return a digest of which services the streams of each path may get."""
+    found = sorted(
+        (r.host, r.path_prefix, sorted(t.service for t in r.targets))
+        for r in config.routes
+        if r.kind == "stream"
+    )
+    return hashlib.blake2b(
+        msgspec.json.encode(found), digest_size=DIGEST_BYTES
+    ).hexdigest()
+
+
 class RouteTable:
     """Index that finds a route in time independent of their number."""
 
--- a/nutmegscale/version_controller.py
+++ b/nutmegscale/version_controller.py
@@ -1,4 +1,7 @@
-"""Keeps a row of the store for each service on the versions that served it."""
+"""Keeps a row of the store for each service on the versions that served it.
+
+One more row is on the stream routes: which versions of them were in force.
+"""
 
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -16,6 +19,9 @@
 from nutmegscale import shared_read
 
 PERIOD_S = 0.5
+# Subject of the row on the stream routes; no service has this name. Its
+# versions are digests of the routes.
+ROUTES = "/stream-routes"
 # Shortest time between two reads for callers, seconds.
 READ_PAUSE_S = 0.3
 
@@ -37,7 +43,9 @@
 class VersionController:
     """Knows which software versions served a service lately, over restarts.
 
-    One host for each service, its keeper, writes the row, only when the
+    It knows the same of the stream routes, each with its services: a stream
+    may have begun at a service that is no longer a target of its route. One
+    host for each service, its keeper, writes the row, only when the
     versions change. A host that sees no other considers itself the keeper, so
     that being it proves nothing: when a caller takes up a stream that no host
     remembers, each host asks the store.
@@ -107,21 +115,29 @@
     async def only_version(self, service: str) -> str | None:
         """Return the only version at which streams may have begun lately.
 
-        Both the row and the registered servers are read from the store for it:
+        Both the rows and the registered servers are read from the store for it:
         this host may have missed a version, whether it keeps the row or not.
 
         Returns:
-          The version; None if there are several, or if that isn't known.
+          The version; None if there are several, if that isn't known, or if
+          streams that the service gets now may have begun at another one, since
+          the stream routes have changed lately.
         """
         if not await self._confirmation.wait():
             return None
-        stored = self._stored.get(service)
+        if self._only_stored(ROUTES) is None:
+            return None
+        return self._only_stored(service)
+
+    def _only_stored(self, subject: str) -> str | None:
+        """Return the only version lately, by the store and by this host."""
+        stored = self._stored.get(subject)
         if stored is None or not stored.is_current:
             return None
-        self._record_registered(service)
+        self._record_current(subject)
         # What the row lists isn't recorded as seen now: the keeper would write
         # it again, and a version without servers would never expire.
-        versions = self._served.lately(self._board.now(), service) | set(
+        versions = self._served.lately(self._board.now(), subject) | set(
             stored.content.versions
         )
         if not stored.content.versions or served_versions.UNKNOWN in versions:
@@ -137,13 +153,18 @@
         await self._refresh_servers()
         self._stored = await self._rows.read_versions()
 
-    def _record_registered(self, service: str) -> None:
-        versions = {
-            server.version
-            for server in self._board.backends.all()
-            if server.service == service and server.version
-        }
-        self._served.record(self._board.now(), service, versions)
+    def _record_current(self, subject: str) -> None:
+        """Record the versions of the registered servers, or of the routes."""
+        config = self._board.config
+        if subject == ROUTES:
+            versions = {routes.stream_digest(config)} if config else set()
+        else:
+            versions = {
+                server.version
+                for server in self._board.backends.all()
+                if server.service == subject and server.version
+            }
+        self._served.record(self._board.now(), subject, versions)
 
     async def _adopt(self, service: str) -> None:
         """Read the row of a service, unless this host knows it.
@@ -188,10 +209,10 @@
         config = self._board.config
         if config is None:
             return
-        for service in self._resumable_services(config):
-            self._record_registered(service)
-            if self._keeps(service):
-                await self._keep_row(service)
+        for subject in (*self._resumable_services(config), ROUTES):
+            self._record_current(subject)
+            if self._keeps(subject):
+                await self._keep_row(subject)
 
     async def _keep_row(self, service: str) -> None:
         try:
--- a/tests/test_take_ups_after_restart.py
+++ b/tests/test_take_ups_after_restart.py
@@ -4,13 +4,17 @@
 version that began it, and must not be joined with the text of another one.
 """
 
+import json
+
 import pytest
 
+from standins import platform_rows
 from standins import router_world
 from tests import test_streams_across_versions as streams
 
 VERSIONS = "nutmegscale-versions"
 ORIGINS = "nutmegscale-origins"
+OTHER_SERVICE = "notes-model-2"
 # Part of the take-ups that go on where two workers of their version serve.
 MIN_RESUMED = 0.8
 
@@ -23,6 +27,15 @@
         hosts=8, failure_domains=streams.DOMAINS
     )
     simulation.configure()
+    _add_workers(simulation, versions)
+    simulation.start(5.0)
+    streams._set_events(simulation, events)
+    return simulation
+
+
+def _add_workers(
+    simulation: router_world.Simulation, versions: tuple[str, ...]
+) -> None:
     for number in range(4):
         version = versions[number % len(versions)]
         simulation.add_worker(f"p{number}", stage="prefill", version=version)
@@ -30,9 +43,6 @@
             f"d{number}", stage="decode", slots=20, version=version
         )
     simulation.add_worker("w1")
-    simulation.start(5.0)
-    streams._set_events(simulation, events)
-    return simulation
 
 
 def _kill(simulation: router_world.Simulation, hosts: range) -> None:
@@ -304,3 +314,63 @@
         h.router for h in simulation.hosts if h.router.board.host == keeper
     )
     assert not found._versions.is_mixed("notes-model")
+
+
+def _configure_services(
+    simulation: router_world.Simulation, version: int, service: str
+) -> None:
+    """Send the resumable route to one of two services with engines."""
+    state = json.loads(platform_rows.config_row(version))
+    model = state["services"][0]
+    other = {**model, "name": OTHER_SERVICE}
+    (route,) = (r for r in state["routes"] if r["name"] == "digest")
+    simulation.configure(
+        version,
+        routes=[{**route, "service": service}],
+        services=[*state["services"], other],
+    )
+
+
+@pytest.mark.parametrize("is_recorded", [True, False])
+def test_a_moved_route_joins_no_two_services_once_all_hosts_died(
+    is_recorded: bool,
+) -> None:
+    """Each of the two services has one version, and serves to the end."""
+    simulation = router_world.Simulation(
+        hosts=8, failure_domains=streams.DOMAINS
+    )
+    _configure_services(simulation, 1, platform_rows.MODEL_SERVICE)
+    _add_workers(simulation, ("v1",))
+    for name in ("d8", "d9"):
+        simulation.add_worker(name, stage="decode", slots=20, version="v2")
+        row = platform_rows.entry_row(
+            OTHER_SERVICE,
+            simulation.addresses[name],
+            stage="decode",
+            version="v2",
+        )
+        simulation.store.put("servers", name, row)
+    simulation.start(5.0)
+    streams._set_events(simulation, 120)
+    begun = streams._send(simulation, 12, list(range(8)))
+    simulation.run(0.5)
+    _configure_services(simulation, 2, OTHER_SERVICE)
+    if is_recorded:
+        simulation.run(1.0)
+    _kill(simulation, range(8))
+    simulation.run(2.5)
+    assert _resumed(simulation, begun, at_least=4) == 0.0
+    streams._check_versions(simulation)
+
+
+def test_a_route_that_keeps_its_services_doesnt_stop_take_ups() -> None:
+    simulation = _simulation(("v1",), events=120)
+    begun = streams._send(simulation, 30, list(range(8)))
+    row = json.loads(platform_rows.config_row(2))
+    for route in row["routes"]:
+        route["timeoutMs"] += 500
+    simulation.configure(2, routes=row["routes"])
+    simulation.run(1.0)
+    _kill(simulation, range(8))
+    simulation.run(2.5)
+    assert _resumed(simulation, begun) >= MIN_RESUMED
