An answer that is being sent is neither idle nor cut by a planned stop

Cause: a connection counted as idle once an answer was handed to the transport, not when it was sent. The idle timer and the lingering close started there, and the latter ends with a reset, which drops what waits.

Change: a pull producer reports when the transport has sent all that was written. The idle time, the close of a stopping host and the lingering start then. After an answer, lingering ends with a close, so that the system still delivers what the caller hasn't acknowledged; only refused requests end with a reset. A caller that reads nothing is dropped by TCP_USER_TIMEOUT, as before.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -21,8 +21,8 @@
 from nutmegscale import logs
 from nutmegscale import tcp_options
 
-# How long the rest of a refused request is read and discarded, so that the
-# caller receives the response before the connection is reset.
+# How long data of the caller is read and discarded after the last response was
+# sent, so that it isn't reset before the caller has received it.
 LINGER_TIMEOUT_S = 1.0
 # Limit on the bodies being read on all connections together: a quarter of the
 # memory of the smallest host, which has 128 MB by the deployment's
@@ -219,6 +219,30 @@
             self._on_disconnect()
 
 
+class _SentWatch:
+    """Pull producer that reports when all written data was sent.
+
+    A transport asks it for data once when it is registered, and again when it
+    has sent what was written.
+
+    Args:
+      on_sent: Called each time when that is so.
+    """
+
+    def __init__(self, on_sent: Callable[[], None]) -> None:
+        self._on_sent = on_sent
+        self._is_registered = False
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Handle a call of the transport; see twisted's IPullProducer."""
+        if self._is_registered:
+            self._on_sent()
+        self._is_registered = True
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the loss of the connection is handled apart."""
+
+
 class IngressConnection(protocol.Protocol):
     """Connection of a caller that carries one request at a time."""
 
@@ -231,7 +255,10 @@
         self._request: IncomingRequest | None = None
         self._is_closing = False
         self._is_discarding = False
+        self._is_refused = False
         self._is_streaming = False
+        self._is_sending = False
+        self._when_sent: Callable[[], None] | None = None
         self._is_blocked = False
         self._unblocked: defer.Deferred[None] | None = None
         self._opened_at = factory.now()
@@ -257,8 +284,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received or processed."""
-        return self._request is None and not self._head_bytes
+        """Whether no request is received or processed, and no answer sent."""
+        is_busy = self._request is not None or self._is_sending
+        return not is_busy and not self._head_bytes
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set up a new connection."""
@@ -270,6 +298,7 @@
         """Cancel the request that the caller was waiting for."""
         self._factory.connections.discard(self)
         self._is_streaming = False
+        self._when_sent = None
         self._cancel_timer()
         self._release_body()
         request, self._request = self._request, None
@@ -386,6 +415,7 @@
         """Respond with an error status and close the connection."""
         self._factory.on_refused(status)
         self._is_closing = True
+        self._is_refused = True
         headers = [(b"Content-Length", b"0")]
         if status == 503:
             wait = b"%.3f" % BUSY_RETRY_AFTER_S
@@ -402,14 +432,37 @@
             self._is_closing = True
         if self._is_closing:
             headers = [*headers, (b"Connection", b"close")]
-        self.transport.write(http_message.encode_response_head(status, headers))
+        self.send(http_message.encode_response_head(status, headers))
 
     def send(self, data: bytes) -> None:
         """Send raw bytes."""
         self.transport.write(data)
+        if not (self._is_streaming or self._is_sending):
+            self._is_sending = True
+            self.transport.registerProducer(_SentWatch(self._on_sent), False)
+
+    def _on_sent(self) -> None:
+        """Handle that the transport has sent all that was written."""
+        self._stop_watching()
+        action, self._when_sent = self._when_sent, None
+        if action is not None:
+            action()
+
+    def _stop_watching(self) -> None:
+        if self._is_sending:
+            self._is_sending = False
+            self.transport.unregisterProducer()
+
+    def _after_sent(self, action: Callable[[], None]) -> None:
+        """Call a function once all that was written is sent."""
+        if self._is_sending:
+            self._when_sent = action
+        else:
+            action()
 
     def begin_stream(self) -> None:
         """Watch how fast the caller reads a response."""
+        self._stop_watching()
         self._is_streaming = True
         self.transport.registerProducer(self, True)
 
@@ -445,11 +498,19 @@
         """Do nothing: the loss of the connection is handled apart."""
 
     def on_response_sent(self) -> None:
-        """Wait for the next request, or close the connection."""
+        """Wait for the next request, or close, once the response was sent.
+
+        A caller that reads a long response slowly isn't idle meanwhile. One
+        that doesn't read at all is dropped by `tcp_options.USER_TIMEOUT_MS`.
+        """
         self._request = None
         if self._is_closing:
             self._close_gracefully()
         else:
+            self._after_sent(self._wait_for_request)
+
+    def _wait_for_request(self) -> None:
+        if self.is_idle:
             self._start_timer(self._factory.limits().idle_timeout_s)
 
     def abort(self) -> None:
@@ -472,6 +533,9 @@
     def _close_gracefully(self) -> None:
         """Close such that the data already sent still arrives."""
         self._is_discarding = True
+        self._after_sent(self._close_writing)
+
+    def _close_writing(self) -> None:
         self.transport.loseWriteConnection()
         self._start_timer(LINGER_TIMEOUT_S)
 
@@ -485,8 +549,11 @@
         self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._is_discarding:
+        if self._is_refused:
             self.transport.abortConnection()
+        elif self._is_discarding:
+            # The system still sends what the caller hasn't acknowledged.
+            self.transport.loseConnection()
         elif self._head_bytes:
             self._refuse(408)
         else:
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -37,6 +37,7 @@
         self.is_paused = False
         self._unread: list[bytes] = []
         self._producer: Any = None
+        self._is_blocked = False
 
     def write(self, data: bytes) -> None:
         """Send bytes to the other end."""
@@ -94,20 +95,30 @@
     def registerProducer(  # noqa: N802
         self, producer: Any, streaming: bool
     ) -> None:
-        """Set the producer that `block_writes` and `unblock_writes` pause."""
+        """Set the producer; ask one that isn't streaming as Twisted does."""
         self._producer = producer
+        if not streaming:
+            producer.resumeProducing()
+            self._net.clock.callLater(0, self._ask_producer, producer)
+
+    def _ask_producer(self, producer: Any) -> None:
+        """Ask a producer for more, since all written data was sent."""
+        if self._producer is producer and not self._is_blocked:
+            producer.resumeProducing()
 
     def unregisterProducer(self) -> None:  # noqa: N802
         """Remove the producer."""
         self._producer = None
 
     def block_writes(self) -> None:
-        """Ask the producer to pause, as if the other end didn't read."""
-        if self._producer is not None:
+        """Keep written data, and ask a streaming producer to pause."""
+        self._is_blocked = True
+        if hasattr(self._producer, "pauseProducing"):
             self._producer.pauseProducing()
 
     def unblock_writes(self) -> None:
-        """Ask the producer to go on."""
+        """Send what was written, and ask the producer to go on."""
+        self._is_blocked = False
         if self._producer is not None:
             self._producer.resumeProducing()
 
@@ -188,17 +199,24 @@
           nothing listens, after `CONNECT_TIMEOUT_S` if the address is
           unresponsive.
         """
-        connected: defer.Deferred[Any] = defer.Deferred()
+        connected: defer.Deferred[Any] = defer.Deferred(
+            lambda cancelled: cancelled.errback(
+                error.ConnectingCancelledError(address)
+            )
+        )
         self.connect_attempts.append(address)
 
+        def _fail(reason: Exception) -> None:
+            if not connected.called:
+                connected.errback(reason)
+
         def _refuse() -> None:
-            connected.errback(error.ConnectionRefusedError())
+            _fail(error.ConnectionRefusedError())
 
         is_hanging = address in self.silent | self.hanging
         if is_hanging or self.loses_bytes(source, address):
             self.clock.callLater(
-                CONNECT_TIMEOUT_S,
-                lambda: connected.errback(error.TimeoutError()),
+                CONNECT_TIMEOUT_S, lambda: _fail(error.TimeoutError())
             )
         elif address not in self._listeners or self._is_cut(source, address):
             self.clock.callLater(DELAY_S, _refuse)
@@ -212,6 +230,8 @@
     def _accept(
         self, address: str, factory: Any, connected: Any, source: str
     ) -> None:
+        if connected.called:
+            return
         listener = self._listeners.get(address)
         if listener is None:
             connected.errback(error.ConnectionRefusedError())
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -22,6 +22,8 @@
         self._written: list[bytes] = []
         self.is_half_closed = False
         self.is_aborted = False
+        self.is_closed = False
+        self.is_slow = False
         self.producer: Any = None
 
     def value(self) -> bytes:
@@ -35,8 +37,12 @@
     def registerProducer(  # noqa: N802
         self, producer: Any, streaming: bool
     ) -> None:
-        """Set the producer to pause while the caller doesn't read."""
+        """Set the producer; one that isn't streaming is asked when idle."""
         self.producer = producer
+        if not streaming:
+            producer.resumeProducing()
+            if not self.is_slow:
+                producer.resumeProducing()
 
     def unregisterProducer(self) -> None:  # noqa: N802
         """Remove the producer."""
@@ -46,6 +52,10 @@
         """Record an orderly close."""
         self.is_half_closed = True
 
+    def loseConnection(self) -> None:  # noqa: N802
+        """Record a close."""
+        self.is_closed = True
+
     def abortConnection(self) -> None:  # noqa: N802
         """Record a reset."""
         self.is_aborted = True
@@ -325,3 +335,44 @@
         assert not body
         assert b"Content-Length" not in head
         assert b"Transfer-Encoding" not in head
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_an_answer_that_is_being_sent_is_neither_idle_nor_cut(
+    is_draining: bool,
+) -> None:
+    """A planned stop, and the idle time, start only when it was sent."""
+    harness = _Harness()
+    harness.transport.is_slow = True
+    harness.receive(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    harness.factory.is_draining = is_draining
+    harness.handler.requests[0].respond(200, [], b"x" * 200_000)
+    for _ in range(40):
+        harness.clock.advance(1.0)
+        harness.connection.close_if_idle()
+        assert not harness.transport.is_half_closed
+    harness.transport.producer.resumeProducing()
+    harness.clock.advance(14.0)
+    assert harness.transport.is_half_closed == is_draining
+    harness.clock.advance(1.5)
+    assert harness.transport.is_half_closed
+    harness.clock.advance(http_ingress.LINGER_TIMEOUT_S)
+    assert harness.transport.is_closed
+    assert not harness.transport.is_aborted
+
+
+def test_a_next_request_is_served_while_an_answer_is_being_sent() -> None:
+    harness = _Harness()
+    harness.transport.is_slow = True
+    request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    harness.receive(request)
+    harness.handler.requests[0].respond(200, [], b"x" * 200_000)
+    harness.receive(request)
+    harness.handler.requests[1].start(200, [])
+    harness.handler.requests[1].write(b"y")
+    harness.clock.advance(60.0)
+    harness.handler.requests[1].finish()
+    assert harness.transport.value().endswith(b"y\r\n0\r\n\r\n")
+    harness.transport.producer.resumeProducing()
+    harness.clock.advance(15.1)
+    assert harness.transport.is_half_closed
