A request ends with its caller, also while its host connects to a server

Servers saw: requests of callers who had left.

Cause: Twisted reports a connection attempt that was cancelled as ConnectingCancelledError. The pool took it for a failed connection, and the runner continued with another server.

Change: the pool, and the client of the own interface, raise the cancellation itself.

--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -376,7 +376,9 @@
         factory.noisy = False
         try:
             opened: Any = await endpoint.connect(factory)
-        except (error.ConnectError, error.ConnectingCancelledError) as exc:
+        except error.ConnectingCancelledError as exc:
+            raise defer.CancelledError from exc
+        except error.ConnectError as exc:
             raise errors.ConnectError(f"{self._base_url}: {exc}") from exc
         opened.transport.loseConnection()
 
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import httptools
+from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import protocol
@@ -27,11 +28,7 @@
 MAX_OVERHEAD_BYTES = 256 << 10
 # Why no connection could be made: it was refused or not answered, the name of
 # the server can't be resolved, or the host has no more file descriptors.
-_CONNECT_ERRORS = (
-    error.ConnectError,
-    error.ConnectingCancelledError,
-    OSError,
-)
+_CONNECT_ERRORS = (error.ConnectError, OSError)
 # Each connection remembers the ids of its requests.
 MAX_REQUESTS_PER_CONNECTION = 200
 
@@ -487,6 +484,9 @@
         factory.noisy = False
         try:
             connection: _Connection = await self._connect(address, factory)
+        except error.ConnectingCancelledError as exc:
+            # Says nothing of the server: what needs the connection has ended.
+            raise defer.CancelledError from exc
         except _CONNECT_ERRORS as exc:
             self._on_connect(address, exc)
             raise errors.ConnectError(f"{address}: {exc}") from exc
--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -129,3 +129,30 @@
     assert (reply.status, bool(reply.headers[b"retry-after"])) == (503, True)
     simulation.run(0.5)
     assert simulation.ask("brief", 2.0).status == 200
+
+
+@pytest.mark.parametrize("route", ["slot", "digest", "brief"])
+def test_a_request_ends_with_its_caller_while_its_host_connects(
+    route: str,
+) -> None:
+    """It must reach no other server after the connection was given up."""
+    simulation = router_world.Simulation()
+    simulation.start_default_workers()
+    simulation.start()
+    for name in ("w1", "d1"):
+        simulation.net.hanging.add(simulation.addresses[name])
+    callers = [simulation.send(route) for _ in range(4)]
+    simulation.run(0.03)
+    left_at = simulation.clock.seconds()
+    for caller in callers:
+        caller.transport.abortConnection()
+    simulation.run(3.0)
+    late = [
+        received
+        for name in ("w1", "w2", "d1", "d2")
+        for received in simulation.workers[name].received
+        if received.at > left_at + 0.1
+    ]
+    attempts = simulation.net.connect_attempts
+    assert {simulation.addresses[n] for n in ("w1", "d1")} & set(attempts)
+    assert not late
