SIGHUP at the start of the daemon doesn't end it

Cause: the handler was set last, after the settings, the modules and the ports. Until then the default action applies.

Change: `main` sets it first. What comes before there is something to reload is made up for, since the settings may have been read already.

What is left is the start of the interpreter itself.

--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -1,12 +1,16 @@
 """The daemon `nutmegscaled` for the platform, with the platform adapter."""
 
-import asyncio
+# Modules that take long to load are imported by the functions that use them:
+# until `main` runs, SIGHUP ends the process.
 import functools
 import signal
 import sys
+from typing import TYPE_CHECKING
 from typing import Any
 
-from nutmegscale import daemon
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -46,12 +50,40 @@
     return f"{ip}:{port}"
 
 
+class ReloadSignal:
+    """Handler of SIGHUP from the start of the process on.
+
+    What comes before there is something to reload is made up for.
+    """
+
+    def __init__(self) -> None:
+        self._reload: Callable[[], None] | None = None
+        self._has_come = False
+
+    def on_signal(self, number: int, frame: Any) -> None:
+        """Reload the settings, now or once that is possible."""
+        if self._reload is None:
+            self._has_come = True
+        else:
+            self._reload()
+
+    def attach(self, reload: "Callable[[], None]") -> None:
+        """Set the function that reloads the settings."""
+        self._reload = reload
+        if self._has_come:
+            reload()
+
+
 class PlatformDaemon:
     """Connects the router of a host to its ports and to signals."""
 
     def __init__(
-        self, reactor: Any, loop: asyncio.AbstractEventLoop, host_settings: Any
+        self,
+        reactor: Any,
+        loop: "asyncio.AbstractEventLoop",
+        host_settings: Any,
     ) -> None:
+        from nutmegscale import daemon  # noqa: PLC0415
         from nutmegscale import http_ingress  # noqa: PLC0415
         from nutmegscale import nng_transport  # noqa: PLC0415
         from nutmegscale import ready_site  # noqa: PLC0415
@@ -123,8 +155,8 @@
         """Start a graceful shutdown."""
         self._reactor.callFromThread(self.shut_down)
 
-    def on_reload_signal(self, number: int, frame: Any) -> None:
-        """Reload the settings file."""
+    def reload_soon(self) -> None:
+        """Reload the settings file from the event loop."""
         self._reactor.callFromThread(self.reload)
 
     def reload(self) -> None:
@@ -160,6 +192,8 @@
             periodic.spawn(self._drain())
 
     async def _drain(self) -> None:
+        from nutmegscale import daemon  # noqa: PLC0415
+
         assert self._caller_port is not None
         await self._router.drain(
             self._callers.connections,
@@ -177,6 +211,9 @@
 
 def main() -> None:
     """Run the daemon until a signal stops it."""
+    reload_signal = ReloadSignal()
+    signal.signal(signal.SIGHUP, reload_signal.on_signal)
+    from nutmegscale import daemon  # noqa: PLC0415
     from nutmegscale import errors  # noqa: PLC0415
     from nutmegscale import logs  # noqa: PLC0415
     from nutmegscale.platform import settings  # noqa: PLC0415
@@ -198,7 +235,7 @@
         sys.exit(EXIT_FAILED)
     signal.signal(signal.SIGTERM, host_daemon.on_signal)
     signal.signal(signal.SIGINT, host_daemon.on_signal)
-    signal.signal(signal.SIGHUP, host_daemon.on_reload_signal)
+    reload_signal.attach(host_daemon.reload_soon)
     logs.get().info("started", caller_port=host_settings.caller_port)
     reactor.run(installSignalHandlers=False)
     logs.get().info("stopped")
