Bodies count until their answers, so that uploads don't end a host

Cause: the bound of 32 MB on bodies held only while they were received. From then on each is kept until its answer and copied once for its server, and nothing counted that.

Change: a body counts from its head on, by its stated length, until its answer, on the ports for callers and for other hosts together. Beyond 32 MB a body of over 64 KB is refused at once as not run, with a Retry-After, before it is uploaded. Small requests are still taken.

The new test fails before (the second long body is taken).

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -28,6 +28,11 @@
 # memory of the smallest host, which has 128 MB by the deployment's
 # specification.
 MAX_BUFFERED_BODY_BYTES = 32 << 20
+# Limit on the bodies of all requests that are received or processed, by their
+# stated lengths: each is kept until its answer, and copied once to be sent to a
+# server. Beyond it, only small bodies are taken, of up to the second limit.
+MAX_HELD_BODY_BYTES = 32 << 20
+MAX_SMALL_BODY_BYTES = 64 << 10
 BUSY_RETRY_AFTER_S = 1.0
 # A host that shuts down closes a new connection without a request only after
 # this time, seconds: its first request may be on the way.
@@ -52,6 +57,22 @@
     idle_timeout_s: float = 15.0
 
 
+class HeldBodies:
+    """Counts the bytes of bodies from their head to their answer.
+
+    Attributes:
+      size: Their number, on all connections that share the count.
+    """
+
+    def __init__(self) -> None:
+        self.size = 0
+
+    def allows(self, body_bytes: int) -> bool:
+        """Whether a body that is counted already may be taken."""
+        is_full = self.size > MAX_HELD_BODY_BYTES
+        return not is_full or body_bytes <= MAX_SMALL_BODY_BYTES
+
+
 class Handler(Protocol):
     """Handler of received requests."""
 
@@ -265,6 +286,7 @@
         self._has_received = False
         self._is_first = True
         self._body_bytes = 0
+        self._held_bytes = 0
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -282,6 +304,17 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
 
+    def _hold(self, size: int) -> None:
+        """Count a part of a body that is kept until the answer."""
+        self._held_bytes += size
+        self._factory.held.size += size
+        if not self._factory.held.allows(self._held_bytes):
+            self._refusal_status = self._refusal_status or 503
+
+    def _release_held(self) -> None:
+        self._factory.held.size -= self._held_bytes
+        self._held_bytes = 0
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is received or processed, and no answer sent."""
@@ -301,6 +334,7 @@
         self._when_sent = None
         self._cancel_timer()
         self._release_body()
+        self._release_held()
         request, self._request = self._request, None
         if request is not None:
             request.on_connection_lost()
@@ -368,8 +402,11 @@
             self._refusal_status = 400
         elif int(length) > limits.max_body_bytes:
             self._refusal_status = 413
-        elif (head.get(b"expect") or b"").lower() == b"100-continue":
-            self.transport.write(CONTINUE_RESPONSE)
+        else:
+            self._hold(int(length))
+            expected = (head.get(b"expect") or b"").lower()
+            if expected == b"100-continue" and not self._refusal_status:
+                self.transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Handle a part of the body; see httptools."""
@@ -383,6 +420,8 @@
         if self._body_bytes > self._factory.limits().max_body_bytes:
             self._refusal_status = self._refusal_status or 413
             return
+        if self._body_bytes > self._held_bytes:
+            self._hold(self._body_bytes - self._held_bytes)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -422,6 +461,7 @@
             headers.append((b"Retry-After", wait))
         self.send_head(status, headers)
         self._release_body()
+        self._release_held()
         self._close_gracefully()
 
     def send_head(
@@ -504,6 +544,7 @@
         that doesn't read at all is dropped by `tcp_options.USER_TIMEOUT_MS`.
         """
         self._request = None
+        self._release_held()
         if self._is_closing:
             self._close_gracefully()
         else:
@@ -516,6 +557,7 @@
     def abort(self) -> None:
         """Close at once, in the middle of a response."""
         self._request = None
+        self._release_held()
         self._is_discarding = True
         self.end_stream()
         self.transport.abortConnection()
@@ -570,6 +612,7 @@
       on_refused: Called with the status of each refused request.
       is_draining: Whether connections are closed after their next response.
       buffered_body_bytes: Size of all bodies that are being received.
+      held: Count of the bodies that are received or processed.
       connections: Open connections.
     """
 
@@ -582,6 +625,7 @@
         limits: Callable[[], Limits],
         *,
         on_refused: Callable[[int], None] = lambda status: None,
+        held: HeldBodies | None = None,
     ) -> None:
         self.clock = clock
         self.handler = handler
@@ -589,6 +633,7 @@
         self.on_refused = on_refused
         self.is_draining = False
         self.buffered_body_bytes = 0
+        self.held = held or HeldBodies()
         self.connections: set[IngressConnection] = set()
 
     def now(self) -> float:
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -112,14 +112,16 @@
             boot_now=daemon.boot_now,
         )
         board = self._router.board
+        held = http_ingress.HeldBodies()
         self._callers = http_ingress.IngressFactory(
             clock,
             self._router,
             lambda: board.limits,
             on_refused=_log_refused_request,
+            held=held,
         )
         self._relayed = http_ingress.IngressFactory(
-            clock, self._router.relayed, lambda: board.limits
+            clock, self._router.relayed, lambda: board.limits, held=held
         )
         self._ready = http_ingress.IngressFactory(
             clock,
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -376,3 +376,34 @@
     harness.transport.producer.resumeProducing()
     harness.clock.advance(15.1)
     assert harness.transport.is_half_closed
+
+
+def test_bodies_of_requests_in_progress_are_bounded_until_their_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A host that keeps them all exceeds its memory and is killed."""
+    monkeypatch.setattr(http_ingress, "MAX_HELD_BODY_BYTES", 25)
+    monkeypatch.setattr(http_ingress, "MAX_SMALL_BODY_BYTES", 5)
+    harness = _Harness()
+    long = POST_HEAD + b"Content-Length: 20\r\n\r\n" + b"x" * 20
+    chunked = POST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n14\r\n"
+    harness.receive(long)
+
+    def _answer(data: bytes) -> bytes:
+        other = _Harness()
+        other.connection = harness.factory.buildProtocol(None)
+        connection: Any = other.connection
+        connection.makeConnection(other.transport)
+        return other.receive(data)
+
+    assert _answer(long[:-20]).startswith(b"HTTP/1.1 503")
+    assert _answer(chunked + b"x" * 20).startswith(b"HTTP/1.1 503")
+    small = POST_HEAD + b"Content-Length: 5\r\n\r\n" + b"x" * 5
+    assert _answer(small) == b""
+    assert [len(r.body) for r in harness.handler.requests] == [20, 5]
+    for request in harness.handler.requests:
+        request.respond(200, [], b"")
+    assert harness.factory.held.size == 0
+    assert _answer(long) == b""
+    harness.handler.requests[-1].abort()
+    assert harness.factory.held.size == 0
