--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -325,3 +325,33 @@
     _resume(simulation, callers, host=1)
     simulation.run(2.0)
     assert all(len(seen) == 1 for seen in _versions(simulation).values())
+
+
+def test_a_stream_is_passed_on_by_a_host_that_is_cut_off() -> None:
+    simulation = _simulation()
+    simulation.net.cut("host-0", list(simulation.addresses.values()), "reset")
+    simulation.run(2.0)
+    (caller,) = _send(simulation, 1)
+    simulation.run(1.0)
+    assert 10 <= len(_ids(caller)) < EVENTS
+    simulation.run(3.0)
+    assert _ids(caller) == list(range(1, EVENTS + 1))
+    assert caller.replies[-1].is_complete
+
+
+def test_a_stream_that_waits_when_its_host_is_cut_off_is_served() -> None:
+    """Connections hang; that holds for services with engines as well."""
+    for service in (PLAIN, MODEL):
+        simulation = _simulation(weights={service: 1})
+        addresses = list(simulation.addresses.values())
+        for worker in simulation.workers.values():
+            worker.is_unresponsive = True
+        callers = _send(simulation, 3)
+        simulation.run(0.15)
+        simulation.net.cut("host-0", addresses, "hang")
+        for worker in simulation.workers.values():
+            worker.is_unresponsive = False
+        simulation.run(7.0)
+        assert [_ids(c) == list(range(1, EVENTS + 1)) for c in callers] == [
+            True
+        ] * 3
