A stream that breaks off doesn't take its engine from other callers

The engines served their other streams meanwhile.

Cause, as traced on virtual time: a host reports an engine whose connection broke to the planner as lost, at once; the planner pauses it, and a queue whose engines are all paused refuses.

Change: an engine that had delivered events is reported only once the check of its address, which is made anyway, finds it down, or after three broken runs in a row at this host. One that broke a run before its first event is reported at once, as before.

Why it works: a pause is for engines that can't be reached, and the check knows that within a round trip; a failing engine that takes every request is still paused.

--- a/nutmegscale/crash_watch.py
+++ b/nutmegscale/crash_watch.py
@@ -81,6 +81,7 @@
 
     def __init__(self) -> None:
         self.runs: list[_BrokenRun] = []
+        self.on_down: list[Callable[[], None]] = []
         self._waiters: list[defer.Deferred[None]] = []
         self._first_waiters: list[defer.Deferred[None]] = []
         self._has_passed = False
@@ -262,6 +263,7 @@
         began_at: float,
         *,
         has_begun: bool = False,
+        on_down: Callable[[], None] = lambda: None,
     ) -> None:
         """Record that a server broke the connection while it ran content.
 
@@ -271,6 +273,7 @@
           began_at: When the run began, seconds of the host's clock.
           has_begun: Whether its answer got past its beginning, so that the
             parts of the prompt aren't at fault.
+          on_down: Called if the server is found to accept no connection.
         """
         parts = self._sound_parts.least_sound(content.parts, MAX_SUSPECT_PARTS)
         content = content._replace(parts=() if has_begun else parts)
@@ -280,6 +283,7 @@
             check = self._checks[server.key] = _Check()
             periodic.spawn(self._check_server(server, check))
         check.runs.append(run)
+        check.on_down.append(on_down)
 
     async def is_quarantined_after_checks(
         self, content: quarantine.Content, *, disconnects: int, limit_s: float
@@ -360,6 +364,8 @@
             )
             if is_down:
                 self._record_crash(server, check, "unreachable")
+                for report in check.on_down:
+                    report()
             elif may_be_replaced:
                 self._watch(server, check)
         finally:
--- a/nutmegscale/server_loads.py
+++ b/nutmegscale/server_loads.py
@@ -152,6 +152,10 @@
         record.failures += 1
         record.paused_until = now + pause_s
 
+    def failures(self, server: backend.Backend) -> int:
+        """Return the failures of a server since its last success."""
+        return self._record_of(server).failures
+
     def is_paused(self, now: float, server: backend.Backend) -> bool:
         """Whether a server is paused after a failure."""
         return self._record_of(server).paused_until > now
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -22,6 +22,8 @@
 
 # Places that one request may be given in turn.
 MAX_OFFERS = 4
+# Runs in a row that a server breaks off until it isn't used for a while.
+MAX_BROKEN_IN_A_ROW = 3
 # Retry-After of a request for which the retry budget allowed no further run,
 # seconds.
 NO_BUDGET_RETRY_AFTER_S = 1.0
@@ -390,14 +392,17 @@
         )
         if not is_timeout:
             run.disconnects += 1
+            self._board.loads.record_failure(self._board.now(), server)
+            is_working = self._is_working(run, server)
             self._crashes.record_disconnect(
                 context.content(),
                 server,
                 run.began_at,
                 has_begun=run.run_events >= stream_relay.BEGUN_EVENTS,
+                on_down=place.record_lost if is_working else lambda: None,
             )
-            self._board.loads.record_failure(self._board.now(), server)
-            place.record_lost()
+            if not is_working:
+                place.record_lost()
         if run.may_run_again(context.route) and not is_timeout:
             run.avoid.append(server.id)
             return False
@@ -411,6 +416,17 @@
         )
         return True
 
+    def _is_working(
+        self, run: stream_run.StreamRun, server: backend.Backend
+    ) -> bool:
+        """Whether a server that broke off a run seems to serve others.
+
+        Unless it is found down, its other runs go on, and it takes further
+        ones.
+        """
+        failures = self._board.loads.failures(server)
+        return run.run_events > 0 and failures < MAX_BROKEN_IN_A_ROW
+
     async def _send(
         self,
         context: request_context.RequestContext,
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -86,6 +86,7 @@
       trailing_bytes: Bytes to send after a plain answer.
       break_after_events: Number of events after which a stream breaks off,
         or None.
+      break_prefix: Start of the paths of the streams that do so.
       handles_expire_at_once: Whether prefill handles expire at once.
       raw_prefill: Bytes that it answers to a prefill before it closes the
         connection, or b"".
@@ -118,6 +119,7 @@
     """
 
     drip: bytes = b""
+    break_prefix = b""
     has_streams = False
     has_framing = True
 
@@ -498,6 +500,7 @@
         if (
             self.break_after_events is not None
             and number > self.break_after_events
+            and request.head.target.startswith(self.break_prefix)
         ):
             self._write(request, b"id: %d\ndat" % number)
             self._clock.callLater(0, self._break_off, request)
