--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -63,7 +63,8 @@
       stream_events: All events of streams that it wrote, in order.
       handle_versions: Versions of the workers whose prefills it ran from.
       event_count: Number of events of each stream.
-      has_streams: Whether it answers with streams, in a plain service.
+      stream_prefix: Start of the paths that it answers with streams in a
+        plain service, or b"".
       has_framing: Whether its streams come in chunks; otherwise they end with
         their connections.
       service_time_s: Time that a plain call takes, seconds.
@@ -120,7 +121,7 @@
 
     drip: bytes = b""
     break_prefix = b""
-    has_streams = False
+    stream_prefix = b""
     has_framing = True
 
     def __init__(
@@ -240,7 +241,7 @@
             self._misdirect(request)
         elif self._must_reject():
             self._reject(request)
-        elif self.stage == "" and not self.has_streams:
+        elif self.stage == "" and not self._has_stream(head):
             self._run_plain(request)
         elif head.get(b"stage") == b"prefill":
             self._prefill(request)
@@ -249,6 +250,10 @@
         else:
             self._decode(request)
 
+    def _has_stream(self, head: http_message.RequestHead) -> bool:
+        prefix = self.stream_prefix
+        return bool(prefix) and head.target.startswith(prefix)
+
     def _contact(
         self, request: http_ingress.IncomingRequest
     ) -> limit_window.Contact:
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -27,7 +27,7 @@
     _set_route(simulation, weights or {PLAIN: 1}, resumable=resumable)
     for number, version in enumerate(versions):
         worker = simulation.add_worker(f"w{number}", slots=40, version=version)
-        worker.has_streams = True
+        worker.stream_prefix = b"/"
     simulation.add_worker("p0", stage="prefill", slots=40)
     for number in range(3):
         simulation.add_worker(f"d{number}", stage="decode")
@@ -317,7 +317,8 @@
     simulation.workers["w0"].event_count = 400
     callers = _send(simulation, 4)
     simulation.run(1.0)
-    simulation.add_worker("w1", slots=40, version="v2").has_streams = True
+    added = simulation.add_worker("w1", slots=40, version="v2")
+    added.stream_prefix = b"/"
     simulation.store.remove("servers", "w0")
     for host in range(3):
         simulation.restart_host(host)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,7 @@
 """Randomized soak test: checks guarantees of real daemons under faults.
 
     python -m tools.soak --seed N --minutes M [--hosts N] [--callers N]
-        [--grey] [--limits] [--cuts] [--stops]
+        [--grey] [--limits] [--cuts] [--stops] [--split] [--roll REVISION]
 
 All random choices come from the seed. Writes faults and results as JSON lines
 to out/soak-SEED/soak-SEED.jsonl; ends only the processes that it started.
@@ -27,6 +27,7 @@
 from tools import soak_pauses
 from tools import soak_poison
 from tools import soak_resumes
+from tools import soak_roll
 from tools import soak_stops
 from tools import soak_world
 
@@ -83,6 +84,19 @@
         self._resumes = soak_resumes.ResumingCallers(
             self.deployment, self.callers, random.Random(arguments.seed + 4)
         )
+        self._split = soak_resumes.ResumingCallers(
+            self.deployment,
+            self.callers,
+            random.Random(arguments.seed + 10),
+            route="split",
+        )
+        self._has_split = arguments.split
+        self._roll: soak_roll.RollingReplacement | None = None
+        if arguments.roll:
+            build = soak_roll.export_build(arguments.roll, folder / "build")
+            self._roll = soak_roll.RollingReplacement(
+                self.deployment, build, random.Random(arguments.seed + 11)
+            )
         self._odd_rows = soak_odd_rows.OddRows(
             self.deployment,
             self.callers,
@@ -125,15 +139,47 @@
 
     async def run(self) -> int:
         """Run the test and return the number of violations."""
+        if self._has_split:
+            self.deployment.add_split_route()
         self.deployment.start()
         await periodic.sleep(reactor, WARM_UP_S)
-        is_planned = self._has_cuts or self._has_stops
-        if not is_planned:
+        self._start_parts()
+        end = self._started_at + WARM_UP_S + self._duration_s
+        while reactor.seconds() < end:
+            # Faults come in bursts and overlap.
+            for _ in range(self._rng.choice((1, 1, 2, 3))):
+                if self._is_planned:
+                    self._inject_planned_change()
+                elif not self._has_limits:
+                    self._inject_fault()
+            await periodic.sleep(reactor, self._rng.uniform(0.3, 3.0))
+        await self._stop_parts()
+        self._heal_all()
+        await periodic.sleep(reactor, RECOVERY_S)
+        healed_at = reactor.seconds()
+        await periodic.sleep(reactor, CHECK_WINDOW_S)
+        await self.callers.stop()
+        await periodic.sleep(reactor, SETTLE_S)
+        self._check_outcome(healed_at)
+        return len(self.callers.violations)
+
+    @property
+    def _is_planned(self) -> bool:
+        """Whether hosts stay in touch with all others and the store."""
+        return self._has_cuts or self._has_stops or bool(self._roll)
+
+    def _start_parts(self) -> None:
+        """Start the callers and faults that were asked for."""
+        if not self._is_planned:
             self._poison.start()
         if self._has_grey_servers:
             self._grey.start()
         self._resumes.start()
         self._odd_rows.start()
+        if self._has_split:
+            self._split.start()
+        if self._roll:
+            self._roll.start()
         if self._has_limits:
             self._limits.start()
         if self._has_cuts:
@@ -142,31 +188,19 @@
             self._leavers.start()
         if self._has_stops:
             self._stops.start()
-        end = self._started_at + WARM_UP_S + self._duration_s
-        while reactor.seconds() < end:
-            # Faults come in bursts and overlap.
-            for _ in range(self._rng.choice((1, 1, 2, 3))):
-                if is_planned:
-                    self._inject_planned_change()
-                elif not self._has_limits:
-                    self._inject_fault()
-            await periodic.sleep(reactor, self._rng.uniform(0.3, 3.0))
+
+    async def _stop_parts(self) -> None:
+        if self._roll:
+            await self._roll.finish()
         self._poison.stop()
         self._grey.stop()
         self._resumes.stop()
+        self._split.stop()
         self._odd_rows.stop()
         self._cuts.stop()
         self._pauses.stop()
         self._leavers.stop()
         await self._stops.stop()
-        self._heal_all()
-        await periodic.sleep(reactor, RECOVERY_S)
-        healed_at = reactor.seconds()
-        await periodic.sleep(reactor, CHECK_WINDOW_S)
-        await self.callers.stop()
-        await periodic.sleep(reactor, SETTLE_S)
-        self._check_outcome(healed_at)
-        return len(self.callers.violations)
 
     def _inject_fault(self) -> None:
         self._fault_count += 1
@@ -416,6 +450,12 @@
         if self._has_stops:
             self.figures.append(self._stops.check())
         self._resumes.check()
+        if self._roll:
+            taken_up, resumed = self._resumes.resumed, self._resumes.went_on
+            self.figures.append(
+                f"{self._roll.replaced} hosts replaced, {taken_up} streams "
+                f"taken up, {resumed} of them resumed"
+            )
         self._odd_rows.check()
         for host in self.deployment.hosts:
             if not host.is_running:
@@ -452,7 +492,8 @@
     def _check_retries(self) -> None:
         """Check that the retries of all hosts stay within the budget."""
         windows = self.callers.worst_retry_windows(
-            self._poison.sent_at, self._resumes.sent_at
+            self._poison.sent_at,
+            [*self._resumes.sent_at, *self._split.sent_at],
         )
         for window in windows:
             self.log_event("retries", **window._asdict())
@@ -550,6 +591,17 @@
         action="store_true",
         help="stop hosts as planned, with calls up to the end of their grace",
     )
+    parser.add_argument(
+        "--split",
+        action="store_true",
+        help="split streams among services with and without engines",
+    )
+    parser.add_argument(
+        "--roll",
+        default="",
+        metavar="REVISION",
+        help="start hosts as an earlier build, and replace one after the other",
+    )
     parser.add_argument("--out", default="out")
     arguments = parser.parse_args()
     folder = pathlib.Path(arguments.out) / f"soak-{arguments.seed}"
--- a/tools/soak_resumes.py
+++ b/tools/soak_resumes.py
@@ -10,6 +10,7 @@
 from tools import soak_world
 
 PROMISE = "a stream stays at one software version"
+ORDER_PROMISE = "a stream holds each event once, in order"
 ANSWER_TIMEOUT_S = 6.0
 MAX_ATTEMPTS = 3
 # Part of the attempts whose callers break off by themselves.
@@ -40,7 +41,10 @@
         deployment: soak_world.SoakDeployment,
         callers: soak_callers.Callers,
         rng: random.Random,
+        *,
+        route: str = "digest",
     ) -> None:
+        self._route = route
         self._deployment = deployment
         self._callers = callers
         self._rng = rng
@@ -66,20 +70,28 @@
     async def _send_stream(self) -> None:
         """Send a stream, and take it up until it is whole."""
         self._count += 1
-        first = f"resumable-{self._count}"
-        answer = await self._send(first, "")
+        first = f"{self._route}-{self._count}"
+        if self._route == "digest":
+            first = f"resumable-{self._count}"
+        answer = await self._send(first, "", 0)
         events = answer.events
         for attempt in range(1, MAX_ATTEMPTS):
             if not events or answer.is_whole:
                 return
             self.resumed += 1
             headers = f"Resumes: {first}\r\nLast-Event-Id: {events}\r\n"
-            answer = await self._send(f"{first}-{attempt}", headers)
+            answer = await self._send(f"{first}-{attempt}", headers, events)
             self.went_on += answer.events > 0
             events += answer.events
 
-    async def _send(self, request: str, headers: str) -> _Answer:
-        """Send one attempt to a random host."""
+    async def _send(self, request: str, headers: str, after: int) -> _Answer:
+        """Send one attempt to a random host.
+
+        Args:
+          request: Its name.
+          headers: Its further headers.
+          after: Number of the event after which it is to go on.
+        """
         host = self._rng.choice(self._deployment.hosts)
         leaves_s = ANSWER_TIMEOUT_S
         if self._rng.random() < LEAVING_SHARE:
@@ -92,7 +104,7 @@
         body = request.split("-")[1].encode()
         connection.transport.write(
             (
-                "POST /digest/x HTTP/1.1\r\nHost: clubs.example\r\n"
+                f"POST /{self._route}/x HTTP/1.1\r\nHost: clubs.example\r\n"
                 f"Request-Id: {request}\r\nDeadline-Ms: 8000\r\n"
                 f"Token-Count: 5000,4000\r\nModel: m\r\n{headers}"
                 f"Content-Length: {len(body)}\r\n\r\n"
@@ -104,8 +116,21 @@
         reply = connection.replies[0] if connection.replies else None
         if reply is None or reply.status != 200:
             return _Answer(0, False)
+        self._check_order(request, reply.body, after)
         return _Answer(reply.body.count(b"\n\n"), reply.is_complete)
 
+    def _check_order(self, request: str, body: bytes, after: int) -> None:
+        """Check that the events follow those that the caller has."""
+        numbers = [
+            int(event.partition(b"\n")[0].removeprefix(b"id: "))
+            for event in body.split(b"\n\n")[:-1]
+        ]
+        expected = list(range(after + 1, after + 1 + len(numbers)))
+        if numbers != expected:
+            self._callers.record_violation(
+                ORDER_PROMISE, request, f"{numbers[:3]} after {after}"
+            )
+
     def check(self) -> None:
         """Check that no stream holds events of two versions."""
         versions: dict[str, set[str]] = {}
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -53,6 +53,9 @@
 """
 
 
+SPLIT_PREFIX = b"/split/"
+
+
 class Host:
     """One daemon, and the proxy between it and the store.
 
@@ -69,6 +72,7 @@
       store_proxy: Proxy of its connections to the store.
       links: Its ways to the backend servers, by name.
       cut: How it is cut off from all backend servers; "" if it isn't.
+      build: Folder of the build that it starts; None for this one.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         self.ip = f"127.{subnet}.0.{number + 10}"
         self.links: dict[str, soak_links.HostLink] = {}
         self.cut = ""
+        self.build: pathlib.Path | None = None
         self.zone = zone
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
@@ -93,12 +98,14 @@
             return
         environment = {
             **os.environ,
-            "NUTMEGSCALE_SETTINGS": str(self.settings),
+            "NUTMEGSCALE_SETTINGS": str(self.settings.resolve()),
         }
         with open(self.log, "ab") as out:
             self._log_start = out.tell()
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "nutmegscale.platform_daemon"],
+                # Modules of the working directory go before installed ones.
+                cwd=self.build,
                 env=environment,
                 stdout=out,
                 stderr=out,
@@ -200,6 +207,7 @@
         self._sources: dict[int, str] = {}
         self.next_version = 1
         self._config = b""
+        self._has_split_route = False
         self.on_poison: Callable[[str], None] = self.crash_worker
         self.workers: dict[str, Worker] = {}
         self.stopped_workers: list[Worker] = []
@@ -276,6 +284,13 @@
         )
         host.store_proxy, _ = self._start_proxy(factory)
 
+    def add_split_route(self) -> None:
+        """Split streams among services with and without engines."""
+        self._has_split_route = True
+        self.configure()
+        for worker in self.workers.values():
+            worker.server.stream_prefix = SPLIT_PREFIX
+
     def configure(self, extra_routes: int = 0) -> None:
         """Write the next configuration, with additional routes."""
         state = msgspec.json.decode(platform_rows.config_row(self.next_version))
@@ -285,6 +300,14 @@
             state["routes"].append(
                 {**template, "name": name, "pathPrefix": f"/{name}/"}
             )
+        if self._has_split_route:
+            weights = {
+                platform_rows.MODEL_SERVICE: 50,
+                platform_rows.PLAIN_SERVICE: 50,
+            }
+            state["routes"].append(
+                platform_rows.split_route("split", weights, resumable=True)
+            )
         self._config = msgspec.json.encode(state)
         self.store.put(routing_config.TABLE, routing_config.KEY, self._config)
         self.next_version += 1
@@ -296,6 +319,8 @@
             self.reactor, name, stage=stage, slots=6
         )
         server.version = f"v{1 + self._last_incarnation % 2}"
+        if self._has_split_route:
+            server.stream_prefix = SPLIT_PREFIX
         server.poison_prefix = POISON_PREFIX.encode()
         server.on_crash = lambda: self.on_poison(name)
         server.event_count = self.rng.choice((8, 20, 40))
