A stage change isn't evidence of a crash; streams of two services alike

Cause: the runner of streams, since it serves both kinds of service, took each 421 for another server at the address, which counts against content whose connection broke there within three seconds. Engines answer 421 also once their stage has changed. Found by reading the diff; no caller has seen it.

Change: only servers without a stage count.

--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -515,7 +515,9 @@
         """
         if info.is_misdirected:
             self._pool.close_idle(server.address)
-            self._crashes.record_replaced(server)
+            if not server.stage:
+                # An engine answers the same once its stage has changed.
+                self._crashes.record_replaced(server)
             raise errors.MisdirectedError(
                 f"another server has the address {server.address}"
             )
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -4,6 +4,8 @@
 chosen by load. All else about a stream holds there too.
 """
 
+import json
+
 from standins import platform_rows
 from standins import raw_caller
 from standins import router_world
@@ -140,6 +142,37 @@
         assert _ids(before) + _ids(after) == list(range(1, EVENTS + 1))
 
 
+def test_a_resumed_stream_stays_at_its_service_of_two_alike() -> None:
+    """Neither service has an engine, and their servers have one version."""
+    simulation = _simulation(versions=("v1", "v1"))
+    state = json.loads(platform_rows.config_row(2))
+    other = {**state["services"][1], "name": "entries-2"}
+    route = platform_rows.split_route(
+        "digest", {PLAIN: 50, "entries-2": 50}, resumable=True
+    )
+    simulation.configure(
+        2, routes=[route], services=[*state["services"], other]
+    )
+    row = platform_rows.entry_row(
+        "entries-2", simulation.addresses["w1"], slots=40
+    )
+    simulation.store.put("servers", "w1", row)
+    simulation.run(0.5)
+    callers = _send(simulation, 12)
+    simulation.run(1.0)
+    simulation.restart_host(0)
+    resumed = _resume(simulation, callers, host=1)
+    simulation.run(5.0)
+    for before, after in zip(callers, resumed, strict=True):
+        assert _ids(before) + _ids(after) == list(range(1, EVENTS + 1))
+    streams = [
+        {event.stream for event in simulation.workers[name].stream_events}
+        for name in ("w0", "w1")
+    ]
+    assert all(streams)
+    assert not streams[0] & streams[1]
+
+
 def test_a_stream_that_breaks_is_resumed_within_its_answer() -> None:
     simulation = _simulation()
     simulation.workers["w0"].break_after_events = 10
