Unnamed streams of a killed host are resumed on routes with two services

Cause: a take-up that names no attempt is believed only if all hosts that may know a stream of the same request have replied. The killed host never does. On a route with several services the store can't stand in.

Change: a host that doesn't reply and whose port refuses connections has ended, and counts like one that has started again and replies that it knows nothing, which was believed before. Its streams were told to others before their first event. A host that is cut off, or whose machine is dark, refuses nothing, and such take-ups are still refused.

--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Coroutine
+import functools
 import random
 from typing import Any
 
@@ -287,6 +288,7 @@
             self.mesh,
             self._versions,
             rows,
+            has_ended=functools.partial(self._has_ended, pool),
             is_first_start=settings.is_first_start,
         )
         self._prefills = prefill_runner.PrefillRunner(
@@ -342,6 +344,13 @@
         member = self.board.membership.get(host)
         return member.address if member else None
 
+    async def _has_ended(self, pool: upstream.UpstreamPool, host: str) -> bool:
+        """Whether the process of another host is known to have ended."""
+        address = self._address_of(host)
+        if address is None:
+            return False
+        return await pool.is_refused(self._settings.relay_address_of(address))
+
     @property
     def live(self) -> int:
         """Number of requests in progress."""
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -1,5 +1,7 @@
 """Shares among the hosts where resumable streams began."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -40,7 +42,7 @@
 
     Attributes:
       origins: Its origins.
-      is_complete: Whether all hosts that were asked have replied.
+      is_complete: Whether all hosts that were asked have replied or ended.
     """
 
     origins: list[stream_origins.Origin]
@@ -63,6 +65,7 @@
       link: Messages between hosts.
       versions: Versions that served lately.
       rows: Origins in the store.
+      has_ended: Whether the process of a host is known to have ended.
       is_first_start: Whether the whole system starts for the first time, so
         that there are no earlier streams.
     """
@@ -74,12 +77,14 @@
         versions: version_controller.VersionController,
         rows: origin_rows.OriginRows,
         *,
+        has_ended: Callable[[str], Awaitable[bool]],
         is_first_start: bool,
     ) -> None:
         self._board = board
         self._mesh = link
         self._versions = versions
         self._rows = rows
+        self._has_ended = has_ended
         self._is_first_start = is_first_start
         self._started_at = board.now()
         self._origins = stream_origins.StreamOrigins()
@@ -157,7 +162,7 @@
 
         Streams of the same request may have begun that this host wasn't told
         of, so that those it knows count only if all that may know others have
-        replied, or if the store shows one version alone.
+        replied or ended, or if the store shows one version alone.
         """
         known = self._origins.find(self._board.now(), content, "")
         asked = await self._ask(content, "")
@@ -254,7 +259,11 @@
                 del self._unwritten[service]
 
     async def _ask(self, content: bytes, stream: str) -> _Asked:
-        """Ask the hosts that may know a stream for what they know of it."""
+        """Ask the hosts that may know a stream for what they know of it.
+
+        A host whose process has ended counts like one that has started again:
+        others were told of the streams that began there.
+        """
         query = messages.StreamQuery(content, stream)
         replies = await periodic.gather(
             self._query(host, query) for host in self._candidates(content)
@@ -271,7 +280,9 @@
                 host, query, messages.StreamReply, timeout_s=QUERY_TIMEOUT_S
             )
         except errors.PeerError:
-            return None
+            return (
+                [] if not query.stream and await self._has_ended(host) else None
+            )
         return [stream_origins.Origin(*origin) for origin in reply.origins]
 
     def _receive(self, sender: str, message: messages.StreamBegan) -> None:
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -460,6 +460,14 @@
         connection = await self.reserve(address, fresh=True)
         connection.release()
 
+    async def is_refused(self, address: str) -> bool:
+        """Whether an address refuses connections: its process has ended."""
+        try:
+            await self.check_connection(address)
+        except errors.ConnectError as exc:
+            return isinstance(exc.__cause__, error.ConnectionRefusedError)
+        return False
+
     def _take_idle(
         self, address: str, is_suitable: Callable[[_Connection], bool]
     ) -> _Connection | None:
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -136,8 +136,8 @@
         self.hosts.append(added)
         return added
 
-    def restart_host(self, index: int) -> None:
-        """Kill a host and start it again without its memory."""
+    def kill_host(self, index: int) -> None:
+        """Kill a host; its ports refuse connections from then on."""
         before = self.hosts[index]
         before.router.stop()
         factory = self.net.close(before.address)
@@ -146,6 +146,12 @@
         )
         for connection in [*factory.connections, *relayed.connections]:
             connection.transport.abortConnection()
+        self.peer_network.receivers.pop(before.router.board.host)
+
+    def restart_host(self, index: int) -> None:
+        """Kill a host and start it again without its memory."""
+        before = self.hosts[index]
+        self.kill_host(index)
         board = before.router.board
         self.hosts[index] = self.add_host(board.host, board.failure_domain)
         self.hosts.pop()
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from typing import Any
 
 from standins import platform_rows
 from standins import raw_caller
@@ -77,19 +78,23 @@
     callers: list[raw_caller.Caller],
     *,
     host: int,
+    is_named: bool = True,
 ) -> list[raw_caller.Caller]:
     """Take streams up again, which were the first requests that were sent."""
-    return [
-        simulation.send(
-            "digest",
-            host=host,
-            resource=f"{n}",
-            Prompt_Prefix=PARTS,
-            Last_Event_Id=str(len(_ids(caller))),
-            Resumes=f"r{n + 1}",
+    resumed = []
+    for n, caller in enumerate(callers):
+        name: Any = {"Resumes": f"r{n + 1}"} if is_named else {}
+        resumed.append(
+            simulation.send(
+                "digest",
+                host=host,
+                resource=f"{n}",
+                Prompt_Prefix=PARTS,
+                Last_Event_Id=str(len(_ids(caller))),
+                **name,
+            )
         )
-        for n, caller in enumerate(callers)
-    ]
+    return resumed
 
 
 def _versions(simulation: router_world.Simulation) -> dict[str, set[str]]:
@@ -130,6 +135,33 @@
         )
 
 
+def test_unnamed_streams_of_a_killed_host_are_resumed() -> None:
+    """The route has two services; the host isn't started again."""
+    simulation = _simulation(weights={MODEL: 50, PLAIN: 50})
+    callers = _send(simulation, 12)
+    simulation.run(1.0)
+    assert all(_ids(caller) for caller in callers)
+    simulation.kill_host(0)
+    simulation.run(0.2)
+    resumed = _resume(simulation, callers, host=1, is_named=False)
+    simulation.run(5.0)
+    for before, after in zip(callers, resumed, strict=True):
+        assert _ids(before) + _ids(after) == list(range(1, EVENTS + 1))
+
+
+def test_unnamed_streams_are_refused_while_a_host_may_know_others() -> None:
+    simulation = _simulation(weights={MODEL: 50, PLAIN: 50})
+    callers = _send(simulation, 12)
+    simulation.run(1.0)
+    simulation.peer_network.cut_off(["host-0"], ["host-1", "host-2"])
+    for caller in callers:
+        caller.transport.abortConnection()
+    simulation.run(0.2)
+    resumed = _resume(simulation, callers, host=1, is_named=False)
+    simulation.run(2.0)
+    assert {caller.replies[-1].status for caller in resumed} == {503}
+
+
 def test_a_resumed_stream_stays_at_its_software_version() -> None:
     simulation = _simulation(versions=("v1", "v2"))
     callers = _send(simulation, 20)
