Wording of new comments and one test's name, after reading the diff

Doc comments use the usual terms (resume, send, notify, continue); the soak's line on a rolling replacement says what it counts.

--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -53,7 +53,7 @@
 class ReloadSignal:
     """Handler of SIGHUP from the start of the process on.
 
-    What comes before there is something to reload is made up for.
+    A signal that comes before the daemon can reload is handled once it can.
     """
 
     def __init__(self) -> None:
--- a/nutmegscale/shared_quarantine.py
+++ b/nutmegscale/shared_quarantine.py
@@ -25,8 +25,8 @@
     """Tells the other hosts of suspects and cleared content, and hears them.
 
     Messages may be lost, and a new host knows nothing: it asks some hosts, as
-    does one that was suspended, and a host that is alive again is told what is
-    known. So is a host that reports a crash of content that is quarantined
+    does one that was suspended. A host that is alive again is sent what is
+    known, as is one that reports a crash of content that is quarantined
     elsewhere.
 
     Args:
@@ -146,7 +146,7 @@
             self._tell_peers(message)
 
     def inform(self, host: str) -> None:
-        """Tell a host that was unreachable what it may have missed."""
+        """Send a host that was unreachable what it may have missed."""
         if self._host in self._nearest(host):
             self._send_known(host)
 
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -262,7 +262,7 @@
         """Ask the hosts that may know a stream for what they know of it.
 
         A host whose process has ended counts like one that has started again:
-        others were told of the streams that began there.
+        others were notified of the streams that began there.
         """
         query = messages.StreamQuery(content, stream)
         replies = await periodic.gather(
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -421,7 +421,7 @@
     ) -> bool:
         """Whether a server that broke off a run seems to serve others.
 
-        Unless it is found down, its other runs go on, and it takes further
+        Unless it is found down, its other runs continue, and it gets further
         ones.
         """
         failures = self._board.loads.failures(server)
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -117,7 +117,7 @@
             self._producer.pauseProducing()
 
     def unblock_writes(self) -> None:
-        """Send what was written, and ask the producer to go on."""
+        """Send what was written, and ask the producer to resume."""
         self._is_blocked = False
         if self._producer is not None:
             self._producer.resumeProducing()
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -237,7 +237,7 @@
 def test_a_host_that_was_unreachable_learns_what_crashed_meanwhile(
     away_s: float,
 ) -> None:
-    """What it was told then is lost; it must take no third server."""
+    """Messages to it are lost then; it must take no third server."""
     service = _Service(down_s=1.0)
     simulation = service.simulation
     names = [host.router.board.host for host in simulation.hosts]
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -8,7 +8,7 @@
 
 
 def test_a_host_that_was_suspended_notices_it_once() -> None:
-    """Its peers may have taken it for unreachable, and told it nothing."""
+    """Its peers may have taken it for unreachable, and sent it nothing."""
     clock = task.Clock()
     view = membership.Membership("a", "maadi", "tcp://a", period_s=0.8)
     board = routing_board.RoutingBoard("a", "maadi", clock, view=view)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -31,7 +31,7 @@
     assert process.returncode == platform_daemon.EXIT_USAGE
 
 
-def test_a_reload_signal_at_the_start_is_made_up_for() -> None:
+def test_a_reload_signal_at_the_start_is_handled_later() -> None:
     reload_signal = platform_daemon.ReloadSignal()
     reloads: list[int] = []
     reload_signal.on_signal(signal.SIGHUP, None)
--- a/tests/test_streams_without_engines.py
+++ b/tests/test_streams_without_engines.py
@@ -80,7 +80,7 @@
     host: int,
     is_named: bool = True,
 ) -> list[raw_caller.Caller]:
-    """Take streams up again, which were the first requests that were sent."""
+    """Resume streams, which were the first requests that were sent."""
     resumed = []
     for n, caller in enumerate(callers):
         name: Any = {"Resumes": f"r{n + 1}"} if is_named else {}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -451,10 +451,10 @@
             self.figures.append(self._stops.check())
         self._resumes.check()
         if self._roll:
-            taken_up, resumed = self._resumes.resumed, self._resumes.went_on
+            tried, resumed = self._resumes.resumed, self._resumes.went_on
             self.figures.append(
-                f"{self._roll.replaced} hosts replaced, {taken_up} streams "
-                f"taken up, {resumed} of them resumed"
+                f"{self._roll.replaced} hosts replaced, {resumed} of {tried} "
+                "streams resumed"
             )
         self._odd_rows.check()
         for host in self.deployment.hosts:
--- a/tools/soak_resumes.py
+++ b/tools/soak_resumes.py
@@ -90,7 +90,7 @@
         Args:
           request: Its name.
           headers: Its further headers.
-          after: Number of the event after which it is to go on.
+          after: Number of the event after which to resume.
         """
         host = self._rng.choice(self._deployment.hosts)
         leaves_s = ANSWER_TIMEOUT_S
