Keys of customers: unknown ones are refused, servers get the customer's name

Cause: keys in the configuration were ignored. Any caller was served, the key reached servers, and a caller could name itself as any customer. Change: the package customers finds the customer of a key (kept as keyed digests); hosts answer 401 before anything is planned, set the customer's name on every path, also on requests passed on to another host, and rank requests by customer before route. Origins of streams are known by request and customer. Without customers in the configuration nothing changes.

--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -33,6 +33,8 @@
         to resume, or "".
       head: Request line and headers as received.
       body: The complete body.
+      customer: Name of the customer that sent it; "" if it is unknown or keys
+        aren't used.
     """
 
     id: str
@@ -47,6 +49,12 @@
     resumes: str
     head: http_message.RequestHead
     body: bytes
+    customer: str = ""
+
+    @property
+    def stated_tokens(self) -> int | None:
+        """Tokens of prompt and longest answer; None if they aren't stated."""
+        return self.prompt_tokens + self.max_tokens or None
 
     def content(self) -> quarantine.Content:
         """Return what may crash the servers that run the request."""
@@ -139,6 +147,29 @@
         """
         ...
 
+    def read_key(self, head: http_message.RequestHead) -> bytes:
+        """Return the API key of a request, b"" if it has no readable one."""
+        ...
+
+    def read_customer(self, head: http_message.RequestHead) -> str:
+        """Return the customer that a request states, "" if it states none.
+
+        Only what another host states is true.
+        """
+        ...
+
+    def set_customer(self, request: CallerRequest, name: str) -> CallerRequest:
+        """Return a request as servers and other hosts may see it.
+
+        Args:
+          request: The request as its caller sent it.
+          name: Name of its customer; "" if it has none.
+
+        Returns:
+          The request without its key, and with this customer.
+        """
+        ...
+
     def answer_headers(
         self, head: http_message.ResponseHead
     ) -> list[http_message.Header]:
--- /dev/null
+++ b/nutmegscale/customers/directory.py
@@ -0,0 +1,139 @@
+"""Customers of one version of the routing configuration, and their keys."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import hashlib
+import secrets
+from typing import Literal
+from typing import NamedTuple
+
+from nutmegscale import errors
+
+# Longest API key, bytes.
+MAX_KEY_BYTES = 200
+KEY_DIGEST_BYTES = 16
+# Ranks of a customer's requests start at its priority times this number, so
+# that the priority of its route decides among them only.
+RANKS_PER_CUSTOMER = 1000
+
+
+class UsageLimit(NamedTuple):
+    """How much a customer may use, over all hosts.
+
+    Attributes:
+      unit: What is counted.
+      per_s: Units a second.
+      burst: Units that may be used at once beyond that.
+      plain_tokens: Cost of a request that states no tokens, if tokens are
+        counted.
+    """
+
+    unit: Literal["requests", "tokens"]
+    per_s: float
+    burst: float
+    plain_tokens: int = 0
+
+    def cost(self, stated_tokens: int | None) -> int:
+        """Return the cost of a request, in units.
+
+        Args:
+          stated_tokens: Tokens of the prompt and of the longest answer that
+            the request states; None if it states none.
+        """
+        if self.unit == "requests":
+            return 1
+        return self.plain_tokens if stated_tokens is None else stated_tokens
+
+
+class Customer(NamedTuple):
+    """A customer.
+
+    Attributes:
+      name: Its name, unique in a configuration.
+      priority: Rank of all its requests; 0 goes first.
+      limit: How much it may use; None if there is no limit.
+    """
+
+    name: str
+    priority: int = 0
+    limit: UsageLimit | None = None
+
+    def rank(self, route_priority: int) -> int:
+        """Return the rank of a request; 0 goes first.
+
+        Args:
+          route_priority: Priority of the request's route.
+        """
+        within = min(route_priority, RANKS_PER_CUSTOMER - 1)
+        return self.priority * RANKS_PER_CUSTOMER + within
+
+
+class CustomerDirectory:
+    """Finds customers by key or by name.
+
+    Keys are kept as keyed digests only, so that neither a memory dump nor the
+    time of a lookup reveals them.
+    """
+
+    def __init__(
+        self, customers: Iterable[Customer], keys: Mapping[str, Iterable[str]]
+    ) -> None:
+        """Create the directory.
+
+        Args:
+          customers: The customers.
+          keys: API keys of each customer, by its name.
+
+        Raises:
+          errors.ConfigError: A name is used twice, a key is empty, too long or
+            has two customers.
+        """
+        self._digest_key = secrets.token_bytes(hashlib.blake2b.MAX_KEY_SIZE)
+        self._by_name: dict[str, Customer] = {}
+        self._by_key: dict[bytes, Customer] = {}
+        for customer in customers:
+            if customer.name in self._by_name:
+                raise errors.ConfigError(
+                    "the name is used twice", key=f"tenants.{customer.name}"
+                )
+            self._by_name[customer.name] = customer
+            for key in keys.get(customer.name, ()):
+                self._add_key(customer, key.encode())
+
+    def __len__(self) -> int:
+        """Return the number of customers."""
+        return len(self._by_name)
+
+    def _add_key(self, customer: Customer, key: bytes) -> None:
+        # An error never names the key.
+        place = f"tenants.{customer.name}.apiKeys"
+        if not 0 < len(key) <= MAX_KEY_BYTES:
+            raise errors.ConfigError(
+                f"a key of {len(key)} bytes, expected 1 to {MAX_KEY_BYTES}",
+                key=place,
+            )
+        digest = self._digest(key)
+        known = self._by_key.setdefault(digest, customer)
+        if known.name != customer.name:
+            raise errors.ConfigError(
+                f"a key is also one of {known.name}", key=place
+            )
+
+    def _digest(self, key: bytes) -> bytes:
+        return hashlib.blake2b(
+            key, key=self._digest_key, digest_size=KEY_DIGEST_BYTES
+        ).digest()
+
+    def find(self, key: bytes) -> Customer | None:
+        """Return the customer that holds a key, or None."""
+        if not 0 < len(key) <= MAX_KEY_BYTES:
+            return None
+        return self._by_key.get(self._digest(key))
+
+    def get(self, name: str) -> Customer | None:
+        """Return the customer with a name, or None."""
+        return self._by_name.get(name)
+
+    def all(self) -> tuple[Customer, ...]:
+        """Return all customers."""
+        return tuple(self._by_name.values())
--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -45,6 +45,11 @@
     "retry_budget_spent": "refused: the retry budget was exhausted",
     "rejected_by_servers": "refused: each server that was tried rejected it",
     "no_route": "no route of the configuration in force matches the path",
+    "unknown_key": "no customer of the configuration in force has its key",
+    "unknown_customer": (
+        "refused: another host passed it on for a customer that this host's"
+        " configuration doesn't have"
+    ),
     "malformed_request": "a header of the request can't be read",
     "timeout": (
         "no complete answer came within the time limits of the route and the"
--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -35,6 +35,7 @@
         b"unreached",
         b"no_config",
         b"no_route",
+        b"unknown_customer",
         b"no_server",
         b"host_is_leaving",
         b"host_is_busy",
--- a/nutmegscale/planned_places.py
+++ b/nutmegscale/planned_places.py
@@ -182,7 +182,7 @@
         """Request a decode slot; see `stream_places.StreamPlaces`."""
         paused_s = self._board.paused_for_s(
             context.service,
-            priority=context.route.priority,
+            priority=context.rank,
             rng=self._rng,
             stage="decode",
         )
@@ -210,7 +210,7 @@
             exchange=run.exchange,
             prompt_tokens=request.prompt_tokens,
             expected_tokens=request.expected_tokens,
-            priority=route.priority,
+            priority=context.rank,
             waited_s=context.waited_s,
             in_time_by=arrived - context.waited_s + route.objective_s,
             give_up_at=min(
--- a/nutmegscale/platform/ingress.py
+++ b/nutmegscale/platform/ingress.py
@@ -34,6 +34,9 @@
         request_context.OUTCOME_HEADER,
     }
 )
+_KEY_HEADER = b"authorization"
+_KEY_SCHEME = b"token"
+_CUSTOMER_HEADER = b"tenant"
 _NON_REPEATABLE_HEADERS = (
     b"request-id",
     b"deadline-ms",
@@ -75,6 +78,33 @@
             body=body,
         )
 
+    def read_key(self, head: http_message.RequestHead) -> bytes:
+        """Return the API key; see `caller_request.CallerCodec`."""
+        if head.count(_KEY_HEADER) != 1:
+            return b""
+        scheme, _, key = (head.get(_KEY_HEADER) or b"").partition(b" ")
+        return key.strip() if scheme.lower() == _KEY_SCHEME else b""
+
+    def read_customer(self, head: http_message.RequestHead) -> str:
+        """Return the stated customer; see `caller_request.CallerCodec`."""
+        if head.count(_CUSTOMER_HEADER) != 1:
+            return ""
+        return (head.get(_CUSTOMER_HEADER) or b"").decode("latin-1")
+
+    def set_customer(
+        self, request: caller_request.CallerRequest, name: str
+    ) -> caller_request.CallerRequest:
+        """Remove the key; see `caller_request.CallerCodec`."""
+        # Without the hop-by-hop headers, so that a caller can't have the
+        # customer's header removed by naming it in Connection.
+        headers = http_message.end_to_end_headers(
+            request.head.headers, frozenset({_KEY_HEADER, _CUSTOMER_HEADER})
+        )
+        if name:
+            headers.append((b"Tenant", name.encode("latin-1")))
+        head = request.head._replace(headers=tuple(headers))
+        return request._replace(head=head, customer=name)
+
     def answer_headers(
         self, head: http_message.ResponseHead
     ) -> list[http_message.Header]:
@@ -88,6 +118,8 @@
     ) -> list[http_message.Header]:
         """Return the headers of a failure; see `caller_request.CallerCodec`."""
         headers = [(b"Content-Type", b"application/json")]
+        if failure.status == 401:
+            headers.append((b"WWW-Authenticate", b"Token"))
         if failure.retry_after_s is not None:
             headers.append((b"Retry-After", b"%.3f" % failure.retry_after_s))
         return headers
--- a/nutmegscale/platform/routing_config.py
+++ b/nutmegscale/platform/routing_config.py
@@ -1,7 +1,10 @@
 """Decoder for the routing configuration that the platform's operator writes."""
 
+from typing import Literal
+
 import msgspec
 
+from nutmegscale import customers
 from nutmegscale import decoding
 from nutmegscale import errors
 from nutmegscale import http_ingress
@@ -9,6 +12,7 @@
 
 TABLE = "op"
 KEY = "config"
+_TOKEN_UNIT = "token_stream"
 
 
 class _TrafficSplit(msgspec.Struct):
@@ -31,6 +35,7 @@
     service: str = ""
     split: list[_TrafficSplit] = msgspec.field(name="trafficSplit", default=[])
     resumable: bool = False
+    public: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -65,11 +70,27 @@
     )
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    keys: list[str] = msgspec.field(name="apiKeys", default=[])
+    priority: decoding.Natural = 0
+    # "token_stream" counts the tokens that requests state; else requests count.
+    unit: str = ""
+    plain_tokens: decoding.Natural = msgspec.field(
+        name="plainTokens", default=0
+    )
+    rate: decoding.NonNegative = msgspec.field(name="ratePerS", default=0.0)
+    burst: decoding.NonNegative = 0.0
+
+
 class _Config(msgspec.Struct):
     version: decoding.Natural
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # An empty list admits no request with a key; without the field, keys aren't
+    # used at all.
+    tenants: list[_Tenant] | None = None
 
 
 _decoder = decoding.Decoder[_Config](_Config)
@@ -106,7 +127,44 @@
         idle_timeout_s=config.limits.idle_ms / 1000,
     )
     return routes.RoutingConfig(
-        config.version, tuple(decoded_routes), services, limits
+        config.version,
+        tuple(decoded_routes),
+        services,
+        limits,
+        _to_customers(config.tenants),
+    )
+
+
+def _to_customers(
+    tenants: list[_Tenant] | None,
+) -> customers.CustomerDirectory | None:
+    if tenants is None:
+        return None
+    for tenant in tenants:
+        try:
+            # The name is sent in the heads of requests.
+            decoding.token(tenant.name)
+        except errors.MalformedDataError as exc:
+            raise errors.ConfigError(
+                str(exc), file=f"{TABLE}/{KEY}", key="tenants"
+            ) from exc
+    return customers.CustomerDirectory(
+        (
+            customers.Customer(t.name, t.priority, _to_usage_limit(t))
+            for t in tenants
+        ),
+        {t.name: t.keys for t in tenants},
+    )
+
+
+def _to_usage_limit(tenant: _Tenant) -> customers.UsageLimit | None:
+    if not tenant.rate:
+        return None
+    unit: Literal["requests", "tokens"] = (
+        "tokens" if tenant.unit == _TOKEN_UNIT else "requests"
+    )
+    return customers.UsageLimit(
+        unit, tenant.rate, tenant.burst, tenant.plain_tokens
     )
 
 
@@ -144,4 +202,5 @@
         max_attempts=max(1, route.attempts),
         priority=route.priority,
         is_resumable=route.resumable and route.kind == "stream",
+        is_public=route.public,
     )
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -4,6 +4,7 @@
 
 from nutmegscale import caller_request
 from nutmegscale import crash_watch
+from nutmegscale import customers
 from nutmegscale import errors
 from nutmegscale import http_ingress
 from nutmegscale import http_message
@@ -33,6 +34,9 @@
       deadline: Time by which it must be answered, by the host's clock,
         seconds.
       waited_s: How long its caller had waited before this attempt, seconds.
+      customer: Customer that sent it; None if it is unknown or keys aren't
+        used.
+      rank: Rank among requests that wait for the same; 0 goes first.
       tries: Ids of the backend servers that it was sent to, without prefill
         workers.
       may_have_run: Whether a server that it was sent to hasn't answered.
@@ -54,6 +58,7 @@
         service: str,
         retries: retry_share.RetryShare,
         waited_s: float = 0.0,
+        customer: customers.Customer | None = None,
     ) -> None:
         self._board = board
         self._codec = codec
@@ -66,6 +71,10 @@
         )
         self.deadline = sent_at + limit_s(route, request)
         self.waited_s = waited_s
+        self.customer = customer
+        self.rank = (
+            customer.rank(route.priority) if customer else route.priority
+        )
         self.tries: list[str] = []
         self.may_have_run = False
         self.is_offered = False
@@ -200,6 +209,8 @@
         config = self._board.config
         if self.request.resumes:
             fields["resumes"] = self.request.resumes
+        if self.request.customer:
+            fields["customer"] = self.request.customer
         logs.get().info(
             event,
             request=self.request.id,
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -17,6 +17,7 @@
 from nutmegscale import caller_request
 from nutmegscale import chosen_places
 from nutmegscale import crash_watch
+from nutmegscale import customers
 from nutmegscale import domain_watch
 from nutmegscale import envelope
 from nutmegscale import errors
@@ -462,6 +463,19 @@
         if route is None:
             self._reject(incoming, 404, "no_route", request.path, request.id)
             return
+        identity = self._identify(incoming, route)
+        if identity.rejection == "unknown_key":
+            self._reject(
+                incoming, 401, "unknown_key", "the key is unknown", request.id
+            )
+            return
+        if identity.rejection:
+            self._refuse(incoming, request, identity.rejection)
+            return
+        if board.config.customer_directory is not None:
+            request = self._codecs.callers.set_customer(
+                request, identity.customer.name if identity.customer else ""
+            )
         names = [t.service for t in route.targets]
         usable = [name for name in names if board.backends.usable(name)]
         if not usable:
@@ -501,11 +515,25 @@
                 service, is_counted=not incoming.is_relayed
             ),
             waited_s=self._patience.waited_s(route.name, request.patience_s),
+            customer=identity.customer,
         )
         if self._stop is not None and route.kind != "stream":
             context.deadline = min(context.deadline, self._stop.answer_by)
         self._run(context)
 
+    def _identify(
+        self, incoming: http_ingress.IncomingRequest, route: routes.Route
+    ) -> customers.Identity:
+        """Decide whose request it is, and whether it may be served."""
+        codec, config = self._codecs.callers, self.board.config
+        return customers.identify(
+            config.customer_directory if config else None,
+            key=codec.read_key(incoming.head),
+            stated_name=codec.read_customer(incoming.head),
+            is_public=route.is_public,
+            is_relayed=incoming.is_relayed,
+        )
+
     def _comes_too_late(
         self,
         incoming: http_ingress.IncomingRequest,
--- a/nutmegscale/routes.py
+++ b/nutmegscale/routes.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from nutmegscale import customers
 from nutmegscale import http_ingress
 
 # Enough to distinguish the configurations of a few minutes.
@@ -44,6 +45,7 @@
       max_attempts: Number of runs that one request may have.
       priority: Rank; 0 is served first.
       is_resumable: Whether a stream may be resumed on another backend server.
+      is_public: Whether requests need no key, where customers have keys.
     """
 
     name: str
@@ -56,6 +58,7 @@
     max_attempts: int
     priority: int
     is_resumable: bool
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -114,12 +117,22 @@
 
 
 class RoutingConfig(NamedTuple):
-    """One version of the routes, services and limits."""
+    """One version of the routes, services, limits and customers.
+
+    Attributes:
+      version: Its version.
+      routes: The routes.
+      services: The services by name.
+      limits: Limits on callers' requests.
+      customer_directory: The customers and their keys; None if requests need
+        no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: http_ingress.Limits
+    customer_directory: customers.CustomerDirectory | None = None
 
 
 def resumable_services(config: RoutingConfig) -> frozenset[str]:
--- a/nutmegscale/server_choice.py
+++ b/nutmegscale/server_choice.py
@@ -58,7 +58,7 @@
         if self._board.notices.limits:
             await self._limits.prepare(
                 self._board.wanted_servers(context.service),
-                priority=context.route.priority,
+                priority=context.rank,
             )
         return self.choose(context, avoid=avoid, version=version)
 
@@ -82,7 +82,7 @@
         loads, now = self._board.loads, self._board.now()
         servers = self._servers(context.service, version)
         if self._board.notices.limits:
-            rank = context.route.priority
+            rank = context.rank
             servers = tuple(
                 s for s in servers if self._limits.may_call(s, rank)
             )
@@ -121,11 +121,11 @@
         limited = self._limited_servers(context, avoid, version)
         if limited:
             retry_after_s = self._limits.refuse(
-                context.service, limited, priority=context.route.priority
+                context.service, limited, priority=context.rank
             )
             return NoServer("limited", retry_after_s)
         paused_s = self._board.paused_for_s(
-            context.service, priority=context.route.priority, rng=self._rng
+            context.service, priority=context.rank, rng=self._rng
         )
         if paused_s:
             return NoServer("paused", paused_s)
@@ -152,6 +152,6 @@
             server
             for server in self._servers(context.service, version)
             if server.id not in tried
-            and not self._limits.may_call(server, context.route.priority)
+            and not self._limits.may_call(server, context.rank)
             and not loads.is_paused(now, server)
         )
--- a/nutmegscale/stream_relay.py
+++ b/nutmegscale/stream_relay.py
@@ -1,5 +1,7 @@
 """Passes the answer of a run on: the events of a stream, up to its end."""
 
+import hashlib
+
 from nutmegscale import backend
 from nutmegscale import caller_request
 from nutmegscale import crash_watch
@@ -196,8 +198,15 @@
 
 
 def origin_digest(request: caller_request.CallerRequest) -> bytes:
-    """Return a digest by which hosts know the request of a stream again."""
-    return request.content_digest()[:DIGEST_BYTES]
+    """Return a digest by which hosts know the request of a stream again.
+
+    It differs between customers, so that none resumes a stream of another.
+    """
+    digest = request.content_digest()
+    if request.customer:
+        owned = digest + request.customer.encode()
+        digest = hashlib.blake2b(owned, digest_size=DIGEST_BYTES).digest()
+    return digest[:DIGEST_BYTES]
 
 
 def _check_resumption(
