Load of a server: a fourth figure is read, and malformed loads are logged

Cause: the decoder of Server-Load accepted exactly three figures, so that each report of a server that states a fourth one was dropped without a trace.

Change: three or more figures are read. The fourth one, the pace of work in percent, is ServerLoad.pace; an invalid one leaves the other three in force. A load that can't be read, or not completely, is a MalformedLoadError, counted as server_load_malformed and logged at most once in 5 s for each server.

--- a/nutmegscale/caller_request.py
+++ b/nutmegscale/caller_request.py
@@ -94,11 +94,15 @@
       running: Requests that it is running.
       waiting: Requests in its queue.
       slots: Requests that it can run at once.
+      pace: How long work takes there now, 1 as usual.
+      states_pace: Whether the server stated the pace.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float = 1.0
+    states_pace: bool = False
 
 
 class ResponseInfo(NamedTuple):
@@ -109,12 +113,14 @@
       is_misdirected: Whether another server has the address now.
       is_genuine: Whether the answer carries a signature of its content.
       load: Load of the server, if stated.
+      load_error: What is malformed in the stated load; None if nothing is.
     """
 
     has_run: bool
     is_misdirected: bool
     is_genuine: bool
     load: ServerLoad | None
+    load_error: errors.MalformedLoadError | None = None
 
 
 class KvHandle(NamedTuple):
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -79,6 +79,10 @@
     """A backend server states a limit on its requests that can't be read."""
 
 
+class MalformedLoadError(NutmegscaleError):
+    """A backend server states a load that can't be read, or not completely."""
+
+
 class MalformedRequestError(NutmegscaleError):
     """A caller's request has a malformed header."""
 
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -183,7 +183,7 @@
                     self._waiting.add(call, server)
                 head = await call.head(context.left_s)
             info = self._codec.read_head(head)
-            loads.record_load(self._board.now(), server, info.load)
+            self._calls.record_load(server, info)
             body = await call.body(context.left_s, MAX_BODY_BYTES)
             if info.is_misdirected:
                 self._pool.close_idle(server.address)
--- a/nutmegscale/platform/worker_calls.py
+++ b/nutmegscale/platform/worker_calls.py
@@ -15,6 +15,11 @@
 _SIGNATURE_HEADER = b"response-signature"
 _LIMIT_HEADER = b"server-limit"
 _LEAVING_HEADER = b"server-leaving"
+_LOAD_HEADER = b"server-load"
+# Figures of a load that are read.
+_LOAD_FIGURES = 4
+# Slowest pace that is believed, percent of the usual time of work.
+_MAX_PACE_PERCENT = 100_000
 _PAUSE_HEADER = b"retry-after"
 _PAUSING_STATUS = 503
 _DEADLINE_HEADER = b"Deadline-Ms"
@@ -121,11 +126,13 @@
         is_rejected = head.get(b"not-executed") is not None
         encoding = head.get(b"content-encoding") or b"identity"
         is_plain = encoding.lower() == b"identity"
+        load, load_error = _parse_load(head.get(_LOAD_HEADER))
         return caller_request.ResponseInfo(
             has_run=not (is_misdirected or is_rejected),
             is_misdirected=is_misdirected,
             is_genuine=head.get(_SIGNATURE_HEADER) is not None and is_plain,
-            load=_parse_load(head.get(b"server-load")),
+            load=load,
+            load_error=load_error,
         )
 
     def is_leaving(self, head: http_message.ResponseHead) -> bool:
@@ -188,14 +195,41 @@
     )
 
 
-def _parse_load(value: bytes | None) -> caller_request.ServerLoad | None:
+def _parse_load(
+    value: bytes | None,
+) -> tuple[caller_request.ServerLoad | None, errors.MalformedLoadError | None]:
+    """Decode a stated load: running, waiting, slots and, if stated, pace.
+
+    Further figures are ignored, so that servers may state more later.
+
+    Returns:
+      The load, None if it is absent or can't be read, and what is malformed.
+    """
     if value is None:
-        return None
+        return None, None
+    parts = [part.strip() for part in value.split(b",", _LOAD_FIGURES)]
     try:
-        running, waiting, slots = (
-            decoding.natural(part.strip()) for part in value.split(b",")
-        )
+        running, waiting, slots = map(decoding.natural, parts[:3])
     except (errors.MalformedDataError, ValueError):
-        # A load that can't be read is none.
-        return None
-    return caller_request.ServerLoad(running, waiting, slots)
+        return None, _malformed_load(value, "expected three natural numbers")
+    load = caller_request.ServerLoad(running, waiting, slots)
+    if len(parts) < _LOAD_FIGURES:
+        return load, None
+    pace = _parse_pace(parts[3])
+    if pace is None:
+        return load, _malformed_load(
+            value, f"the pace isn't above 0 and up to {_MAX_PACE_PERCENT}"
+        )
+    return load._replace(pace=pace, states_pace=True), None
+
+
+def _parse_pace(text: bytes) -> float | None:
+    """Decode a pace in percent; None if it is malformed or out of range."""
+    percent = float(text) if _DECIMAL.fullmatch(text) else 0.0
+    return percent / 100 if 0.0 < percent <= _MAX_PACE_PERCENT else None
+
+
+def _malformed_load(value: bytes, why: str) -> errors.MalformedLoadError:
+    return errors.MalformedLoadError(
+        f"load {value[:_MAX_NAMED_BYTES]!r}: {why}"
+    )
--- a/nutmegscale/server_calls.py
+++ b/nutmegscale/server_calls.py
@@ -13,6 +13,11 @@
 from nutmegscale import upstream
 from nutmegscale import upstream_call
 
+# Shortest time between two log lines of one server's malformed loads, seconds:
+# such a server states one with each answer.
+LOAD_LOG_PERIOD_S = 5.0
+MALFORMED_LOAD_EVENT = "server_load_malformed"
+
 
 class ServerCalls:
     """Sends requests to servers as their answers ask for.
@@ -34,6 +39,7 @@
         self._codec = codec
         self._limits = limits
         self._notices = notices
+        self._load_logged_at: dict[str, float] = {}
 
     async def send(
         self,
@@ -92,6 +98,29 @@
                 self._limits.give_back(server)
             raise
 
+    def record_load(
+        self, server: backend.Backend, info: caller_request.ResponseInfo
+    ) -> None:
+        """Record the load that an answer states, and what is malformed in it.
+
+        Each malformed load is counted; they are logged at most once in
+        `LOAD_LOG_PERIOD_S` for each server.
+        """
+        now = self._board.now()
+        self._board.loads.record_load(now, server, info.load)
+        if info.load_error is None:
+            return
+        self._load_logged_at = {
+            key: at
+            for key, at in self._load_logged_at.items()
+            if now - at < LOAD_LOG_PERIOD_S
+        }
+        if server.key in self._load_logged_at:
+            self._board.metrics.record_failure_event(MALFORMED_LOAD_EVENT)
+            return
+        self._load_logged_at[server.key] = now
+        self._record_malformed(MALFORMED_LOAD_EVENT, server, info.load_error)
+
     def _check_wanted(self, server: backend.Backend, send_by: float) -> None:
         notices = self._board.notices
         if self._board.now() + self._board.loop_lag_s >= send_by:
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -460,7 +460,7 @@
                 )
                 head = await self._wait_for_head(context, server, call)
             info = self._codec.read_head(head)
-            loads.record_load(self._board.now(), server, info.load)
+            self._calls.record_load(server, info)
             self._check_has_run(run, server, head, info)
             if head.status >= 500 and self._may_try_another(
                 context, run, place
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -68,6 +68,8 @@
       has_framing: Whether its streams come in chunks; otherwise they end with
         their connections.
       service_time_s: Time that a plain call takes, seconds.
+      further_load: What follows the three figures of the load that it states,
+        such as ",250", possibly malformed.
       is_full: Whether it rejects every request.
       rejects_every: It rejects each request whose number, from 1, is a multiple
         of this; none if 0.
@@ -120,6 +122,7 @@
     """
 
     drip: bytes = b""
+    further_load = ""
     break_prefix = b""
     stream_prefix = b""
     has_framing = True
@@ -363,7 +366,8 @@
         request.respond(503, headers, b"")
 
     def _load_header(self) -> http_message.Header:
-        return (b"Server-Load", b"%d,0,%d" % (self._running, self.slots))
+        value = f"{self._running},0,{self.slots}{self.further_load}"
+        return (b"Server-Load", value.encode())
 
     def _occupy_slot(
         self, request: http_ingress.IncomingRequest
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -262,7 +262,7 @@
     )
     info = codec.read_head(rejected)
     assert (info.has_run, info.is_genuine) == (False, False)
-    assert info.load == (3, 1, 8)
+    assert info.load == (3, 1, 8, 1.0, False)
     encoded = http_message.ResponseHead(
         200, ((b"Response-Signature", b"s"), (b"Content-Encoding", b"gzip"))
     )
@@ -272,6 +272,35 @@
     assert (misdirected.has_run, misdirected.is_misdirected) == (False, True)
 
 
+@pytest.mark.parametrize(
+    ("value", "load", "is_malformed"),
+    [
+        (b"3,1,8", (3, 1, 8, 1.0, False), False),
+        (b"3,1,8,250", (3, 1, 8, 2.5, True), False),
+        (b"3, 1, 8, 87.5", (3, 1, 8, 0.875, True), False),
+        (b"3,1,8,250,4,x", (3, 1, 8, 2.5, True), False),
+        (b"3,1,8,", (3, 1, 8, 1.0, False), True),
+        (b"3,1,8,0", (3, 1, 8, 1.0, False), True),
+        (b"3,1,8,-5,7", (3, 1, 8, 1.0, False), True),
+        (b"3,1,8,999999999", (3, 1, 8, 1.0, False), True),
+        (b"3,1,8,nan", (3, 1, 8, 1.0, False), True),
+        (b"3,1", None, True),
+        (b"3,,8,100", None, True),
+    ],
+)
+def test_load_of_three_or_more_figures(
+    value: bytes, load: tuple[float, ...] | None, is_malformed: bool
+) -> None:
+    """Guards against loads that were dropped because of a fourth figure."""
+    info = worker_calls.ServerCodec().read_head(
+        http_message.ResponseHead(200, ((b"Server-Load", value),))
+    )
+    assert info.load == load
+    assert (
+        isinstance(info.load_error, errors.MalformedLoadError) == is_malformed
+    )
+
+
 def _head_with_limits(*values: bytes) -> http_message.ResponseHead:
     headers = tuple((b"Server-Limit", value) for value in values)
     return http_message.ResponseHead(200, headers)
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -6,8 +6,10 @@
 """
 
 import json
+from unittest import mock
 
 import pytest
+import structlog
 
 from nutmegscale import caller_request
 from nutmegscale import periodic
@@ -367,3 +369,22 @@
     simulation.workers[leaver].is_leaving = True
     _send_in_all_ways(simulation, leaver)
     _check_left(simulation, leaver)
+
+
+def test_malformed_loads_are_counted_and_logged_once_in_a_while() -> None:
+    """Guards against loads that are dropped unseen, and against a log flood."""
+    simulation = router_world.Simulation(hosts=1)
+    simulation.start_default_workers()
+    for name in ("w1", "w2"):
+        simulation.workers[name].further_load = ",fast"
+    simulation.start(3.0)
+    counted: list[str] = []
+    metrics = simulation.hosts[0].router.board.metrics
+    with (
+        mock.patch.object(metrics, "record_failure_event", counted.append),
+        structlog.testing.capture_logs() as lines,
+    ):
+        _send_for(simulation, "confirm", seconds=2.0, hosts=1)
+    assert counted.count("server_load_malformed") > 20
+    logged = [e for e in lines if e["event"] == "server_load_malformed"]
+    assert sorted(e["backend"] for e in logged) == ["w1", "w2"]
