Usage limits of customers hold over all hosts together

Cause: limits of customers were read and not applied; a customer could use any amount through any number of hosts.

Change: each request of a customer with a limit is charged before it runs. The cost of a request that didn't run is given back. 429 with Retry-After beyond the limit, 503 if no host can be asked and the host's own part is spent.

--- a/nutmegscale/customers/__init__.py
+++ b/nutmegscale/customers/__init__.py
@@ -5,11 +5,23 @@
 from nutmegscale.customers.directory import UsageLimit
 from nutmegscale.customers.identification import Identity
 from nutmegscale.customers.identification import identify
+from nutmegscale.customers.usage_controller import Allowed
+from nutmegscale.customers.usage_controller import Charge
+from nutmegscale.customers.usage_controller import Refused
+from nutmegscale.customers.usage_controller import UsageController
+from nutmegscale.customers.usage_controller import make as make_usage_controller
+from nutmegscale.customers.usage_rule import QuotaRule
 
 __all__ = [
+    "Allowed",
+    "Charge",
     "Customer",
     "CustomerDirectory",
     "Identity",
+    "QuotaRule",
+    "Refused",
+    "UsageController",
     "UsageLimit",
     "identify",
+    "make_usage_controller",
 ]
--- /dev/null
+++ b/nutmegscale/customers/usage_rule.py
@@ -0,0 +1,27 @@
+"""How far all hosts together may exceed the usage limit of a customer."""
+
+from typing import NamedTuple
+
+from nutmegscale.customers import directory
+
+
+class QuotaRule(NamedTuple):
+    """What may run for a customer in any window, beyond its limit.
+
+    Attributes:
+      window_s: Length of the window, seconds.
+      overshoot: Part of the limit that may be added to it.
+      slack: Units that may be added to that.
+    """
+
+    window_s: float = 8.0
+    overshoot: float = 0.0
+    slack: float = 0.0
+
+    def within(self, limit: directory.UsageLimit) -> float:
+        """Return what a customer may use in a window, units."""
+        return limit.per_s * self.window_s + limit.burst
+
+    def beyond(self, limit: directory.UsageLimit) -> float:
+        """Return what may run in a window beyond the limit, units."""
+        return self.overshoot * self.within(limit) + self.slack
--- /dev/null
+++ b/nutmegscale/customers/usage_share.py
@@ -0,0 +1,170 @@
+"""One host's share of the usage limit of a customer; no I/O."""
+
+from typing import NamedTuple
+
+from nutmegscale.customers import directory
+from nutmegscale.customers import usage_rule
+
+# A limit that rises is applied once no lower one was heard for this time,
+# seconds: hosts hear of a new configuration at different moments.
+RISE_DELAY_S = 0.5
+# Parts of a new share's burst and of what may run beyond the limit with which
+# it starts, whichever is less. All hosts may be restarted several times in a
+# window, each time with the start of all shares.
+START_OF_BURST = 0.25
+START_OF_SLACK = 0.125
+# Part of what may run beyond the limit that shares may lend to requests that
+# cost more than a share holds.
+DEBT_OF_SLACK = 0.25
+# Longest time for which hosts are told not to ask since others were refused
+# just before, seconds. More would leave room unused when a burst ends.
+MAX_CROWD_S = 1.0
+# Longest wait that is told, seconds, also for a request that never has room.
+MAX_WAIT_S = 30.0
+
+
+class Answer(NamedTuple):
+    """Answer to a host that asked for the cost of a request.
+
+    Attributes:
+      is_granted: Whether the request may run.
+      wait_s: If not, when the share has room for it, seconds from now.
+      crowd_s: Time to add since others were told the same, seconds.
+    """
+
+    is_granted: bool
+    wait_s: float = 0.0
+    crowd_s: float = 0.0
+
+
+class UsageShare:
+    """Gives out this host's share of what one customer may use.
+
+    Answers customers that send more than they may through many hosts, of which
+    each sees a small part, while hosts are cut off, killed or restarted. A few
+    hosts hold the shares of a limit; each is a token bucket that fills at its
+    part of the rate and holds its part of the burst. So all hosts together stay
+    within the limit, whichever of them hear each other.
+    """
+
+    __slots__ = (
+        "_crowded_until",
+        "_filled_at",
+        "_level",
+        "_limit",
+        "_lowest_at",
+        "_rule",
+        "_shares",
+    )
+
+    def __init__(
+        self,
+        rule: usage_rule.QuotaRule,
+        limit: directory.UsageLimit,
+        *,
+        now: float,
+        shares: int,
+        held_s: float,
+        is_full: bool,
+    ) -> None:
+        """Create the share.
+
+        Args:
+          rule: How far the limit may be exceeded.
+          limit: The limit.
+          now: Current time, seconds.
+          shares: Number of hosts that hold a share.
+          held_s: Time for which this host holds it already, unused, seconds.
+          is_full: Whether no other host can have used it before.
+        """
+        self._rule = rule
+        self._limit = limit
+        self._shares = shares
+        self._lowest_at = now
+        self._filled_at = now
+        self._crowded_until = now
+        start = min(
+            START_OF_BURST * limit.burst, START_OF_SLACK * rule.beyond(limit)
+        )
+        self._level = min(
+            self._capacity,
+            self._capacity if is_full else start / shares + self._rate * held_s,
+        )
+
+    @property
+    def _rate(self) -> float:
+        return self._limit.per_s / self._shares
+
+    @property
+    def _capacity(self) -> float:
+        return self._limit.burst / self._shares
+
+    @property
+    def _max_debt(self) -> float:
+        return DEBT_OF_SLACK * self._rule.beyond(self._limit) / self._shares
+
+    def is_unused(self, now: float) -> bool:
+        """Whether it is full, so that it can be forgotten."""
+        self._refill(now)
+        return self._level >= self._capacity
+
+    def set_shares(self, now: float, shares: int) -> None:
+        """Change the number of hosts that hold a share."""
+        if shares != self._shares:
+            self._refill(now)
+            self._shares = shares
+            self._refill(now)
+
+    def hear(self, now: float, limit: directory.UsageLimit) -> None:
+        """Record the limit as a host knows it; the lower one is in force."""
+        known = self._limit
+        if limit == known:
+            self._lowest_at = now
+            return
+        self._refill(now)
+        is_lower = limit.per_s <= known.per_s and limit.burst <= known.burst
+        if is_lower or now - self._lowest_at > RISE_DELAY_S:
+            self._limit, self._lowest_at = limit, now
+        else:
+            self._limit = known._replace(
+                per_s=min(limit.per_s, known.per_s),
+                burst=min(limit.burst, known.burst),
+            )
+        self._refill(now)
+
+    def ask(self, now: float, cost: float, *, is_last: bool) -> Answer:
+        """Take the cost of a request from the share, if there is room.
+
+        A request that costs more than the share holds is granted when the
+        share is full, and leaves a debt.
+
+        Args:
+          now: Current time, seconds.
+          cost: Cost of the request, units.
+          is_last: Whether the host asks no other share if this one has too
+            little.
+        """
+        self._refill(now)
+        if cost > self._capacity + self._max_debt:
+            return Answer(False, MAX_WAIT_S)
+        missing = min(cost, self._capacity) - self._level
+        if missing <= 0.0:
+            self._level -= cost
+            return Answer(True)
+        wait_s = min(MAX_WAIT_S, missing / self._rate)
+        if not is_last:
+            return Answer(False, wait_s)
+        crowd_s = max(0.0, self._crowded_until - now)
+        self._crowded_until = now + min(
+            MAX_CROWD_S, crowd_s + cost / self._rate
+        )
+        return Answer(False, wait_s, crowd_s)
+
+    def give_back(self, now: float, cost: float) -> None:
+        """Return the cost of a request that didn't run, units."""
+        self._refill(now)
+        self._level = min(self._capacity, self._level + cost)
+
+    def _refill(self, now: float) -> None:
+        passed_s, self._filled_at = now - self._filled_at, now
+        self._level = min(self._capacity, self._level + self._rate * passed_s)
--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -50,6 +50,14 @@
         "refused: another host passed it on for a customer that this host's"
         " configuration doesn't have"
     ),
+    "usage_limit": (
+        "refused: its customer has used up its usage limit, which holds over"
+        " all hosts together"
+    ),
+    "usage_unknown": (
+        "refused: this host reached no host that knows how much the customer"
+        " has used, and its own part was spent"
+    ),
     "malformed_request": "a header of the request can't be read",
     "timeout": (
         "no complete answer came within the time limits of the route and the"
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -556,6 +556,61 @@
     """Reply to a `Ping`."""
 
 
+class UsageRequest(NamedTuple):
+    """Request for the cost of a caller's request, within a usage limit.
+
+    Replied to by a `UsageReply`.
+
+    Attributes:
+      number: Number of the request at its sender.
+      customer: Name of the customer.
+      cost: Cost of the caller's request, units.
+      per_s: The customer's limit as the sender knows it, units a second.
+      burst: Its burst as the sender knows it, units.
+      is_last: Whether the sender asks no other host.
+    """
+
+    number: int
+    customer: str
+    cost: float
+    per_s: float
+    burst: float
+    is_last: bool
+
+
+class UsageReply(NamedTuple):
+    """Whether a caller's request is within a usage limit.
+
+    Attributes:
+      number: Number of the `UsageRequest`.
+      customer: Name of the customer.
+      cost: Cost that was asked for, units.
+      state: "granted", "short" if the sender's share has too little, or
+        "not_held" if it holds no share.
+      wait_s: When its share has room, seconds from now.
+      crowd_s: Time to add since other hosts were told the same, seconds.
+    """
+
+    number: int
+    customer: str
+    cost: float
+    state: str
+    wait_s: float = 0.0
+    crowd_s: float = 0.0
+
+
+class UsageRefund(NamedTuple):
+    """Notice that a caller's request that was granted didn't run.
+
+    Attributes:
+      customer: Name of the customer.
+      cost: Its cost, units.
+    """
+
+    customer: str
+    cost: float
+
+
 # The position in this tuple, from 1, is the type number on the wire.
 _MESSAGE_TYPES: tuple[Any, ...] = (
     membership.Probe,
@@ -603,6 +658,9 @@
     StreamReply,
     ServerLeaving,
     ReachReport,
+    UsageRequest,
+    UsageReply,
+    UsageRefund,
 )
 TYPE_BY_NUMBER: dict[int, Any] = dict(enumerate(_MESSAGE_TYPES, start=1))
 NUMBER_BY_TYPE: dict[Any, int] = {
--- a/nutmegscale/platform/settings.py
+++ b/nutmegscale/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from nutmegscale import customers
 from nutmegscale import decoding
 from nutmegscale import errors
 from nutmegscale import retry_share
@@ -35,6 +36,7 @@
         more requests, seconds.
       retry_limits: Retry budget of each service, over all hosts.
       is_first_start: Whether the whole system starts for the first time.
+      quota_rule: How far all hosts may exceed the usage limits of customers.
     """
 
     host: str
@@ -52,6 +54,7 @@
     drain_s: float
     retry_limits: retry_share.Limits
     is_first_start: bool
+    quota_rule: customers.QuotaRule
 
 
 class _Listen(msgspec.Struct):
@@ -69,6 +72,9 @@
     retry_ratio: float = msgspec.field(name="retryBudgetRatio", default=0.2)
     retry_extra: float = msgspec.field(name="budgetExtra", default=0.0)
     retry_window: float = msgspec.field(name="budgetWindowS", default=10.0)
+    quota_window: float = msgspec.field(name="quotaWindowS", default=8.0)
+    quota_overshoot: float = msgspec.field(name="quotaOvershoot", default=0.0)
+    quota_slack: float = msgspec.field(name="quotaSlack", default=0.0)
 
 
 class _Limits(msgspec.Struct):
@@ -143,6 +149,7 @@
         drain_s=bounds.drain_ms / 1000,
         retry_limits=_retry_limits(path, bounds),
         is_first_start=file_settings.bootstrap,
+        quota_rule=_quota_rule(path, bounds),
     )
 
 
@@ -155,6 +162,19 @@
     return retry_share.Limits(bounds.retry_ratio, bounds.retry_extra, window_s)
 
 
+def _quota_rule(path: str, bounds: _Bounds) -> customers.QuotaRule:
+    rule = customers.QuotaRule(
+        bounds.quota_window, bounds.quota_overshoot, bounds.quota_slack
+    )
+    if not (rule.window_s > 0.0 and min(rule) >= 0.0):
+        raise errors.SettingsError(
+            f"{path}: bounds: quotaWindowS {rule.window_s:g}, quotaOvershoot "
+            f"{rule.overshoot:g}, quotaSlack {rule.slack:g}: the first must be "
+            "above 0, the others not below"
+        )
+    return rule
+
+
 def _parse_address(path: str, key: str, address: str) -> tuple[str, int]:
     try:
         return decoding.address(address)
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -41,6 +41,7 @@
             _relay_address, port=host_settings.relay_port
         ),
         is_first_start=host_settings.is_first_start,
+        quota_rule=host_settings.quota_rule,
     )
 
 
--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -138,6 +138,14 @@
         )
         self.fail(failure)
 
+    def refuse_usage(self, refusal: customers.Refused) -> None:
+        """Answer that the request isn't within its customer's usage limit."""
+        status = 429 if refusal.reason == "usage_limit" else 503
+        failure = errors.Failure(
+            status, refusal.reason, "not run", "not_run", refusal.retry_after_s
+        )
+        self.fail(failure)
+
     def fail(self, failure: errors.Failure, **fields: Any) -> None:
         """Answer with a failure, or cut off an answer that has begun."""
         self.outcome = failure.outcome
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -87,6 +87,9 @@
 BUSY_RETRY_AFTER_S = (0.5, 1.5)
 
 
+Runner = Callable[[request_context.RequestContext], Coroutine[Any, Any, None]]
+
+
 class Router:
     """Owns the components of one host and dispatches its callers' requests."""
 
@@ -210,6 +213,12 @@
         self._limits = limit_controller.LimitController(
             self.board, self.mesh, planner_of=self._planner_of, rng=self._rng
         )
+        self._usage = customers.make_usage_controller(
+            self.board,
+            self.mesh,
+            rule=settings.quota_rule,
+            is_first_start=settings.is_first_start,
+        )
         self.slots = slot_controller.SlotController(
             self.board, self.mesh, self._peers, self._limits
         )
@@ -325,6 +334,7 @@
         if self._joined_at is None:
             self._joined_at = self.board.now()
             self._limits.record_joined()
+            self._usage.record_joined()
         self.members.announce()
         self.configs.ask_peers()
         self._suspects.ask_peers()
@@ -563,11 +573,28 @@
             )
 
     async def _serve(
-        self,
-        context: request_context.RequestContext,
-        runner: Callable[
-            [request_context.RequestContext], Coroutine[Any, Any, None]
-        ],
+        self, context: request_context.RequestContext, runner: Runner
+    ) -> None:
+        """Charge a request to its customer and serve it."""
+        customer = context.customer
+        if customer is None or customer.limit is None or context.is_relayed:
+            await self._serve_charged(context, runner)
+            return
+        cost = customer.limit.cost(context.request.stated_tokens)
+        charge = await self._usage.charge(
+            customer, cost, give_up_at=context.deadline
+        )
+        if isinstance(charge, customers.Refused):
+            context.refuse_usage(charge)
+            return
+        try:
+            await self._serve_charged(context, runner)
+        finally:
+            if context.outcome == "not_run":
+                self._usage.give_back(customer, cost)
+
+    async def _serve_charged(
+        self, context: request_context.RequestContext, runner: Runner
     ) -> None:
         """Serve a request, or let another host do so if this one can't."""
         board = self.board
--- a/nutmegscale/router_metrics.py
+++ b/nutmegscale/router_metrics.py
@@ -27,6 +27,14 @@
             "nutmegscale_router_limited_sends",
             description="requests to servers that state a limit, by result",
         )
+        self._usage_charges = meter.create_counter(
+            "nutmegscale_router_usage_charges",
+            description="requests of customers with a usage limit, by result",
+        )
+        self._usage_messages = meter.create_counter(
+            "nutmegscale_router_usage_messages",
+            description="messages to other hosts about usage limits, by kind",
+        )
         self._loop_lag = meter.create_gauge(
             "nutmegscale_router_loop_lag_seconds",
             description="how far the event loop is behind",
@@ -65,6 +73,19 @@
         result = "sent" if is_sent else "held_back"
         self._limited_sends.add(1, {"result": result})
 
+    def record_usage_charge(self, result: str) -> None:
+        """Count a request of a customer with a usage limit.
+
+        Args:
+          result: "allowed", "own_part" if no other host could be asked,
+            "refused", "refused_unasked" or "unknown".
+        """
+        self._usage_charges.add(1, {"result": result})
+
+    def record_usage_message(self, kind: str) -> None:
+        """Count a message about a usage limit: "ask", "slow" or "refund"."""
+        self._usage_messages.add(1, {"kind": kind})
+
     def record_answer(self, kind: str, seconds: float) -> None:
         """Record the time to a complete answer of a plain service."""
         self._answer.record(seconds, {"kind": kind})
--- a/nutmegscale/router_settings.py
+++ b/nutmegscale/router_settings.py
@@ -5,6 +5,7 @@
 
 from nutmegscale import backend
 from nutmegscale import caller_request
+from nutmegscale import customers
 from nutmegscale import retry_share
 from nutmegscale import routes
 from nutmegscale import row_store
@@ -23,6 +24,7 @@
       is_first_start: Whether the whole system starts for the first time.
       relay_address_of: Returns where a host takes the requests that others pass
         on, given the address at which its peers reach it.
+      quota_rule: How far all hosts may exceed the usage limits of customers.
     """
 
     host: str
@@ -33,6 +35,7 @@
     retry_limits: retry_share.Limits
     relay_address_of: Callable[[str], str]
     is_first_start: bool = False
+    quota_rule: customers.QuotaRule = customers.QuotaRule()
 
 
 class Codecs(NamedTuple):
--- a/standins/router_world.py
+++ b/standins/router_world.py
@@ -8,6 +8,7 @@
 from twisted.internet import protocol
 from twisted.internet import task
 
+from nutmegscale import customers
 from nutmegscale import http_ingress
 from nutmegscale import retry_share
 from nutmegscale import router
@@ -26,6 +27,7 @@
 STEP_S = 0.005
 STARTUP_S = 2.0
 
+QUOTA_RULE = customers.QuotaRule(8.0, 0.1, 120_000.0)
 CODECS = codecs.make_codecs()
 
 
@@ -113,6 +115,7 @@
                 retry_limits=retry_share.Limits(0.2, self._retry_extra, 10.0),
                 relay_address_of=_relay_address,
                 is_first_start=self.clock.seconds() == 0.0,
+                quota_rule=QUOTA_RULE,
             ),
             self.clock,
             store=self.store.for_host(name),
