config diff: a configuration is checked before it is sent

Cause: an operator learned of a route that never matches, a usage limit below one request or a lost resumption only from callers. `config check` tells whether a folder is valid, and nothing checked the platform's row. Change: `nutmegscale config diff` reports what hosts would refuse with file, line and key, entries without effect, limits at odds, differences from another version by name, and what they do to streams in progress.

--- a/nutmegscale/cli.py
+++ b/nutmegscale/cli.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import time
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 from typing import NoReturn
@@ -20,6 +21,9 @@
 from nutmegscale import operator_client
 from nutmegscale import timeline
 
+if TYPE_CHECKING:
+    from nutmegscale import config_forms
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -32,6 +36,10 @@
     """A command failed; the message tells the operator what to do."""
 
 
+class UsageError(CommandError):
+    """Arguments of a command contradict each other."""
+
+
 class Table(NamedTuple):
     """A table for output to a terminal."""
 
@@ -210,6 +218,26 @@
     return EXIT_OK if same and not unresponsive else EXIT_FAILED
 
 
+def diff_config(args: argparse.Namespace) -> int:
+    """Check a configuration and compare it with the version in force."""
+    # Imported here because only this command needs the routes' code.
+    from nutmegscale import config_diff  # noqa: PLC0415
+
+    if args.in_force and args.against:
+        raise UsageError("give --against or --in-force, not both")
+    in_force = None
+    if args.in_force:
+        answers, problems = _query_hosts(args, "/v1/config")
+        _, document = answers[0]
+        problems += [
+            f"{url}: has another configuration in force"
+            for url, other in answers
+            if other != document
+        ]
+        in_force = config_diff.InForce(document, problems)
+    return config_diff.run(args, in_force)
+
+
 def status(args: argparse.Namespace) -> int:
     """Show hosts, workers, slots, exchanges and quarantine."""
     answers, unresponsive = _query_hosts(args, "/v1/status")
@@ -352,8 +380,47 @@
     return parser
 
 
-def make_parser() -> argparse.ArgumentParser:
-    """Make the parser of the command line."""
+def _add_diff_arguments(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        "path", metavar="PATH", help="the configuration to check"
+    )
+    command.add_argument(
+        "--against",
+        metavar="PATH",
+        help="the version that it would replace, in the same form",
+    )
+    command.add_argument(
+        "--in-force",
+        action="store_true",
+        help="compare with the version in force on the hosts",
+    )
+    command.add_argument(
+        "--strict",
+        action="store_true",
+        help="exit with 3 if there are warnings and no errors",
+    )
+    command.add_argument(
+        "--stream-tokens",
+        type=int,
+        metavar="N",
+        help="tokens of a typical stream (default: 10000)",
+    )
+    command.add_argument(
+        "--max-fds",
+        type=int,
+        metavar="N",
+        help="file descriptors of a host, to compare connections with",
+    )
+
+
+def make_parser(
+    forms: "tuple[config_forms.Form, ...]" = (),
+) -> argparse.ArgumentParser:
+    """Make the parser of the command line.
+
+    Args:
+      forms: Forms of a configuration beside the project's own.
+    """
     parser = _Parser(prog="nutmegscale", description="Operate nutmegscale.")
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
@@ -369,6 +436,9 @@
         "--attempt", metavar="NAME", help="name of the attempt, to repeat one"
     )
     _add_command(configs, "status", config_status)
+    command = _add_command(configs, "diff", diff_config)
+    command.set_defaults(forms=forms)
+    _add_diff_arguments(command)
     _add_command(commands, "status", status)
     command = _add_command(commands, "timeline", show_timeline)
     command.add_argument("--request", metavar="EXCHANGE", default="")
@@ -389,19 +459,27 @@
     return parser
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
+def main(
+    arguments: Sequence[str] | None = None,
+    *,
+    forms: "tuple[config_forms.Form, ...]" = (),
+) -> int:
     """Run the tool.
 
     Args:
       arguments: Arguments of the command; None for those of the process.
+      forms: Forms of a configuration beside the project's own.
 
     Returns:
-      Exit status: 0 on success, 1 if the command failed or was refused. Wrong
-      usage exits with 2.
+      Exit status: 0 on success, 1 if the command failed or was refused, 3 if
+      `config diff --strict` found warnings only. Wrong usage exits with 2.
     """
-    args = make_parser().parse_args(arguments)
+    args = make_parser(forms).parse_args(arguments)
     try:
         return int(args.run(args))
+    except UsageError as exc:
+        sys.stderr.write(f"nutmegscale: {exc}\n")
+        return EXIT_USAGE
     except errors.NutmegscaleError as exc:
         message = " ".join(str(exc).split())
         sys.stderr.write(f"nutmegscale: {message}\n")
--- a/nutmegscale/folder.py
+++ b/nutmegscale/folder.py
@@ -2,6 +2,7 @@
 
 import os
 from typing import Any
+from typing import NamedTuple
 import unicodedata
 
 from nutmegscale import config
@@ -15,6 +16,19 @@
 _Locations = dict[jsonc.Path, tuple[str, int]]
 
 
+class Loaded(NamedTuple):
+    """A checked configuration with where it stands.
+
+    Attributes:
+      document: The document.
+      lines: File and line of each key by its path; the last file that has the
+        key counts.
+    """
+
+    document: config.Document
+    lines: dict[jsonc.Path, tuple[str, int]]
+
+
 def file_names(path: str) -> list[str]:
     """List the configuration files, in the byte order of their NFC names.
 
@@ -54,6 +68,18 @@
 def load(path: str) -> config.Document:
     """Read, merge and check a configuration folder.
 
+    Returns:
+      The checked document.
+
+    Raises:
+      errors.ConfigError: See `load_with_lines`.
+    """
+    return load_with_lines(path).document
+
+
+def load_with_lines(path: str) -> Loaded:
+    """Read, merge and check a configuration folder.
+
     Objects are merged key by key. Any other value in a later file replaces
     that in an earlier one, and null removes the key.
 
@@ -61,23 +87,38 @@
       path: Path of the folder.
 
     Returns:
-      The checked document.
+      The checked document, and where its keys stand.
 
     Raises:
       errors.ConfigError: The configuration is invalid; the error gives file,
         line and key where they are known.
     """
+    return _load([(name, _read(path, name)) for name in file_names(path)])
+
+
+def load_file(path: str) -> Loaded:
+    """Read and check a configuration that stands in one file.
+
+    Raises:
+      errors.ConfigError: See `load_with_lines`.
+    """
+    directory, name = os.path.split(path)
+    return _load([(path, _read(directory, name))])
+
+
+def _load(files: list[tuple[str, str]]) -> Loaded:
+    """Merge and check files, given by their names and texts."""
     merged: dict[str, Any] = {}
     locations: _Locations = {}
-    for name in file_names(path):
-        parsed = jsonc.parse(_read(path, name), name)
+    for name, text in files:
+        parsed = jsonc.parse(text, name)
         if not isinstance(parsed.value, dict):
             raise errors.ConfigError("isn't an object", file=name, line=1)
         for key_path, line in parsed.lines.items():
             locations[key_path] = (name, line)
         merged = merge_patch.apply(merged, parsed.value)
     try:
-        return config.check(merged)
+        return Loaded(config.check(merged), locations)
     except errors.ConfigError as exc:
         raise _with_location(exc, locations) from exc
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -64,8 +64,14 @@
 """
 
 
+def _modules_outside() -> list[pathlib.Path]:
+    adapter = PACKAGE / "platform"
+    return [p for p in PACKAGE.rglob("*.py") if adapter not in p.parents]
+
+
 def test_only_the_assembling_program_imports_the_adapter() -> None:
-    for path in PACKAGE.glob("*.py"):
+    """Guards against a dependency on it, also from other packages."""
+    for path in _modules_outside():
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
             names = []
             if isinstance(node, ast.ImportFrom):
@@ -78,7 +84,7 @@
 
 
 def test_wire_names_stand_only_in_the_adapter() -> None:
-    for path in PACKAGE.glob("*.py"):
+    for path in _modules_outside():
         text = path.read_text(encoding="utf-8")
         assert [w for w in WIRE_NAMES if w in text] == [], path
 
