Comment on line ends states the measured share

Cause: the comment was written before the comparison without a profiler. Change: half of the time instead of a third.

--- a/nutmegscale/jsonc.py
+++ b/nutmegscale/jsonc.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(self, text: str, file: str) -> None:
-        # Counting the line ends before each key anew takes a third of the time
+        # Counting the line ends before each key anew takes half of the time
         # for a configuration of 2,200 customers.
         self._line_ends = [i for i, c in enumerate(text) if c == "\n"]
         self._file = file
