explain: a 401 tells which versions of the configuration hosts had

Cause: the verdict on unknown_key and unknown_customer didn't tell a wrong key from one that the host's configuration didn't have yet.

--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -70,6 +70,12 @@
 }
 
 
+# Event of a host that takes a configuration, with its version.
+CONFIG_EVENT = "config_in_force"
+# Reasons that depend on the version of the configuration at the host.
+_REASONS_OF_CUSTOMERS = ("unknown_key", "unknown_customer")
+
+
 class Explanation(NamedTuple):
     """Explanation of a request's outcome.
 
@@ -82,25 +88,33 @@
     lines: tuple[log_lines.LogLine, ...]
 
 
-def explain(lines: Sequence[log_lines.LogLine]) -> Explanation:
+def explain(
+    lines: Sequence[log_lines.LogLine],
+    changes: Sequence[log_lines.LogLine] = (),
+) -> Explanation:
     """Explain the outcome of a request.
 
     Args:
       lines: Log lines about the request, in order of time.
+      changes: Lines of all hosts that took a configuration, in order of time.
     """
     if not lines:
         return Explanation(
             "no line about it in these logs; was it sent here?", ()
         )
-    return Explanation(_verdict(lines), tuple(lines))
+    return Explanation(_verdict(lines, changes), tuple(lines))
 
 
-def _verdict(lines: Sequence[log_lines.LogLine]) -> str:
+def _verdict(
+    lines: Sequence[log_lines.LogLine], changes: Sequence[log_lines.LogLine]
+) -> str:
     last = {line.event: line for line in lines}
     if "request_failed" in last:
         line = last["request_failed"]
         reason = line.get("reason")
         text = _REASONS.get(reason, reason)
+        if reason in _REASONS_OF_CUSTOMERS:
+            text += _versions_text(line, changes)
         before = _earlier_events(lines)
         return f"{line.get('status')}: {text}{before}"
     if "request_answered" in last:
@@ -114,6 +128,52 @@
     return "still in progress, or its host stopped first"
 
 
+def _versions_text(
+    refusal: log_lines.LogLine, changes: Sequence[log_lines.LogLine]
+) -> str:
+    """Describe which versions of the configuration hosts had at a refusal.
+
+    A key is unknown for a short time where hosts take a version at different
+    times; the hosts' clocks may differ by as much.
+    """
+    host, own = refusal.host, ""
+    version, next_text = 0, ""
+    for change in changes:
+        if change.host != host:
+            continue
+        number = _version_of(change)
+        if change.timestamp <= refusal.timestamp:
+            version = number
+            own = (
+                f"; version {number} was in force on {host} since"
+                f" {change.timestamp}"
+            )
+        elif not next_text:
+            next_text = f", and {number} came at {change.timestamp}"
+    return own + next_text + _ahead_text(refusal, changes, version)
+
+
+def _ahead_text(
+    refusal: log_lines.LogLine,
+    changes: Sequence[log_lines.LogLine],
+    version: int,
+) -> str:
+    """Describe which other host had a later version before a refusal."""
+    for change in changes:
+        is_before = change.timestamp <= refusal.timestamp
+        if version and is_before and _version_of(change) > version:
+            return (
+                f"; {change.host} already had {_version_of(change)}, since"
+                f" {change.timestamp}"
+            )
+    return ""
+
+
+def _version_of(change: log_lines.LogLine) -> int:
+    text = change.get("version")
+    return int(text) if text.isdecimal() else 0
+
+
 def _latency_text(line: log_lines.LogLine) -> str:
     """Describe how long the answer took and, for a stream, in which phases."""
     if not line.get("first_ms"):
--- a/nutmegscale/log_commands.py
+++ b/nutmegscale/log_commands.py
@@ -20,7 +20,10 @@
       The exit status; a failure if the logs have no line about the request.
     """
     lines = _read(args.logs)
-    found = explanation.explain(log_lines.of_request(lines, args.request))
+    found = explanation.explain(
+        log_lines.of_request(lines, args.request),
+        log_lines.of_event(lines, explanation.CONFIG_EVENT),
+    )
     if args.json:
         verdict = {
             "verdict": found.verdict,
--- a/nutmegscale/log_lines.py
+++ b/nutmegscale/log_lines.py
@@ -73,3 +73,17 @@
         if line is not None and line.request.partition(".")[0] == request:
             found.append(line)
     return sorted(found, key=lambda line: line.timestamp)
+
+
+def of_event(lines: Iterable[str], event: str) -> list[LogLine]:
+    """Return the lines of an event, in order of time.
+
+    Args:
+      lines: Log lines of all hosts, in any order.
+      event: Name of the event.
+    """
+    parsed = (parse(text) for text in lines if event in text)
+    found = [
+        line for line in parsed if line is not None and line.event == event
+    ]
+    return sorted(found, key=lambda line: line.timestamp)
--- a/tests/test_log_commands.py
+++ b/tests/test_log_commands.py
@@ -85,3 +85,43 @@
     assert line is not None
     verdict = explanation.explain([line]).verdict
     assert "first event after 950.0 ms, of which 700.0 ms for a slot" in verdict
+
+
+def _line(text: str) -> log_lines.LogLine:
+    line = log_lines.parse(text)
+    assert line is not None
+    return line
+
+
+@pytest.mark.parametrize(
+    ("changes", "said"),
+    [
+        (
+            ["a 3 02", "a 4 05"],
+            "; version 3 was in force on a since 02, and 4 came at 05",
+        ),
+        (
+            ["a 3 01", "b 4 02", "b 5 04"],
+            "; version 3 was in force on a since 01; b already had 4, since 02",
+        ),
+        (["b 4 02", "a x 01"], "; version 0 was in force on a since 01"),
+        ([], ""),
+    ],
+)
+@pytest.mark.parametrize("reason", ["unknown_key", "unknown_customer"])
+def test_verdict_on_a_customer_tells_the_versions_of_hosts(
+    reason: str, changes: list[str], said: str
+) -> None:
+    """Guards against a key that is too new being taken for a wrong one."""
+    refusal = _line(
+        f"timestamp=03 event=request_failed request=r status=401"
+        f" reason={reason} host=a"
+    )
+    lines = [
+        f"timestamp={at} event=config_in_force version={number} host={host}"
+        for host, number, at in (change.split() for change in changes)
+    ]
+    found = log_lines.of_event(lines, explanation.CONFIG_EVENT)
+    verdict = explanation.explain([refusal], found).verdict
+    assert verdict.startswith("401: ")
+    assert verdict.endswith(said) if said else "version" not in verdict
