config diff: fields inside unknown fields of customers aren't named

Cause: names of fields inside a field that hosts don't know, and of fields that stand there twice, were printed; an operator may keep keys there. Change: such a field is compared as a whole, and its place ends with it. Measured: test_keys_are_counted_and_never_shown fails before and passes.

--- a/nutmegscale/platform/check_config.py
+++ b/nutmegscale/platform/check_config.py
@@ -108,7 +108,10 @@
         lines = {path: (file, line) for path, line in parsed.lines.items()}
     except errors.ConfigError as exc:
         if exc.key:
-            key = exc.key.partition(f".{_KEYS}.")[0]
+            key = exc.key
+            if key.startswith(f"{_TENANTS}."):
+                # What is inside a field of a tenant might be a key.
+                key = ".".join(key.split(".")[:3])
             found.append(
                 config_check.Finding(
                     "error",
@@ -182,15 +185,21 @@
 
 
 def _tree(raw: dict[str, Any]) -> Any:
-    tree = config_check.make_tree(raw)
     # Each change has another version.
-    tree.get("", {}).get("", {}).pop("version", None)
-    for fields in tree.get(_TENANTS, {}).values():
-        for name, value in fields.items():
-            if name not in _SHOWN:
-                noun = "key" if name == _KEYS else "value"
-                fields[name] = config_check.hide(noun, value)
-    return tree
+    shown = {name: raw[name] for name in raw if name != "version"}
+    if raw.get(_TENANTS):
+        # Before the comparison names inner fields, which might be keys too.
+        shown[_TENANTS] = [_hide_keys(tenant) for tenant in raw[_TENANTS]]
+    return config_check.make_tree(shown)
+
+
+def _hide_keys(tenant: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: value
+        if name in _SHOWN
+        else config_check.hide("key" if name == _KEYS else "value", value)
+        for name, value in tenant.items()
+    }
 
 
 def _with_place(
--- a/tests/test_config_diff.py
+++ b/tests/test_config_diff.py
@@ -345,8 +345,17 @@
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     """Guards against an API key in the output, in any field of a customer."""
-    old = _row(tenants=[TENANT, {**SMALL, "oldKeys": ["0ld-key"]}])
-    new = _row(2, tenants=[{**TENANT, "apiKeys": [NEW_KEY, KEY + "2"]}])
+    old = _row(tenants=[{**TENANT, "was": {"0ld-key": 1}}, SMALL])
+    new = _row(
+        2,
+        tenants=[
+            {
+                **TENANT,
+                "apiKeys": [NEW_KEY, KEY + "2"],
+                "was": {"0ld-key": 2},
+            }
+        ],
+    )
     for name, row in (("old.json", old), ("new.json", new)):
         (tmp_path / name).write_text(json.dumps(row), encoding="utf-8")
     paths = [
