--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -303,6 +303,12 @@
     assert "conflict: revision 2 won" in capsys.readouterr().err
     assert cli.main(["config", "status", "--json", *urls]) == cli.EXIT_OK
     assert json.loads(capsys.readouterr().out)["same"] is True
+    difference = ["config", "diff", "--in-force", "--json", *urls]
+    assert cli.main([*difference, folder, "--strict"]) == cli.EXIT_OK
+    assert json.loads(capsys.readouterr().out)["differences"] == []
+    assert cli.main([*difference, "examples/consortium"]) == cli.EXIT_OK
+    notes = json.loads(capsys.readouterr().out)["findings"]
+    assert "service_removed" in {note["code"] for note in notes}
     assert cli.main(["status", *urls]) == cli.EXIT_OK
     assert "prefill-maadi" in capsys.readouterr().out
     assert cli.main(["timeline", "--json", *urls]) == cli.EXIT_OK
