--- a/nutmegscale/cli.py
+++ b/nutmegscale/cli.py
@@ -413,17 +413,9 @@
     )
 
 
-def make_parser(
-    forms: "tuple[config_forms.Form, ...]" = (),
-) -> argparse.ArgumentParser:
-    """Make the parser of the command line.
-
-    Args:
-      forms: Forms of a configuration beside the project's own.
-    """
-    parser = _Parser(prog="nutmegscale", description="Operate nutmegscale.")
-    parser.add_argument("--version", action="version", version=__version__)
-    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+def _add_config_commands(
+    commands: Any, forms: "tuple[config_forms.Form, ...]"
+) -> None:
     group = commands.add_parser("config", help="Configuration folder.")
     configs = group.add_subparsers(required=True, metavar="COMMAND")
     for name, run in (("check", config_check), ("show", config_show)):
@@ -439,6 +431,20 @@
     command = _add_command(configs, "diff", diff_config)
     command.set_defaults(forms=forms)
     _add_diff_arguments(command)
+
+
+def make_parser(
+    forms: "tuple[config_forms.Form, ...]" = (),
+) -> argparse.ArgumentParser:
+    """Make the parser of the command line.
+
+    Args:
+      forms: Forms of a configuration beside the project's own.
+    """
+    parser = _Parser(prog="nutmegscale", description="Operate nutmegscale.")
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_config_commands(commands, forms)
     _add_command(commands, "status", status)
     command = _add_command(commands, "timeline", show_timeline)
     command.add_argument("--request", metavar="EXCHANGE", default="")
