Limits of memory and connections follow from the machine's settings

Cause: the bounds on bodies were constants for a machine of 128 MB; nothing decided which connection goes when all of them together are too much. Nothing uses them yet.

--- a/nutmegscale/platform/settings.py
+++ b/nutmegscale/platform/settings.py
@@ -9,6 +9,7 @@
 from nutmegscale import customers
 from nutmegscale import decoding
 from nutmegscale import errors
+from nutmegscale import memory_budget
 from nutmegscale import retry_share
 
 SETTINGS_VARIABLE = "NUTMEGSCALE_SETTINGS"
@@ -35,6 +36,7 @@
       drain_s: Time after which a draining backend server must receive no
         more requests, seconds.
       retry_limits: Retry budget of each service, over all hosts.
+      memory_limits: What callers and servers may hold in memory.
       is_first_start: Whether the whole system starts for the first time.
       quota_rule: How far all hosts may exceed the usage limits of customers.
     """
@@ -53,6 +55,7 @@
     grace_s: float
     drain_s: float
     retry_limits: retry_share.Limits
+    memory_limits: memory_budget.MemoryLimits
     is_first_start: bool
     quota_rule: customers.QuotaRule
 
@@ -79,6 +82,16 @@
 
 class _Limits(msgspec.Struct):
     link_mbps: float = msgspec.field(name="linkMbps", default=1000.0)
+    memory_mb: float = msgspec.field(
+        name="memoryMb", default=memory_budget.DEFAULT_MEMORY_MB
+    )
+    max_fds: int = msgspec.field(
+        name="maxFds", default=memory_budget.DEFAULT_MAX_FDS
+    )
+    caller_memory_mb: float = msgspec.field(name="callerMemoryMb", default=0.0)
+    caller_connections: int = msgspec.field(name="callerConnections", default=0)
+    relay_connections: int = msgspec.field(name="relayConnections", default=0)
+    max_header_lines: int = msgspec.field(name="maxHeaderLines", default=0)
 
 
 class _SettingsFile(msgspec.Struct):
@@ -148,11 +161,35 @@
         grace_s=bounds.grace,
         drain_s=bounds.drain_ms / 1000,
         retry_limits=_retry_limits(path, bounds),
+        memory_limits=_memory_limits(path, file_settings.limits),
         is_first_start=file_settings.bootstrap,
         quota_rule=_quota_rule(path, bounds),
     )
 
 
+def _memory_limits(path: str, limits: _Limits) -> memory_budget.MemoryLimits:
+    """Return the limits of the machine; a setting of 0 is derived from it."""
+    for name, value in (
+        ("memoryMb", limits.memory_mb),
+        ("maxFds", limits.max_fds),
+    ):
+        if value <= 0:
+            raise errors.SettingsError(
+                f"{path}: limits.{name}: {value} isn't above 0"
+            )
+    derived = memory_budget.derive_limits(limits.memory_mb, limits.max_fds)
+    stated = {
+        "held_bytes": int(limits.caller_memory_mb * memory_budget.MEGABYTE),
+        "caller_connections": limits.caller_connections,
+        "relay_connections": limits.relay_connections,
+        "max_header_lines": limits.max_header_lines,
+    }
+    for name, number in stated.items():
+        if number < 0:
+            raise errors.SettingsError(f"{path}: limits: {name} is below 0")
+    return derived._replace(**{n: v for n, v in stated.items() if v})
+
+
 def _retry_limits(path: str, bounds: _Bounds) -> retry_share.Limits:
     window_s = bounds.retry_window
     if window_s <= 0.0:
