What servers and the store send is kept at its size, and ends

Cause: parts of answers were kept as lists of what the parser gave: 256 KB in chunks of two bytes took 5.8 MB, 360 KB of a body 22 MB; heads were bounded by bytes only (4.1 MB of short lines); a connection remembered 200 request ids of any length (2.3 MB); parts for slow callers were bounded for each call, not for all; the client of other servers queued lines by their number, up to 64 MB and more; a store whose pages have no end was read without end. Change: one growing buffer for each answer; 1,000 header lines; long ids are remembered by a digest; all calls together buffer a sixteenth of the memory, and beyond it 16 KB each; lines wait by their bytes too; a table is read up to 16 MB, and its pages must go on. Only new bytes of an event are searched. test_upstream takes the bound on collected bodies from the limits.

--- a/nutmegscale/event_stream.py
+++ b/nutmegscale/event_stream.py
@@ -13,13 +13,13 @@
     """Splits a response body into complete events and tracks their ids."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
         self._last_id = b""
 
     @property
     def rest(self) -> bytes:
         """Bytes of an event that isn't complete yet."""
-        return self._rest
+        return bytes(self._rest)
 
     @property
     def last_id(self) -> bytes:
@@ -32,18 +32,20 @@
         Raises:
           errors.MalformedAnswerError: An event is too long.
         """
-        data = self._rest + data
-        end = data.rfind(b"\n\n")
-        unfinished = len(data) - (end + 2 if end >= 0 else 0)
+        # Only what is new is searched: an event may come in parts of a byte.
+        searched_from = max(0, len(self._rest) - 1)
+        self._rest += data
+        end = self._rest.rfind(b"\n\n", searched_from)
+        unfinished = len(self._rest) - (end + 2 if end >= 0 else 0)
         if unfinished > MAX_EVENT_BYTES:
             raise errors.MalformedAnswerError(
                 f"event of {unfinished} bytes or more, expected at most "
                 f"{MAX_EVENT_BYTES}"
             )
         if end < 0:
-            self._rest = data
             return b""
-        complete, self._rest = data[: end + 2], data[end + 2 :]
+        complete = bytes(self._rest[: end + 2])
+        del self._rest[: end + 2]
         for line in complete.split(b"\n"):
             if line.startswith(b"id:"):
                 self._last_id = line[3:].strip()
--- a/nutmegscale/http_client.py
+++ b/nutmegscale/http_client.py
@@ -30,8 +30,10 @@
 MAX_HEAD_BYTES = 64 << 10
 # Longest body of a complete response, as received and decompressed.
 MAX_BODY_BYTES = 4 << 20
-# A stream's connection isn't read while more lines than this are waiting.
+# A stream's connection isn't read while more lines, or more bytes in them, than
+# this are waiting.
 MAX_QUEUED_LINES = 256
+MAX_QUEUED_BYTES = 1 << 20
 HEAD_END = b"\r\n\r\n"
 
 _T = TypeVar("_T")
@@ -180,8 +182,7 @@
     """Response body that is collected completely, up to a limit."""
 
     def __init__(self) -> None:
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
         self._connection: Any = None
         self.done: defer.Deferred[bytes] = defer.Deferred(self._cancel)
 
@@ -194,11 +195,10 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Keep a part of the body; abort if it gets too long."""
-        self._size += len(data)
         if self.done.called:
             return
-        if self._size > MAX_BODY_BYTES:
-            self._parts.clear()
+        if len(self._body) + len(data) > MAX_BODY_BYTES:
+            self._body = bytearray()
             self.done.errback(
                 errors.TransportError(
                     f"response body exceeds {MAX_BODY_BYTES} bytes"
@@ -206,7 +206,7 @@
             )
             _abort(self.transport)
             return
-        self._parts.append(data)
+        self._body += data
 
     def connectionLost(self, reason: Any = protocol.connectionDone) -> None:  # noqa: N802
         """Complete the body, or fail if it broke off."""
@@ -220,7 +220,7 @@
                 errors.TransportError("connection reset within the body")
             )
         elif reason.check(client.ResponseDone, http.PotentialDataLoss):
-            self.done.callback(b"".join(self._parts))
+            self.done.callback(bytes(self._body))
         else:
             self.done.errback(reason)
 
@@ -242,17 +242,21 @@
 
     def __init__(self, clock: Any) -> None:
         self._clock = clock
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._queued_bytes = 0
         self._lines: defer.DeferredQueue[bytes | None] = defer.DeferredQueue()
         self._closed = False
         self._is_paused = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Split received data into lines; abort if one is too long."""
-        *lines, self._buffer = (self._buffer + data).split(b"\n")
-        for line in lines:
-            self._lines.put(line)
-        if len(self._lines.pending) > MAX_QUEUED_LINES:
+        self._buffer += data
+        if b"\n" in data:
+            *lines, self._buffer = self._buffer.split(b"\n")
+            for line in lines:
+                self._queued_bytes += len(line)
+                self._lines.put(bytes(line))
+        if self._is_full:
             self._pause(True)
         if len(self._buffer) > MAX_LINE_BYTES:
             self.close()
@@ -263,6 +267,14 @@
             self._closed = True
             self._lines.put(None)
 
+    @property
+    def _is_full(self) -> bool:
+        """Whether as much waits as may."""
+        return (
+            len(self._lines.pending) > MAX_QUEUED_LINES
+            or self._queued_bytes > MAX_QUEUED_BYTES
+        )
+
     async def next_line(self, timeout_s: float) -> bytes | None:
         """Wait for the next line.
 
@@ -276,15 +288,17 @@
           errors.ResponseTimeoutError: No line arrived in time.
         """
         waiting: defer.Deferred[bytes | None] = self._lines.get()
-        if len(self._lines.pending) <= MAX_QUEUED_LINES:
-            self._pause(False)
         waiting.addTimeout(timeout_s, self._clock)
         try:
-            return await waiting
+            line = await waiting
         except (defer.TimeoutError, error.TimeoutError) as exc:
             raise errors.ResponseTimeoutError(
                 f"stream made no progress in {timeout_s:.2f} s"
             ) from exc
+        self._queued_bytes -= len(line or b"")
+        if not self._is_full:
+            self._pause(False)
+        return line
 
     def _pause(self, is_paused: bool) -> None:
         """Stop reading from the connection, or go on."""
@@ -298,7 +312,7 @@
 
     def rest(self) -> bytes:
         """Return the data after the last complete line."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def close(self) -> None:
         """Abort the connection."""
--- a/nutmegscale/platform/store_client.py
+++ b/nutmegscale/platform/store_client.py
@@ -19,6 +19,9 @@
 ANSWER_TIMEOUT_S = 1.5
 MAX_ANSWER_BYTES = 8 << 20
 PAGE_ROWS = 500
+# Longest table that is read, in all its pages: keys and values, bytes. The
+# entries of 1,500 servers take 0.5 MB.
+MAX_TABLE_BYTES = 16 << 20
 ERA_HEADER = b"store-era"
 
 
@@ -57,6 +60,7 @@
         rows: list[row_store.Row] = []
         first_key = ""
         first_page: tuple[int, int] | None = None
+        size = 0
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if first_key:
@@ -70,7 +74,14 @@
                     f"table {table}: the store was restored during the read, "
                     f"era {first_page[1]} became {era}"
                 )
-            rows += _rows(answer)
+            page = _rows(answer)
+            size += sum(len(row.key) + len(row.value) for row in page)
+            is_repeated = bool(page) and page[0].key < first_key
+            if is_repeated or size > MAX_TABLE_BYTES:
+                raise errors.StoreError(
+                    f"table {table}: pages without end, {size} bytes so far"
+                )
+            rows += page
             if not answer.more or not answer.rows:
                 return row_store.StoreResult(
                     tuple(rows), first_page[0], era=era
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -1,6 +1,7 @@
 """Pool of persistent HTTP/1.1 connections to backend servers."""
 
 from collections.abc import Callable
+import hashlib
 from typing import Any
 
 import httptools
@@ -12,6 +13,7 @@
 from nutmegscale import decoding
 from nutmegscale import errors
 from nutmegscale import http_message
+from nutmegscale import memory_budget
 from nutmegscale import tcp_options
 from nutmegscale import upstream_call
 
@@ -26,6 +28,11 @@
 # Bytes since a request was sent, or since the last part of its answer's body,
 # that aren't body: heads, trailers, and answers to other requests.
 MAX_OVERHEAD_BYTES = 256 << 10
+# Lines of the heads and trailers of a response. Those of sound servers have
+# some twenty; in 256 KB there are up to 65,000, which take 6 MB.
+MAX_HEADER_LINES = 1_000
+# Longest request id that a connection remembers as it is, bytes.
+MAX_REMEMBERED_ID_BYTES = 64
 # Why no connection could be made: it was refused or not answered, the name of
 # the server can't be resolved, or the host has no more file descriptors.
 _CONNECT_ERRORS = (error.ConnectError, OSError)
@@ -83,7 +90,7 @@
         """
         return (
             self.served < MAX_REQUESTS_PER_CONNECTION
-            and request_id not in self._carried_ids
+            and _remembered(request_id) not in self._carried_ids
         )
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -98,7 +105,7 @@
         self.served += 1
         self._call = call
         self._request_id = request.request_id
-        self._carried_ids.add(request.request_id)
+        self._carried_ids.add(_remembered(request.request_id))
         self._is_trusted = request.is_trusted
         self._is_head_request = request.head.method == b"HEAD"
         self._parser = httptools.HttpResponseParser(self)
@@ -149,6 +156,13 @@
         """Handle a header; see httptools."""
         if self._call is not None:
             self._headers.append((name, value))
+            if len(self._headers) > MAX_HEADER_LINES:
+                self._fail(
+                    errors.MalformedAnswerError(
+                        f"more than {MAX_HEADER_LINES} headers"
+                    )
+                )
+                self._must_abort = True
 
     def on_headers_complete(self) -> None:
         """Pass on the head if it belongs to the request; see httptools."""
@@ -306,6 +320,16 @@
             self._pool.add_idle(connection, IDLE_TIMEOUT_S)
 
 
+def _remembered(request_id: bytes) -> bytes:
+    """Return what a connection remembers of a request id.
+
+    An id may be as long as a head; 200 of them would take 3 MB.
+    """
+    if len(request_id) <= MAX_REMEMBERED_ID_BYTES:
+        return request_id
+    return hashlib.blake2b(request_id).digest()
+
+
 def _may_carry(connection: _Connection, request: upstream_call.Request) -> bool:
     return request.is_trusted or connection.may_carry(request.request_id)
 
@@ -345,13 +369,14 @@
         *,
         connect: Callable[..., Any] | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        limits: memory_budget.MemoryLimits | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
         self._connect = connect or self._connect_tcp
         self._idle: dict[str, list[_Connection]] = {}
-        self._bodies = upstream_call.BodyMemory()
+        self._bodies = upstream_call.BodyMemory(limits)
         self._on_connect: Callable[[str, Exception | None], None] = lambda *_: (
             None
         )
@@ -379,6 +404,11 @@
         """Bytes of the bodies that all calls are collecting."""
         return self._bodies.collected_bytes
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of responses that were received and not taken yet."""
+        return self._bodies.buffered_bytes
+
     async def call(
         self,
         address: str,
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -1,6 +1,5 @@
 """One request to a server and its response as it is received."""
 
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -10,15 +9,15 @@
 
 from nutmegscale import errors
 from nutmegscale import http_message
+from nutmegscale import memory_budget
 
 # Reading from the server pauses while more of a response than this is buffered
-# for a slow caller.
+# for a slow caller; the second limit applies while all calls together are
+# beyond theirs.
 MAX_BUFFERED_BYTES = 256 << 10
-# Limit on the bodies being collected for all calls together: an eighth of the
-# memory of the smallest host, which has 128 MB by the deployment's
-# specification. Beyond it, the calls whose body is longer than the second
-# limit fail.
-MAX_COLLECTED_BYTES = 16 << 20
+MAX_BUFFERED_WHEN_FULL_BYTES = 16 << 10
+# While the bodies of all calls are beyond their limit, the calls whose body is
+# longer than this fail, bytes.
 MAX_BODY_WHEN_FULL_BYTES = 256 << 10
 
 
@@ -56,20 +55,31 @@
 
 
 class BodyMemory:
-    """Counts the bytes of bodies that all calls of a pool are collecting.
+    """Counts what all calls of a pool keep of their responses.
 
     Attributes:
-      collected_bytes: Their number.
+      collected_bytes: Bytes of the bodies that are collected.
+      buffered_bytes: Bytes that were received and not taken yet.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, limits: memory_budget.MemoryLimits | None = None
+    ) -> None:
+        self._limits = limits or memory_budget.MemoryLimits()
         self.collected_bytes = 0
+        self.buffered_bytes = 0
 
     def allows(self, size: int) -> bool:
         """Whether a body of a size may go on growing."""
-        is_full = self.collected_bytes > MAX_COLLECTED_BYTES
+        is_full = self.collected_bytes > self._limits.collected_bytes
         return not is_full or size <= MAX_BODY_WHEN_FULL_BYTES
 
+    def must_pause(self, size: int) -> bool:
+        """Whether reading stops for a call that has buffered a size."""
+        is_full = self.buffered_bytes > self._limits.buffered_bytes
+        limit = MAX_BUFFERED_WHEN_FULL_BYTES if is_full else MAX_BUFFERED_BYTES
+        return size > limit
+
 
 class Call:
     """One request on one connection and its response as it is received."""
@@ -87,8 +97,9 @@
         self._clock = clock
         self._on_head = on_head
         self._head: http_message.ResponseHead | None = None
-        self._chunks: deque[bytes] = deque()
-        self._buffered_bytes = 0
+        # One buffer: a server may send parts of a byte or two.
+        self._buffer = bytearray()
+        self._is_dropped = False
         self._is_complete = False
         self._failure: errors.TransportError | None = None
         self._waiter: defer.Deferred[None] | None = None
@@ -116,15 +127,13 @@
           errors.TransportError: The response broke off.
         """
         deadline = self._clock.seconds() + timeout_s
-        while not self._chunks:
+        while not self._buffer:
             if self._is_complete:
                 return b""
             if self._failure is not None:
                 raise self._failure
             await self._wait(deadline)
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered_bytes = 0
+        data = self._take()
         self._connection.resume()
         return data
 
@@ -136,14 +145,14 @@
           errors.TransportError: The response broke off or is too long.
         """
         deadline = self._clock.seconds() + timeout_s
-        parts: list[bytes] = []
+        collected = bytearray()
         size = 0
         try:
             while True:
                 left_s = max(0.0, deadline - self._clock.seconds())
                 data = await self.chunk(left_s)
                 if not data:
-                    return b"".join(parts)
+                    return bytes(collected)
                 size += len(data)
                 self._bodies.collected_bytes += len(data)
                 if size > max_bytes:
@@ -155,12 +164,24 @@
                         f"response body of {size} bytes or more, and "
                         f"{self._bodies.collected_bytes} bytes in all calls"
                     )
-                parts.append(data)
+                collected += data
         finally:
             self._bodies.collected_bytes -= size
 
+    def _take(self) -> bytes:
+        """Return what is buffered, and keep nothing."""
+        data = bytes(self._buffer)
+        self._buffer = bytearray()
+        self._bodies.buffered_bytes -= len(data)
+        return data
+
     def abort(self) -> None:
-        """Close the connection, unless the response is complete."""
+        """Drop what is left of the response.
+
+        The connection is closed, unless the response is complete.
+        """
+        self._is_dropped = True
+        self._take()
         if not self._is_complete:
             self._connection.abort()
 
@@ -195,9 +216,11 @@
 
     def got_data(self, data: bytes) -> None:
         """Handle a part of the body."""
-        self._chunks.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if self._is_dropped:
+            return
+        self._buffer += data
+        self._bodies.buffered_bytes += len(data)
+        if self._bodies.must_pause(len(self._buffer)):
             self._connection.pause()
         self._wake()
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -15,6 +15,7 @@
 
 from nutmegscale import errors
 from nutmegscale import http_message
+from nutmegscale import memory_budget
 from nutmegscale import upstream
 from nutmegscale import upstream_call
 
@@ -155,7 +156,7 @@
         if len(failed) == 10:
             break
     assert len(failed) == 10
-    assert most <= upstream_call.MAX_COLLECTED_BYTES + 4_096
+    assert most <= memory_budget.MemoryLimits().collected_bytes + 4_096
     assert net.pool.collected_bytes == 0
     call = net.run(net.pool.call(ADDRESS, _request()))
     defer.ensureDeferred(call.body(5.0, 4 << 20)).addCallback(small.append)
