What callers send and don't read is accounted at its size and bounded

Cause: bodies were kept as the list of the parser's pieces and heads as pairs, both accounted by payload size; answers that weren't read weren't accounted; connections weren't limited. 400 callers took a daemon of 46 MB to 340 MB. Change: a body grows in one buffer; heads count by lines and bytes; unsent answers, waiting data and requests in progress count too, in one budget of all ports. Beyond it the connection that holds most for what it moves is refused with 503 while its request is received, or cut if it doesn't read its answer. Data is parsed in slices of 16 KB and in turns. Heads end at the same length however they are cut; trailers and framing are bounded; a line break after a request no longer closes its connection. Open connections are limited; the oldest unused one is closed. Freed memory goes back to the system. Two tests of test_http_ingress replaced constants by limits that they set.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -9,30 +9,40 @@
 
 from collections.abc import Callable
 import enum
+import sys
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
 
 import httptools
-from twisted.internet import defer
 from twisted.internet import protocol
 
+from nutmegscale import answer_sender
 from nutmegscale import http_message
 from nutmegscale import logs
+from nutmegscale import memory_budget
+from nutmegscale import parse_turns
 from nutmegscale import tcp_options
 
 # How long data of the caller is read and discarded after the last response was
 # sent, so that it isn't reset before the caller has received it.
 LINGER_TIMEOUT_S = 1.0
-# Limit on the bodies being read on all connections together: a quarter of the
-# memory of the smallest host, which has 128 MB by the deployment's
-# specification.
-MAX_BUFFERED_BODY_BYTES = 32 << 20
-# Limit on the bodies of all requests that are received or processed, by their
-# stated lengths: each is kept until its answer, and copied once to be sent to a
-# server. Beyond it, only small bodies are taken, of up to the second limit.
-MAX_HELD_BODY_BYTES = 32 << 20
+# While the bodies of all requests are beyond their limit, only smaller ones are
+# taken, bytes.
 MAX_SMALL_BODY_BYTES = 64 << 10
+# Bytes that are parsed at once. The parser makes up to 2,700 calls for them.
+SLICE_BYTES = 16 << 10
+# Part of a head that its limit doesn't count: method, version and line breaks.
+UNCOUNTED_HEAD_BYTES = 64
+# Memory of a header besides its text, bytes: a pair and its place in two lists;
+# and of each string in it. Strings of less than two bytes are shared.
+HEADER_BYTES = 90
+HEADER_TEXT_BYTES = 40
+# Connections that are being closed, beyond the limit on open ones.
+MAX_CLOSING = 32
+# Bytes received for each byte of the longest body, beyond which a body is
+# refused. Chunks of one byte take six.
+MAX_FRAMING_RATIO = 8
 BUSY_RETRY_AFTER_S = 1.0
 # A host that shuts down closes a new connection without a request only after
 # this time, seconds: its first request may be on the way.
@@ -61,18 +71,50 @@
     """Counts the bytes of bodies from their head to their answer.
 
     Attributes:
+      limit: Their number beyond which only small bodies are taken.
       size: Their number, on all connections that share the count.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, limit: int = memory_budget.MemoryLimits().body_bytes
+    ) -> None:
+        self.limit = limit
         self.size = 0
 
     def allows(self, body_bytes: int) -> bool:
         """Whether a body that is counted already may be taken."""
-        is_full = self.size > MAX_HELD_BODY_BYTES
+        is_full = self.size > self.limit
         return not is_full or body_bytes <= MAX_SMALL_BODY_BYTES
 
 
+class SharedMemory:
+    """What the connections of several ports share.
+
+    Args:
+      clock: Twisted clock.
+      limits: Limits of the machine.
+
+    Attributes:
+      held: Count of the bodies that are received or processed.
+      budget: Memory of all connections.
+      turns: Turns of the connections to parse.
+      owners: Connection of each account.
+    """
+
+    def __init__(
+        self, clock: Any, limits: memory_budget.MemoryLimits | None = None
+    ) -> None:
+        self.budget = memory_budget.MemoryBudget(limits)
+        self.held = HeldBodies(self.budget.limits.body_bytes)
+        self.turns = parse_turns.ParseTurns(clock)
+        self.owners: dict[memory_budget.Account, IngressConnection] = {}
+
+    def set_limits(self, limits: memory_budget.MemoryLimits) -> None:
+        """Change the limits; what exceeds them is closed as more arrives."""
+        self.budget.limits = limits
+        self.held.limit = limits.body_bytes
+
+
 class Handler(Protocol):
     """Handler of received requests."""
 
@@ -103,6 +145,7 @@
       is_relayed: Whether another host has passed it on.
       since_open_s: Time from the acceptance of its connection to `arrived`,
         seconds; 0 if it isn't the first request there.
+      size: Its size in memory, bytes.
     """
 
     def __init__(
@@ -121,6 +164,7 @@
         self.arrived = arrived
         self.is_relayed = False
         self.since_open_s = 0.0
+        self.size = 0
 
     @property
     def is_started(self) -> bool:
@@ -240,30 +284,6 @@
             self._on_disconnect()
 
 
-class _SentWatch:
-    """Pull producer that reports when all written data was sent.
-
-    A transport asks it for data once when it is registered, and again when it
-    has sent what was written.
-
-    Args:
-      on_sent: Called each time when that is so.
-    """
-
-    def __init__(self, on_sent: Callable[[], None]) -> None:
-        self._on_sent = on_sent
-        self._is_registered = False
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Handle a call of the transport; see twisted's IPullProducer."""
-        if self._is_registered:
-            self._on_sent()
-        self._is_registered = True
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Do nothing: the loss of the connection is handled apart."""
-
-
 class IngressConnection(protocol.Protocol):
     """Connection of a caller that carries one request at a time."""
 
@@ -277,33 +297,35 @@
         self._is_closing = False
         self._is_discarding = False
         self._is_refused = False
-        self._is_streaming = False
-        self._is_sending = False
-        self._when_sent: Callable[[], None] | None = None
-        self._is_blocked = False
-        self._unblocked: defer.Deferred[None] | None = None
+        self._is_paused = False
+        self._sender = answer_sender.AnswerSender(
+            factory.clock, self._on_progress
+        )
         self._opened_at = factory.now()
+        self._account = factory.budget.open(self._opened_at)
         self._has_received = False
         self._is_first = True
-        self._body_bytes = 0
         self._held_bytes = 0
+        # Data that is parsed later.
+        self._rest = b""
         self._reset_message()
 
     def _reset_message(self) -> None:
-        self._release_body()
+        self._body = bytearray()
         self._target = b""
         self._headers: list[http_message.Header] = []
+        self._header_memory = 0
+        self._head: http_message.RequestHead | None = None
         self._head_bytes = 0
         self._has_head = False
+        self._max_body_bytes = 0
+        self._wire_bytes = 0
+        self._quiet_bytes = 0
+        self._calls = 0
         self._is_complete = False
         self._has_pipelined_request = False
         self._refusal_status = 0
 
-    def _release_body(self) -> None:
-        self._factory.buffered_body_bytes -= self._body_bytes
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-
     def _hold(self, size: int) -> None:
         """Count a part of a body that is kept until the answer."""
         self._held_bytes += size
@@ -315,30 +337,69 @@
         self._factory.held.size -= self._held_bytes
         self._held_bytes = 0
 
+    @property
+    def account(self) -> memory_budget.Account:
+        """What the connection holds and moves."""
+        return self._account
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is received or processed, and no answer sent."""
-        is_busy = self._request is not None or self._is_sending
-        return not is_busy and not self._head_bytes
+        is_busy = self._request is not None or self._sender.is_sending
+        return not is_busy and not self._head_bytes and not self._rest
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set up a new connection."""
         tcp_options.apply(self.transport)
-        self._factory.connections.add(self)
-        self._start_timer(self._factory.limits().idle_timeout_s)
+        self._sender.attach(self.transport)
+        self._factory.add(self)
+        if not self._is_discarding:
+            self._start_timer(self._factory.limits().idle_timeout_s)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Cancel the request that the caller was waiting for."""
-        self._factory.connections.discard(self)
-        self._is_streaming = False
-        self._when_sent = None
+        self._is_discarding = True
+        self._factory.remove(self)
+        self._factory.open_count -= 1
+        self._sender.stop()
         self._cancel_timer()
-        self._release_body()
+        self._rest = b""
+        self._reset_message()
         self._release_held()
         request, self._request = self._request, None
         if request is not None:
             request.on_connection_lost()
 
+    def _update_account(self) -> None:
+        """Account what the connection holds, at its size in memory."""
+        held = len(self._rest) + self._sender.unsent_bytes
+        if self._body:
+            held += sys.getsizeof(self._body)
+        if self._head_bytes:
+            held += self._head_bytes + self._header_memory
+        if self._request is not None:
+            held += self._request.size
+        self._account.hold(held)
+        self._account.phase = self._phase()
+
+    def _phase(self) -> memory_budget.Phase:
+        if self._request is not None:
+            if self._sender.is_blocked:
+                return memory_budget.Phase.STREAMING
+            return memory_budget.Phase.HANDLED
+        if self._sender.is_sending:
+            return memory_budget.Phase.SENDING
+        return memory_budget.Phase.RECEIVING
+
+    def _on_progress(self, sent: int) -> None:
+        """Handle that the transport has sent a part of an answer."""
+        if self._is_discarding and not self._sender.is_sending:
+            return
+        self._account.move(self._factory.now(), sent)
+        self._update_account()
+        if self._rest and not self._sender.is_behind:
+            self._factory.turns.wait(self._parse_rest)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received data."""
         if self._is_discarding:
@@ -346,29 +407,121 @@
         if self._request is not None:
             # Pipelining isn't supported: data that follows a request before
             # its response is never parsed, and the connection is closed after
-            # the response.
-            self._is_closing = True
+            # the response. Some callers send a line break after a body.
+            if data.strip(b"\r\n"):
+                self._is_closing = True
             return
         self._has_received = True
-        limits = self._factory.limits()
+        if self._rest:
+            self._rest += data
+        else:
+            self._parse(data)
+        self._settle()
+
+    def _settle(self) -> None:
+        """Account what was received, and free memory if it is short."""
+        if self._is_discarding:
+            return
+        if self._head_bytes or self._rest:
+            self._update_account()
+        self._factory.free_memory(self._account)
+
+    def _parse_rest(self) -> None:
+        """Parse data that has waited for its turn."""
+        if self._is_discarding or not self._rest:
+            return
+        rest, self._rest = self._rest, b""
+        self._parse(rest)
+        if not self._rest:
+            self._resume_reading()
+        self._settle()
+
+    def _parse(self, data: bytes) -> None:
+        """Parse data, as far as it is this connection's turn."""
+        view = memoryview(data)
+        while view and not self._refusal_status:
+            if not (self._is_complete or self._may_parse()):
+                self._wait(bytes(view))
+                return
+            size = self._slice_bytes()
+            self._feed(view[:size])
+            view = view[size:]
+        if self._refusal_status:
+            self._refuse(self._refusal_status)
+        elif self._is_complete:
+            self._dispatch()
+        elif self._has_head:
+            self._start_timer(self._factory.limits().idle_timeout_s)
+
+    def _may_parse(self) -> bool:
+        return not self._sender.is_behind and self._factory.turns.may_parse()
+
+    def _wait(self, rest: bytes) -> None:
+        """Keep data until the answer before it is sent, or for a later turn."""
+        self._rest = rest
+        if not self._is_paused:
+            self._is_paused = True
+            self.transport.pauseProducing()
+        if not self._sender.is_behind:
+            self._factory.turns.wait(self._parse_rest)
+
+    def _resume_reading(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
+    def _slice_bytes(self) -> int:
+        """Return how much to parse at once.
+
+        A slice ends where the head has its greatest length, so that the same
+        heads are refused however they are cut.
+        """
+        if self._has_head:
+            return SLICE_BYTES
+        return max(1, min(SLICE_BYTES, self._max_head_bytes - self._head_bytes))
+
+    @property
+    def _max_head_bytes(self) -> int:
+        limit = self._factory.limits().max_header_bytes
+        return limit + UNCOUNTED_HEAD_BYTES
+
+    def _feed(self, data: memoryview) -> None:
+        """Parse a slice of data."""
         if not self._head_bytes:
-            self._start_timer(limits.header_timeout_s)
+            self._start_timer(self._factory.limits().header_timeout_s)
         if not self._has_head:
             self._head_bytes += len(data)
+        before, self._calls = len(self._body), 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refusal_status = self._refusal_status or 501
         except httptools.HttpParserError:
             self._refusal_status = self._refusal_status or 400
-        if not self._has_head and self._head_bytes > limits.max_header_bytes:
+        self._factory.turns.record(self._calls + 1)
+        if self._has_head:
+            self._record_body(len(data), len(self._body) - before)
+        elif self._head_bytes >= self._max_head_bytes:
+            self._refusal_status = self._refusal_status or 431
+        if self._has_pipelined_request:
+            self._refusal_status = self._refusal_status or 400
+
+    def _record_body(self, wire_bytes: int, body_bytes: int) -> None:
+        """Count a slice with data after the head, and its part of the body."""
+        self._account.move(self._factory.now(), body_bytes)
+        if len(self._body) > self._held_bytes:
+            self._hold(len(self._body) - self._held_bytes)
+        if self._is_complete:
+            return
+        limits = self._factory.limits()
+        self._wire_bytes += wire_bytes
+        self._quiet_bytes = 0 if body_bytes else self._quiet_bytes + wire_bytes
+        max_wire_bytes = MAX_FRAMING_RATIO * limits.max_body_bytes
+        if self._wire_bytes > max_wire_bytes + limits.max_header_bytes:
+            self._refusal_status = self._refusal_status or 413
+        elif self._quiet_bytes > limits.max_header_bytes + SLICE_BYTES:
+            # Trailers, or a chunk extension.
             self._refusal_status = self._refusal_status or 431
-        if self._refusal_status:
-            self._refuse(self._refusal_status)
-        elif self._is_complete:
-            self._dispatch()
-        elif self._has_head:
-            self._start_timer(limits.idle_timeout_s)
 
     def on_message_begin(self) -> None:
         """Handle the start of a message; see httptools."""
@@ -382,19 +535,30 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header, ignoring trailers; see httptools."""
-        if not self._has_head:
-            self._headers.append((name, value))
+        self._calls += 1
+        if self._has_head or self._refusal_status:
+            return
+        if len(self._headers) >= self._factory.budget.limits.max_header_lines:
+            self._refusal_status = 431
+            return
+        texts = (len(name) > 1) + (len(value) > 1)
+        self._header_memory += HEADER_BYTES + HEADER_TEXT_BYTES * texts
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Validate the head; see httptools."""
-        if self._is_complete:
+        if self._is_complete or self._refusal_status:
             return
         self._has_head = True
         limits = self._factory.limits()
+        self._max_body_bytes = limits.max_body_bytes
         size = len(self._target) + sum(
             len(name) + len(value) + 4 for name, value in self._headers
         )
-        head = self._head()
+        head = http_message.RequestHead(
+            self._parser.get_method(), self._target, tuple(self._headers)
+        )
+        self._head, self._headers = head, []
         length = head.get(b"content-length") or b"0"
         if size > limits.max_header_bytes:
             self._refusal_status = 431
@@ -410,19 +574,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Handle a part of the body; see httptools."""
-        if self._is_complete:
+        self._calls += 1
+        if self._is_complete or self._refusal_status:
             return
-        self._body_bytes += len(body)
-        self._factory.buffered_body_bytes += len(body)
-        if self._factory.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES:
-            self._refusal_status = self._refusal_status or 503
-            return
-        if self._body_bytes > self._factory.limits().max_body_bytes:
-            self._refusal_status = self._refusal_status or 413
+        if len(self._body) + len(body) > self._max_body_bytes:
+            self._refusal_status = 413
             return
-        if self._body_bytes > self._held_bytes:
-            self._hold(self._body_bytes - self._held_bytes)
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Handle the end of a message; see httptools."""
@@ -430,24 +588,21 @@
             self._is_complete = True
             self._keeps_alive = self._parser.should_keep_alive()
 
-    def _head(self) -> http_message.RequestHead:
-        method = self._parser.get_method()
-        return http_message.RequestHead(
-            method, self._target, tuple(self._headers)
-        )
-
     def _dispatch(self) -> None:
-        if self._has_pipelined_request:
-            self._refuse(400)
-            return
+        assert self._head is not None
         self._cancel_timer()
-        head, body = self._head(), b"".join(self._body)
+        head, body = self._head, bytes(self._body)
+        size = len(body) + self._header_memory + self._head_bytes
         self._is_closing = self._is_closing or not self._keeps_alive
         self._reset_message()
-        self._request = IncomingRequest(self, head, body, self._factory.now())
+        now = self._factory.now()
+        self._request = IncomingRequest(self, head, body, now)
+        self._request.size = size
+        self._account.move(now, 0)
+        self._update_account()
         if self._is_first:
             self._is_first = False
-            self._request.since_open_s = self._factory.now() - self._opened_at
+            self._request.since_open_s = now - self._opened_at
         self._factory.handler.handle(self._request)
 
     def _refuse(self, status: int) -> None:
@@ -460,10 +615,34 @@
             wait = b"%.3f" % BUSY_RETRY_AFTER_S
             headers.append((b"Retry-After", wait))
         self.send_head(status, headers)
-        self._release_body()
+        self._reset_message()
         self._release_held()
         self._close_gracefully()
 
+    def shed(self, reason: str) -> None:
+        """Close the connection to free what it holds.
+
+        A request that is still received is refused: it hasn't run and won't.
+
+        Args:
+          reason: Why, for the log and the metrics.
+        """
+        if self._is_discarding and not self._sender.is_sending:
+            # Only waits for its caller to close it.
+            self._factory.remove(self)
+            self.transport.loseConnection()
+            return
+        self._factory.on_shed(reason, self._account.held_bytes)
+        is_receiving = self._phase() is memory_budget.Phase.RECEIVING
+        if is_receiving and self._head_bytes:
+            self._refuse(503)
+        elif is_receiving:
+            self._is_discarding = True
+            self._factory.remove(self)
+            self.transport.loseConnection()
+        else:
+            self._cut()
+
     def send_head(
         self, status: int, headers: list[http_message.Header]
     ) -> None:
@@ -476,66 +655,22 @@
 
     def send(self, data: bytes) -> None:
         """Send raw bytes."""
-        self.transport.write(data)
-        if not (self._is_streaming or self._is_sending):
-            self._is_sending = True
-            self.transport.registerProducer(_SentWatch(self._on_sent), False)
-
-    def _on_sent(self) -> None:
-        """Handle that the transport has sent all that was written."""
-        self._stop_watching()
-        action, self._when_sent = self._when_sent, None
-        if action is not None:
-            action()
-
-    def _stop_watching(self) -> None:
-        if self._is_sending:
-            self._is_sending = False
-            self.transport.unregisterProducer()
-
-    def _after_sent(self, action: Callable[[], None]) -> None:
-        """Call a function once all that was written is sent."""
-        if self._is_sending:
-            self._when_sent = action
-        else:
-            action()
+        self._sender.send(data)
+        if self._sender.is_behind or self._sender.is_blocked:
+            self._update_account()
+            self._factory.free_memory(self._account)
 
     def begin_stream(self) -> None:
         """Watch how fast the caller reads a response."""
-        self._stop_watching()
-        self._is_streaming = True
-        self.transport.registerProducer(self, True)
+        self._sender.begin_stream()
 
     def end_stream(self) -> None:
         """Stop watching how fast the caller reads."""
-        if self._is_streaming:
-            self._is_streaming = False
-            self.transport.unregisterProducer()
-            self.resumeProducing()
+        self._sender.end_stream()
 
     async def drained(self, timeout_s: float) -> None:
         """Wait until the caller reads on; see `IncomingRequest.drained`."""
-        if not self._is_blocked:
-            return
-        self._unblocked = defer.Deferred()
-        self._unblocked.addTimeout(
-            timeout_s, self._factory.clock, lambda *_: None
-        )
-        await self._unblocked
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Note that the caller doesn't read; see twisted's IPushProducer."""
-        self._is_blocked = True
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Note that the caller reads on; see twisted's IPushProducer."""
-        self._is_blocked = False
-        waiter, self._unblocked = self._unblocked, None
-        if waiter is not None and not waiter.called:
-            waiter.callback(None)
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Do nothing: the loss of the connection is handled apart."""
+        await self._sender.drained(timeout_s)
 
     def on_response_sent(self) -> None:
         """Wait for the next request, or close, once the response was sent.
@@ -548,7 +683,14 @@
         if self._is_closing:
             self._close_gracefully()
         else:
-            self._after_sent(self._wait_for_request)
+            self._sender.after_sent(self._wait_for_request)
+        self._settle_answer()
+
+    def _settle_answer(self) -> None:
+        """Account an answer that waits, and free memory if it is short."""
+        self._update_account()
+        if self._sender.is_sending:
+            self._factory.free_memory(self._account)
 
     def _wait_for_request(self) -> None:
         if self.is_idle:
@@ -560,6 +702,14 @@
         self._release_held()
         self._is_discarding = True
         self.end_stream()
+        self._update_account()
+        self.transport.abortConnection()
+
+    def _cut(self) -> None:
+        """Close at once; a request in progress is told when it is lost."""
+        self._is_discarding = True
+        self._factory.remove(self)
+        self._sender.drop()
         self.transport.abortConnection()
 
     def close_if_idle(self) -> None:
@@ -575,9 +725,13 @@
     def _close_gracefully(self) -> None:
         """Close such that the data already sent still arrives."""
         self._is_discarding = True
-        self._after_sent(self._close_writing)
+        self._rest = b""
+        self._resume_reading()
+        self._update_account()
+        self._sender.after_sent(self._close_writing)
 
     def _close_writing(self) -> None:
+        self._account.retire()
         self.transport.loseWriteConnection()
         self._start_timer(LINGER_TIMEOUT_S)
 
@@ -610,10 +764,16 @@
       handler: Handler of the requests.
       limits: Returns the limits in force.
       on_refused: Called with the status of each refused request.
+      on_shed: Called with the reason and the bytes held, for each connection
+        that is closed since memory or descriptors are short.
       is_draining: Whether connections are closed after their next response.
-      buffered_body_bytes: Size of all bodies that are being received.
       held: Count of the bodies that are received or processed.
-      connections: Open connections.
+      budget: Memory of all connections that share it.
+      turns: Turns of all connections that share them to parse.
+      max_connections: Limit on the open connections.
+      connections: Open connections, without those that are closed to free
+        memory or descriptors.
+      open_count: Number of open connections, with these.
     """
 
     noisy = False
@@ -625,25 +785,71 @@
         limits: Callable[[], Limits],
         *,
         on_refused: Callable[[int], None] = lambda status: None,
-        held: HeldBodies | None = None,
+        on_shed: Callable[[str, int], None] = lambda reason, held: None,
+        shared: SharedMemory | None = None,
+        max_connections: int | None = None,
     ) -> None:
+        shared = shared or SharedMemory(clock)
         self.clock = clock
         self.handler = handler
         self.limits = limits
         self.on_refused = on_refused
+        self.on_shed = on_shed
         self.is_draining = False
-        self.buffered_body_bytes = 0
-        self.held = held or HeldBodies()
+        self.held = shared.held
+        self.budget = shared.budget
+        self.turns = shared.turns
+        self._owners = shared.owners
+        self.max_connections = (
+            max_connections or shared.budget.limits.caller_connections
+        )
         self.connections: set[IngressConnection] = set()
+        self.open_count = 0
 
     def now(self) -> float:
         """Return monotonic time in seconds."""
         return float(self.clock.seconds())
 
-    def buildProtocol(self, addr: Any) -> IngressConnection:  # noqa: N802
-        """Create the protocol of a new connection."""
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """Create the protocol of a new connection, unless there are too many.
+
+        Those that are closed to make room may be open until the loop's next
+        turn.
+        """
+        if self.open_count >= self.max_connections + MAX_CLOSING:
+            self.on_shed("connections_full", 0)
+            return None
         return IngressConnection(self)
 
+    def add(self, connection: IngressConnection) -> None:
+        """Add an open connection; close another one if there are too many."""
+        self.open_count += 1
+        self.connections.add(connection)
+        self._owners[connection.account] = connection
+        if len(self.connections) > self.max_connections:
+            self._owners[
+                memory_budget.least_useful(
+                    [c.account for c in self.connections],
+                    self.now(),
+                    connection.account,
+                )
+            ].shed("connections_full")
+
+    def remove(self, connection: IngressConnection) -> None:
+        """Remove a connection that was lost or is closed at once."""
+        self.connections.discard(connection)
+        self._owners.pop(connection.account, None)
+        self.budget.close(connection.account)
+
+    def free_memory(self, asking: memory_budget.Account) -> None:
+        """Close connections until all hold less than their limit.
+
+        Args:
+          asking: Account of the connection whose memory has just grown.
+        """
+        for account in self.budget.victims(self.now(), asking):
+            self._owners[account].shed("memory_short")
+
     def close_idle(self) -> None:
         """Close the connections that receive or process no request."""
         for connection in list(self.connections):
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -17,6 +17,10 @@
 LISTEN_BACKLOG = 512
 # TCP port of the metrics; must equal the one in deploy/system.toml.
 METRICS_PORT = 9464
+# Connections of load balancers, and of those that read the metrics.
+MAX_PROBE_CONNECTIONS = 32
+# Time between two looks at the memory that callers hold, seconds.
+MEMORY_PERIOD_S = 1.0
 
 
 def _log_refused_request(status: int) -> None:
@@ -86,6 +90,7 @@
     ) -> None:
         from nutmegscale import daemon  # noqa: PLC0415
         from nutmegscale import http_ingress  # noqa: PLC0415
+        from nutmegscale import memory_release  # noqa: PLC0415
         from nutmegscale import nng_transport  # noqa: PLC0415
         from nutmegscale import ready_site  # noqa: PLC0415
         from nutmegscale import router  # noqa: PLC0415
@@ -101,7 +106,8 @@
         peer_address = f"tcp://{host_settings.ip}:{host_settings.peer_port}"
         self._transport = nng_transport.NngTransport(loop, peer_address)
         metrics, scrape = router_metrics.make_prometheus()
-        pool = upstream.UpstreamPool(reactor, clock)
+        limits = host_settings.memory_limits
+        pool = upstream.UpstreamPool(reactor, clock, limits=limits)
         self._router = router.Router(
             _router_settings(host_settings, peer_address),
             clock,
@@ -113,28 +119,51 @@
             boot_now=daemon.boot_now,
         )
         board = self._router.board
-        held = http_ingress.HeldBodies()
-        self._callers = http_ingress.IngressFactory(
-            clock,
+        self._memory = http_ingress.SharedMemory(clock, limits)
+        self._release = memory_release.MemoryRelease(limits.held_bytes)
+
+        self._clock = clock
+        self._metrics = metrics
+        self._callers = self._make_ingress(
+            "callers",
             self._router,
-            lambda: board.limits,
             on_refused=_log_refused_request,
-            held=held,
+            max_connections=limits.caller_connections,
         )
-        self._relayed = http_ingress.IngressFactory(
-            clock, self._router.relayed, lambda: board.limits, held=held
+        self._relayed = self._make_ingress(
+            "relay",
+            self._router.relayed,
+            max_connections=limits.relay_connections,
         )
-        self._ready = http_ingress.IngressFactory(
-            clock,
+        self._ready = self._make_ingress(
+            "ready",
             ready_site.ReadySite(lambda: board.is_ready),
-            lambda: board.limits,
+            max_connections=MAX_PROBE_CONNECTIONS,
         )
-        self._scrapes = http_ingress.IngressFactory(
-            clock, scrape_site.ScrapeSite(scrape), lambda: board.limits
+        self._scrapes = self._make_ingress(
+            "metrics",
+            scrape_site.ScrapeSite(scrape),
+            max_connections=MAX_PROBE_CONNECTIONS,
         )
         self._caller_port: Any = None
         self._is_stopping = False
 
+    def _make_ingress(self, port: str, handler: Any, **options: Any) -> Any:
+        """Create the connections of a port; all ports share their memory."""
+        from nutmegscale import closing_log  # noqa: PLC0415
+        from nutmegscale import http_ingress  # noqa: PLC0415
+
+        board = self._router.board
+        log = closing_log.ClosingLog(port, self._metrics, self._clock.seconds)
+        return http_ingress.IngressFactory(
+            self._clock,
+            handler,
+            lambda: board.limits,
+            on_shed=log.record,
+            shared=self._memory,
+            **options,
+        )
+
     def start(self) -> None:
         """Listen on all ports and start the router."""
         host_settings = self._settings
@@ -148,6 +177,15 @@
             host_settings.caller_port, self._callers, host_settings.caller_ip
         )
         self._router.start()
+        self._look_at_memory()
+
+    def _look_at_memory(self) -> None:
+        """Report what callers hold, and give back what they held."""
+        held_bytes = self._memory.budget.held_bytes
+        self._metrics.record_caller_memory(held_bytes)
+        self._release.record(held_bytes, self._memory.budget.peak_bytes)
+        self._memory.budget.peak_bytes = held_bytes
+        self._reactor.callLater(MEMORY_PERIOD_S, self._look_at_memory)
 
     def _listen(self, port: int, factory: Any, ip: str) -> Any:
         return self._reactor.listenTCP(
@@ -183,6 +221,10 @@
         self._router.update_settings(
             _router_settings(host_settings, peer_address)
         )
+        limits = host_settings.memory_limits
+        self._memory.set_limits(limits)
+        self._callers.max_connections = limits.caller_connections
+        self._relayed.max_connections = limits.relay_connections
         logs.get().info("settings_reloaded", changed=",".join(changed))
 
     def shut_down(self) -> None:
--- a/nutmegscale/router_metrics.py
+++ b/nutmegscale/router_metrics.py
@@ -35,6 +35,14 @@
             "nutmegscale_router_usage_messages",
             description="messages to other hosts about usage limits, by kind",
         )
+        self._closings = meter.create_counter(
+            "nutmegscale_router_closed_connections",
+            description="connections closed to free resources, by reason",
+        )
+        self._held = meter.create_gauge(
+            "nutmegscale_router_caller_memory_bytes",
+            description="memory that callers' connections hold",
+        )
         self._loop_lag = meter.create_gauge(
             "nutmegscale_router_loop_lag_seconds",
             description="how far the event loop is behind",
@@ -68,6 +76,14 @@
         """Record how far the event loop is behind."""
         self._loop_lag.set(seconds)
 
+    def record_closing(self, reason: str) -> None:
+        """Count a connection that was closed to free resources."""
+        self._closings.add(1, {"reason": reason})
+
+    def record_caller_memory(self, size: int) -> None:
+        """Record the memory that callers' connections hold, bytes."""
+        self._held.set(size)
+
     def record_limited_send(self, *, is_sent: bool) -> None:
         """Count a request to a server with a limit: sent or held back."""
         result = "sent" if is_sent else "held_back"
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -251,12 +251,13 @@
     assert harness.transport.is_half_closed
 
 
-def test_bodies_of_all_connections_together_are_bounded(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(http_ingress, "MAX_BUFFERED_BODY_BYTES", 25)
+def test_bodies_of_all_connections_together_are_bounded() -> None:
     harness = _Harness()
     harness.receive(POST_HEAD + b"Content-Length: 20\r\n\r\n" + b"x" * 15)
+    budget = harness.factory.budget
+    budget.limits = budget.limits._replace(
+        held_bytes=budget.held_bytes * 25 // 15
+    )
     other = _Harness()
     other.connection = harness.factory.buildProtocol(None)
     connection: Any = other.connection
@@ -268,7 +269,8 @@
     assert b"Retry-After: 1.000" in other.transport.value()
     harness.receive(b"x" * 5)
     assert [r.body for r in harness.handler.requests] == [b"x" * 20]
-    assert harness.factory.buffered_body_bytes == 0
+    harness.handler.requests[0].respond(200, [], b"")
+    assert budget.held_bytes == 0
 
 
 def _answered(*actions: str) -> tuple[bytes, bool]:
@@ -382,9 +384,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A host that keeps them all exceeds its memory and is killed."""
-    monkeypatch.setattr(http_ingress, "MAX_HELD_BODY_BYTES", 25)
     monkeypatch.setattr(http_ingress, "MAX_SMALL_BODY_BYTES", 5)
     harness = _Harness()
+    harness.factory.held = http_ingress.HeldBodies(25)
     long = POST_HEAD + b"Content-Length: 20\r\n\r\n" + b"x" * 20
     chunked = POST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n14\r\n"
     harness.receive(long)
