Allocator view: with three or more domains each may hold one share

Cause: with three failure domains one holds two of four shares, so that its loss halves what is left of a usage limit, below 1 / 1.8.

Change: an option by which domains hold equal shares; limits of servers keep their four allocators.

--- a/nutmegscale/allocator_view.py
+++ b/nutmegscale/allocator_view.py
@@ -9,6 +9,9 @@
 
 # Hosts that hold a share of the limit of one server.
 ALLOCATORS = 4
+# Failure domains from which on each may hold a single share. With two, a second
+# share in each leaves more of a limit if a single host is lost.
+EQUAL_DOMAINS = 3
 
 
 class AllocatorView:
@@ -16,13 +19,25 @@
 
     They follow from all known hosts, alive or not, so that two hosts don't hold
     the same share when they don't hear each other.
+
+    Args:
+      members: View of the hosts.
+      failure_domain: Failure domain of this host.
+      has_equal_domains: Whether domains hold equal shares, if there are
+        `EQUAL_DOMAINS` or more, so that the loss of one costs the same part of
+        a limit whichever it is.
     """
 
     def __init__(
-        self, members: membership.Membership, failure_domain: str
+        self,
+        members: membership.Membership,
+        failure_domain: str,
+        *,
+        has_equal_domains: bool = False,
     ) -> None:
         self._members = members
         self._failure_domain = failure_domain
+        self._has_equal_domains = has_equal_domains
         self._known: dict[str, tuple[int, list[str]]] = {}
 
     def allocators(self, server: str) -> list[str]:
@@ -39,7 +54,11 @@
             return known[1]
         hosts = {m.host: m.failure_domain for m in self._members.members()}
         ranked = rendezvous.rank(server.encode(), hosts)
-        chosen = _spread_over_domains(ranked, hosts)[:ALLOCATORS]
+        count = ALLOCATORS
+        domains = len(set(hosts.values()))
+        if self._has_equal_domains and domains >= EQUAL_DOMAINS:
+            count = min(count, domains)
+        chosen = _spread_over_domains(ranked, hosts)[:count]
         self._known[server] = (self._members.version, chosen)
         return chosen
 
