Usage limits: window target, slow allocators, fewer questions

Change: shares grant at most 0.79 of the rule in a window and never start full; allocators that were slow are asked without being waited for until they reply; after a refusal two shares are asked, and one more if the first one says that others were refused just before.

--- a/nutmegscale/customers/known_room.py
+++ b/nutmegscale/customers/known_room.py
@@ -1,6 +1,7 @@
 """What this host knows of the room in customers' usage limits; no I/O."""
 
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 
 # Time after a refusal in which fewer shares are asked, seconds, and how many:
@@ -87,13 +88,24 @@
         cost: float,
         per_s: float,
     ) -> float:
-        """Return after what time the first of some shares has room, seconds."""
-        rooms = [
-            room.room_at(cost, per_s)
+        """Return when the first share that has no room now will have some.
+
+        Args:
+          now: Current time, seconds.
+          customer: Name of the customer.
+          hosts: Hosts that hold a share.
+          cost: Cost of the request, units.
+          per_s: Units a second by which a share fills.
+
+        Returns:
+          The time in seconds from now; infinite if all have room.
+        """
+        waits = [
+            room.room_at(cost, per_s) - now
             for host in hosts
             if (room := self._rooms.get((customer, host))) is not None
         ]
-        return max(0.0, min(rooms, default=now) - now)
+        return min((w for w in waits if w > 0.0), default=math.inf)
 
     def to_ask(
         self,
@@ -122,7 +134,8 @@
         refusal = self._refusals.get(customer)
         if refusal is None or now - refusal.known_at > CROWDED_S:
             return chosen
-        chosen.sort(key=lambda host: rooms.get(host, 0.0))
+        # Shares that told when they have room first.
+        chosen.sort(key=lambda host: rooms.get(host, math.inf))
         return chosen[:CROWDED_SHARES]
 
     def _forget_ended(self, now: float) -> None:
--- a/nutmegscale/customers/usage_controller.py
+++ b/nutmegscale/customers/usage_controller.py
@@ -62,42 +62,43 @@
 Charge = Allowed | Refused
 
 
+class _Request(NamedTuple):
+    """A request to charge: its customer, the limit of it, and its cost."""
+
+    customer: str
+    limit: directory.UsageLimit
+    cost: float
+
+
 class _Inquiry:
     """A request that waits for the hosts that hold shares.
 
     Attributes:
       number: Its number in messages.
-      customer: Its customer.
-      limit: The customer's limit.
-      cost: Its cost, units.
+      request: The request.
       left: Hosts that weren't asked yet, in order.
       waiting: Hosts that were asked and haven't replied.
       slow: Those of them that haven't replied for `SLOW_S`.
       is_short: Whether a share had too little.
       wait_s: When the first share has room, seconds from its reply.
       crowd_s: Time to add since others were told the same, seconds.
+      asks_all_at_once: Whether not to wait for one host after the other.
       granted_by: Host whose share had room, or "".
       done: Fires once it is decided.
     """
 
     def __init__(
-        self,
-        number: int,
-        customer: directory.Customer,
-        limit: directory.UsageLimit,
-        cost: float,
-        hosts: Sequence[str],
+        self, number: int, request: _Request, hosts: Sequence[str]
     ) -> None:
         self.number = number
-        self.customer = customer.name
-        self.limit = limit
-        self.cost = cost
+        self.request = request
         self.left = list(hosts)
         self.waiting: set[str] = set()
         self.slow: set[str] = set()
         self.is_short = False
         self.wait_s = math.inf
         self.crowd_s = 0.0
+        self.asks_all_at_once = False
         self.granted_by = ""
         self.done: defer.Deferred[None] = defer.Deferred()
 
@@ -109,6 +110,18 @@
         waiting = self.waiting - self.slow if self.is_short else self.waiting
         return not self.left and not waiting
 
+    def message(self) -> messages.UsageRequest:
+        """Return the message to a host that is taken from those left."""
+        request = self.request
+        return messages.UsageRequest(
+            self.number,
+            request.customer,
+            request.cost,
+            request.limit.per_s,
+            request.limit.burst,
+            not self.left,
+        )
+
 
 class UsageController:
     """Decides whether customers' requests are within their usage limits.
@@ -157,40 +170,55 @@
           cost: Cost of the request, units.
           give_up_at: Time by which the caller needs an answer, seconds.
         """
-        limit, now = customer.limit, self._board.now()
-        if limit is None or cost <= 0:
+        if customer.limit is None or cost <= 0:
             return Allowed()
+        # A float, since messages hold integers of 64 bits only.
+        request = _Request(customer.name, customer.limit, float(cost))
         allocators = self._allocators(customer.name)
-        per_s = limit.per_s / max(1, len(allocators))
-        wait_s = self._known.wait_s(now, customer.name, cost=cost, per_s=per_s)
+        decided = self._decide_unasked(request, allocators)
+        if not isinstance(decided, _Inquiry):
+            return decided
+        await self._inquire(
+            decided, until=min(give_up_at, self._board.now() + MAX_WAIT_S)
+        )
+        if decided.granted_by:
+            self._board.metrics.record_usage_charge("allowed")
+            return Allowed()
+        if self._take_own_part(request, allocators):
+            return Allowed(is_own_part=True)
+        return self._refuse(decided)
+
+    def _decide_unasked(
+        self, request: _Request, allocators: Sequence[str]
+    ) -> Charge | _Inquiry:
+        """Decide on a request if no host need be asked.
+
+        Returns:
+          The decision, or which hosts are to be asked.
+        """
+        now, name, cost = self._board.now(), request.customer, request.cost
+        per_s = request.limit.per_s / max(1, len(allocators))
+        known = self._known
+        wait_s = known.wait_s(now, name, cost=cost, per_s=per_s)
         if wait_s > 0.0:
             return self._refuse_unasked(wait_s)
-        hosts = [host for host in allocators if not self._is_slow(host)]
-        to_ask = self._known.to_ask(
-            now, customer.name, hosts, cost=cost, per_s=per_s
-        )
-        if hosts and not to_ask:
-            if self._take_own_part(customer, cost, hosts, allocators):
-                return Allowed(is_own_part=True)
-            return self._refuse_unasked(
-                self._next_room_s(customer, cost, hosts, per_s)
-            )
-        is_unheard = not hosts
-        if is_unheard and self._take_own_part(customer, cost, (), allocators):
+        heard = [host for host in allocators if not self._is_slow(host)]
+        hosts = [host for host in heard if host not in self._slow_until]
+        to_ask = known.to_ask(now, name, hosts, cost=cost, per_s=per_s)
+        next_s = known.next_room_s(now, name, hosts, cost=cost, per_s=per_s)
+        if not to_ask and self._take_own_part(request, allocators):
             return Allowed(is_own_part=True)
+        if hosts and not to_ask:
+            return self._refuse_unasked(next_s)
         self._last_number += 1
+        # Hosts that were slow are asked, too, and not waited for.
+        left = [host for host in heard if host not in hosts] + to_ask
         inquiry = _Inquiry(
-            self._last_number, customer, limit, cost, to_ask or allocators
-        )
-        await self._inquire(
-            inquiry,
-            until=min(give_up_at, now + MAX_WAIT_S),
-            at_once=is_unheard,
+            self._last_number, request, left if hosts else allocators
         )
-        if inquiry.granted_by:
-            self._board.metrics.record_usage_charge("allowed")
-            return Allowed()
-        return self._conclude(customer, cost, inquiry, allocators)
+        inquiry.is_short, inquiry.wait_s = math.isfinite(next_s), next_s
+        inquiry.asks_all_at_once = not hosts
+        return inquiry
 
     def give_back(self, customer: directory.Customer, cost: float) -> None:
         """Return the cost of a request that was charged and didn't run."""
@@ -212,23 +240,18 @@
         )
 
     def _take_own_part(
-        self,
-        customer: directory.Customer,
-        cost: float,
-        heard: Sequence[str],
-        allocators: Sequence[str],
+        self, request: _Request, allocators: Sequence[str]
     ) -> bool:
-        """Use this host's own part, unless all shares could be asked."""
-        limit = customer.limit
-        if limit is None or not self._shares.has_joined:
+        """Use this host's own part, unless all shares can be asked."""
+        if not self._shares.has_joined:
             return False
-        if len(heard) == len(allocators):
+        if not any(self._is_slow(host) for host in allocators):
             return False
         is_taken = self._own_part.take(
             self._board.now(),
-            customer.name,
-            limit,
-            cost,
+            request.customer,
+            request.limit,
+            request.cost,
             hosts=len(self._board.membership.members()),
         )
         if is_taken:
@@ -239,47 +262,27 @@
         self._board.metrics.record_usage_charge("refused_unasked")
         return _refused(wait_s)
 
-    def _next_room_s(
-        self,
-        customer: directory.Customer,
-        cost: float,
-        hosts: Sequence[str],
-        per_s: float,
-    ) -> float:
-        return self._known.next_room_s(
-            self._board.now(), customer.name, hosts, cost=cost, per_s=per_s
-        )
-
-    def _conclude(
-        self,
-        customer: directory.Customer,
-        cost: float,
-        inquiry: _Inquiry,
-        allocators: Sequence[str],
-    ) -> Charge:
-        """Decide on a request for which no share had room."""
-        heard = [host for host in allocators if not self._is_slow(host)]
-        if self._take_own_part(customer, cost, heard, allocators):
-            return Allowed(is_own_part=True)
+    def _refuse(self, inquiry: _Inquiry) -> Refused:
+        """Refuse a request for which no host that was asked had room."""
         if not inquiry.is_short:
             self._board.metrics.record_usage_charge("unknown")
             return Refused("usage_unknown", UNKNOWN_RETRY_AFTER_S)
         wait_s = inquiry.wait_s + inquiry.crowd_s
         self._known.refuse(
-            self._board.now(), customer.name, cost=cost, wait_s=wait_s
+            self._board.now(),
+            inquiry.request.customer,
+            cost=inquiry.request.cost,
+            wait_s=wait_s,
         )
         self._board.metrics.record_usage_charge("refused")
         return _refused(wait_s)
 
-    async def _inquire(
-        self, inquiry: _Inquiry, *, until: float, at_once: bool
-    ) -> None:
+    async def _inquire(self, inquiry: _Inquiry, *, until: float) -> None:
         """Ask hosts for a request until one grants it or the time has passed.
 
         Args:
           inquiry: The request.
           until: Time by which it must be decided, seconds.
-          at_once: Whether to ask all hosts at the same time.
         """
         self._inquiries[inquiry.number] = inquiry
         end = self._board.clock.callLater(
@@ -287,8 +290,6 @@
         )
         try:
             self._ask_next(inquiry)
-            while at_once and inquiry.left:
-                self._ask_next(inquiry)
             if not inquiry.is_decided:
                 await inquiry.done
         finally:
@@ -310,17 +311,10 @@
             inquiry.done.callback(None)
 
     def _ask_next(self, inquiry: _Inquiry) -> None:
-        """Ask the next hosts, until one may still reply."""
+        """Ask the next host, and those before it that may not reply."""
         while inquiry.left and not inquiry.granted_by:
             host = inquiry.left.pop(0)
-            request = messages.UsageRequest(
-                inquiry.number,
-                inquiry.customer,
-                inquiry.cost,
-                inquiry.limit.per_s,
-                inquiry.limit.burst,
-                not inquiry.left,
-            )
+            request = inquiry.message()
             if host == self._board.host:
                 self._record(inquiry, host, self._shares.ask(request))
                 continue
@@ -330,7 +324,10 @@
             self._board.clock.callLater(
                 SLOW_S, self._check_slow, inquiry, host, self._board.now()
             )
-            return
+            if host in self._slow_until:
+                inquiry.slow.add(host)
+            elif not inquiry.asks_all_at_once:
+                return
 
     def _check_slow(self, inquiry: _Inquiry, host: str, since: float) -> None:
         """Ask the next host if one hasn't replied to an inquiry in time."""
@@ -370,16 +367,19 @@
         """Record what a host has replied to an inquiry."""
         if reply.state == "granted":
             inquiry.granted_by = host
-            self._known.record_room(inquiry.customer, host)
+            self._known.record_room(reply.customer, host)
         elif reply.state == "short":
             inquiry.is_short = True
             inquiry.wait_s = min(inquiry.wait_s, reply.wait_s)
+            if reply.crowd_s > 0.0:
+                # Others were refused by all shares just before.
+                del inquiry.left[1:]
             inquiry.crowd_s = max(inquiry.crowd_s, reply.crowd_s)
             self._known.record_short(
                 self._board.now(),
-                inquiry.customer,
+                reply.customer,
                 host,
-                cost=inquiry.cost,
+                cost=reply.cost,
                 wait_s=reply.wait_s,
             )
 
@@ -402,7 +402,6 @@
     link: mesh.Mesh,
     *,
     rule: usage_rule.QuotaRule,
-    is_first_start: bool,
 ) -> UsageController:
     """Create the usage controller of a host.
 
@@ -410,10 +409,9 @@
       board: State of this host, a `usage_shares.Board`.
       link: Messages between hosts.
       rule: How far limits may be exceeded.
-      is_first_start: Whether the whole system starts for the first time.
     """
-    view = allocator_view.AllocatorView(board.membership, board.failure_domain)
-    shares = usage_shares.UsageShares(
-        board, link, view, rule=rule, is_first_start=is_first_start
+    view = allocator_view.AllocatorView(
+        board.membership, board.failure_domain, has_equal_domains=True
     )
+    shares = usage_shares.UsageShares(board, link, view, rule=rule)
     return UsageController(board, link, view, shares, rule=rule)
--- a/nutmegscale/customers/usage_rule.py
+++ b/nutmegscale/customers/usage_rule.py
@@ -4,6 +4,9 @@
 
 from nutmegscale.customers import directory
 
+# Part of what may run in a window that shares grant at most.
+TARGET = 0.79
+
 
 class QuotaRule(NamedTuple):
     """What may run for a customer in any window, beyond its limit.
@@ -22,6 +25,15 @@
         """Return what a customer may use in a window, units."""
         return limit.per_s * self.window_s + limit.burst
 
+    def target(self, limit: directory.UsageLimit) -> float:
+        """Return what shares grant at most in a window, units.
+
+        It leaves room for requests that wait before they run, for shares that
+        start anew and for what hosts allow by themselves.
+        """
+        allowed = self.within(limit) + self.beyond(limit)
+        return max(TARGET * allowed, limit.per_s * self.window_s)
+
     def beyond(self, limit: directory.UsageLimit) -> float:
         """Return what may run in a window beyond the limit, units."""
         return self.overshoot * self.within(limit) + self.slack
--- a/nutmegscale/customers/usage_share.py
+++ b/nutmegscale/customers/usage_share.py
@@ -1,5 +1,6 @@
 """One host's share of the usage limit of a customer; no I/O."""
 
+from collections import deque
 from typing import NamedTuple
 
 from nutmegscale.customers import directory
@@ -19,6 +20,8 @@
 # Longest time for which hosts are told not to ask since others were refused
 # just before, seconds. More would leave room unused when a burst ends.
 MAX_CROWD_S = 1.0
+# What was granted within this time counts as one, seconds.
+GRAIN_S = 0.1
 # Longest wait that is told, seconds, also for a request that never has room.
 MAX_WAIT_S = 30.0
 
@@ -44,12 +47,15 @@
     each sees a small part, while hosts are cut off, killed or restarted. A few
     hosts hold the shares of a limit; each is a token bucket that fills at its
     part of the rate and holds its part of the burst. So all hosts together stay
-    within the limit, whichever of them hear each other.
+    within the limit, whichever of them hear each other. In a window it grants
+    at most its part of the rule's target.
     """
 
     __slots__ = (
         "_crowded_until",
         "_filled_at",
+        "_granted",
+        "_granted_sum",
         "_level",
         "_limit",
         "_lowest_at",
@@ -65,7 +71,6 @@
         now: float,
         shares: int,
         held_s: float,
-        is_full: bool,
     ) -> None:
         """Create the share.
 
@@ -75,7 +80,6 @@
           now: Current time, seconds.
           shares: Number of hosts that hold a share.
           held_s: Time for which this host holds it already, unused, seconds.
-          is_full: Whether no other host can have used it before.
         """
         self._rule = rule
         self._limit = limit
@@ -83,13 +87,13 @@
         self._lowest_at = now
         self._filled_at = now
         self._crowded_until = now
+        # End and cost of what was granted in the current window.
+        self._granted: deque[tuple[float, float]] = deque()
+        self._granted_sum = 0.0
         start = min(
             START_OF_BURST * limit.burst, START_OF_SLACK * rule.beyond(limit)
         )
-        self._level = min(
-            self._capacity,
-            self._capacity if is_full else start / shares + self._rate * held_s,
-        )
+        self._level = min(self._capacity, start / shares + self._rate * held_s)
 
     @property
     def _rate(self) -> float:
@@ -147,14 +151,14 @@
         self._refill(now)
         if cost > self._capacity + self._max_debt:
             return Answer(False, MAX_WAIT_S)
-        missing = min(cost, self._capacity) - self._level
-        if missing <= 0.0:
+        wait_s = min(MAX_WAIT_S, self._wait_s(now, cost))
+        if wait_s <= 0.0:
             self._level -= cost
+            self._record_granted(now, cost)
             return Answer(True)
-        wait_s = min(MAX_WAIT_S, missing / self._rate)
-        if not is_last:
-            return Answer(False, wait_s)
         crowd_s = max(0.0, self._crowded_until - now)
+        if not is_last:
+            return Answer(False, wait_s, crowd_s)
         self._crowded_until = now + min(
             MAX_CROWD_S, crowd_s + cost / self._rate
         )
@@ -164,6 +168,32 @@
         """Return the cost of a request that didn't run, units."""
         self._refill(now)
         self._level = min(self._capacity, self._level + cost)
+        if self._granted:
+            self._record_granted(self._granted[-1][0], -cost)
+
+    def _wait_s(self, now: float, cost: float) -> float:
+        """Return when a request may be granted, seconds from now."""
+        missing = min(cost, self._capacity) - self._level
+        wait_s = max(0.0, missing / self._rate)
+        while self._granted and self._granted[0][0] <= now:
+            self._granted_sum -= self._granted.popleft()[1]
+        target = self._rule.target(self._limit) / self._shares
+        excess = self._granted_sum + cost - target
+        for ends_at, granted in self._granted:
+            if excess <= 0.0:
+                break
+            excess -= granted
+            wait_s = max(wait_s, ends_at - now)
+        return wait_s
+
+    def _record_granted(self, now: float, cost: float) -> None:
+        ends_at = now + self._rule.window_s
+        self._granted_sum += cost
+        if self._granted and ends_at - self._granted[-1][0] < GRAIN_S:
+            # With the earlier time: the target isn't the rule.
+            ends_at, before = self._granted.pop()
+            cost += before
+        self._granted.append((ends_at, cost))
 
     def _refill(self, now: float) -> None:
         passed_s, self._filled_at = now - self._filled_at, now
--- a/nutmegscale/customers/usage_shares.py
+++ b/nutmegscale/customers/usage_shares.py
@@ -76,7 +76,6 @@
       link: Messages between hosts.
       view: Which hosts hold the shares of a limit.
       rule: How far limits may be exceeded.
-      is_first_start: Whether the whole system starts for the first time.
     """
 
     def __init__(
@@ -86,13 +85,11 @@
         view: allocator_view.AllocatorView,
         *,
         rule: usage_rule.QuotaRule,
-        is_first_start: bool,
     ) -> None:
         self._board = board
         self._mesh = link
         self._view = view
         self._rule = rule
-        self._is_first_start = is_first_start
         self._shares: dict[str, usage_share.UsageShare] = {}
         self._joined = False
         self._hosts: frozenset[str] = frozenset()
@@ -173,7 +170,6 @@
                 now=now,
                 shares=count,
                 held_s=now - self._held_since,
-                is_full=self._is_first_start,
             )
         share.set_shares(now, count)
         return share
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -214,10 +214,7 @@
             self.board, self.mesh, planner_of=self._planner_of, rng=self._rng
         )
         self._usage = customers.make_usage_controller(
-            self.board,
-            self.mesh,
-            rule=settings.quota_rule,
-            is_first_start=settings.is_first_start,
+            self.board, self.mesh, rule=settings.quota_rule
         )
         self.slots = slot_controller.SlotController(
             self.board, self.mesh, self._peers, self._limits
