Pauses: customers keep the order among their own routes

Cause: callers return after a pause by rank, and the step stopped to grow at rank 3. Ranks of a customer of priority 1 begin at 1000, so all its calls returned at the same time, with the least urgent ones of customers of priority 0. Change: the step counts the customer's priority (up to 2) and the route's (up to 3); unchanged below 1000. Slot queue, permits and urgent calls compare whole ranks and needed no change.

--- a/nutmegscale/customers/__init__.py
+++ b/nutmegscale/customers/__init__.py
@@ -3,6 +3,7 @@
 from nutmegscale.customers.directory import Customer
 from nutmegscale.customers.directory import CustomerDirectory
 from nutmegscale.customers.directory import UsageLimit
+from nutmegscale.customers.directory import split_rank
 from nutmegscale.customers.identification import Identity
 from nutmegscale.customers.identification import identify
 from nutmegscale.customers.usage_controller import Allowed
@@ -24,4 +25,5 @@
     "UsageLimit",
     "identify",
     "make_usage_controller",
+    "split_rank",
 ]
--- a/nutmegscale/customers/directory.py
+++ b/nutmegscale/customers/directory.py
@@ -17,6 +17,11 @@
 RANKS_PER_CUSTOMER = 1000
 
 
+def split_rank(rank: int) -> tuple[int, int]:
+    """Return the priorities of the customer and of the route of a rank."""
+    return divmod(rank, RANKS_PER_CUSTOMER)
+
+
 class UsageLimit(NamedTuple):
     """How much a customer may use, over all hosts.
 
--- a/nutmegscale/server_notices.py
+++ b/nutmegscale/server_notices.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import random
 
+from nutmegscale import customers
 from nutmegscale import server_limits
 
 # Longest pause that is kept, seconds.
@@ -13,9 +14,12 @@
 LEAVING_RETENTION_S = 600.0
 # Callers refused for a pause return over this time after its end, seconds.
 RETURN_SPREAD_S = 0.4
-# How much later calls of the next rank return, and the last rank that counts.
+# How much later calls of the next rank return, and the last priorities of a
+# route and of a customer that count. The last rank returns 2.2 s after the
+# first: callers of streams give up after two seconds or more.
 RANK_STEP_S = 0.2
 MAX_RANK = 3
+MAX_CUSTOMER_PRIORITY = 2
 
 
 class ServerNotices:
@@ -88,7 +92,7 @@
           The time from now, seconds.
         """
         ends = min(self._paused_until.get(server, now) for server in servers)
-        later_s = RANK_STEP_S * min(priority, MAX_RANK)
+        later_s = RANK_STEP_S * _return_step(priority)
         return max(0.0, ends - now) + later_s + rng.uniform(0, RETURN_SPREAD_S)
 
     def keep_only(self, now: float, servers: Collection[str]) -> None:
@@ -111,3 +115,13 @@
             for key, since in self._leaving_since.items()
             if key in servers or now - since < LEAVING_RETENTION_S
         }
+
+
+def _return_step(rank: int) -> int:
+    """Return after how many steps the calls of a rank return.
+
+    The customer's priority goes first, the route's decides among its calls.
+    """
+    customer, route = customers.split_rank(rank)
+    first = min(customer, MAX_CUSTOMER_PRIORITY) * (MAX_RANK + 1)
+    return first + min(route, MAX_RANK)
