A request that the other host refused counts as not run

Cause: a cut-off host passed the refusal back as a complete answer, so that the request's cost wasn't given back to its customer.

Change: a refusal that the other host generated (429, 503, 408 or 421 with its reason) is recorded as not run.

Measured: test_a_refusal_by_the_host_that_was_passed_a_request_is_given_back fails before (429 after some seconds) and passes now.

--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -193,6 +193,8 @@
                 )
                 return True
             await self._pass_back(context, call, head)
+            if reason is not None and head.status in NOT_RUN_STATUSES:
+                context.outcome = "not_run"
             return True
         except errors.ConnectError as exc:
             self._record_refusal(context, host, str(exc))
--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -172,6 +172,20 @@
     assert [s.status for s in sent] == [200] * 16
 
 
+def test_a_refusal_by_the_host_that_was_passed_a_request_is_given_back() -> (
+    None
+):
+    """Guards against a cut-off host that uses up a limit with refusals."""
+    world = _world(4)
+    for worker in world.workers.values():
+        worker.is_full, worker.pause = True, "5"
+    world.net.cut("host-0", world.addresses.values(), "refuse")
+    world.run(3.0)
+    refused = _load(world, 4.0, 3 * USUAL, hosts=[0])
+    assert any(s.status == 503 for s in refused)
+    assert not any(s.status == 429 for s in refused)
+
+
 def test_all_hosts_restarted_serve_at_once_and_grant_no_new_burst() -> None:
     world = _world(8)
     _load(world, 6.0, 4 * USUAL)
