Usage limits: each failure domain of up to eight holds a share

Cause: with five domains one held none of the four shares; cut off, its hosts could only use their own parts.

Change: with three domains or more, each of up to eight holds one share. Tests of that and of the settings of the rule.

--- a/nutmegscale/allocator_view.py
+++ b/nutmegscale/allocator_view.py
@@ -12,6 +12,9 @@
 # Failure domains from which on each may hold a single share. With two, a second
 # share in each leaves more of a limit if a single host is lost.
 EQUAL_DOMAINS = 3
+# Most domains that do. A share of a limit with many is too small for requests
+# that cost much.
+MAX_EQUAL_DOMAINS = 8
 
 
 class AllocatorView:
@@ -23,9 +26,9 @@
     Args:
       members: View of the hosts.
       failure_domain: Failure domain of this host.
-      has_equal_domains: Whether domains hold equal shares, if there are
-        `EQUAL_DOMAINS` or more, so that the loss of one costs the same part of
-        a limit whichever it is.
+      has_equal_domains: Whether each domain holds one share, if there are
+        `EQUAL_DOMAINS` or more. The loss of one then costs the same part of a
+        limit whichever it is, and each can serve when it is cut off.
     """
 
     def __init__(
@@ -57,7 +60,7 @@
         count = ALLOCATORS
         domains = len(set(hosts.values()))
         if self._has_equal_domains and domains >= EQUAL_DOMAINS:
-            count = min(count, domains)
+            count = min(MAX_EQUAL_DOMAINS, domains)
         chosen = _spread_over_domains(ranked, hosts)[:count]
         self._known[server] = (self._members.version, chosen)
         return chosen
--- a/tests/test_allocator_view.py
+++ b/tests/test_allocator_view.py
@@ -1,5 +1,7 @@
 """Tests of which hosts hold the shares of a server's limit."""
 
+import pytest
+
 from nutmegscale import allocator_view
 from nutmegscale import membership
 
@@ -30,6 +32,18 @@
     assert set(view.allocators("w@1")) == {"h0", "h1"}
 
 
+@pytest.mark.parametrize(("domains", "shares"), [(2, 4), (3, 3), (5, 5)])
+def test_each_domain_may_hold_one_share(domains: int, shares: int) -> None:
+    """Guards against a domain that can't serve when it is cut off."""
+    members = membership.Membership("h0", "a", "x")
+    for number in range(1, 40):
+        members.add_host(0.0, f"h{number}", DOMAINS[number % domains], "x")
+    view = allocator_view.AllocatorView(members, "a", has_equal_domains=True)
+    held = view.allocators("w@1")
+    assert len(held) == shares
+    assert len({int(host[1:]) % domains for host in held}) == domains
+
+
 def test_a_host_that_does_not_answer_keeps_its_share() -> None:
     view = _view(0, 8)
     hosts = view.allocators("w@1")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -105,6 +105,9 @@
     assert (found.grace_s, found.drain_s) == (6.0, 2.0)
     assert not found.is_first_start
     assert _load(tmp_path, f"bootstrap = true{SETTINGS}").is_first_start
+    rule = "quotaWindowS = 6\nquotaOvershoot = 0.2\nquotaSlack = 900"
+    text = SETTINGS.replace("graceS = 6", rule)
+    assert _load(tmp_path, text).quota_rule == (6.0, 0.2, 900.0)
 
 
 @pytest.mark.parametrize(
@@ -115,6 +118,8 @@
         ('front = "10.1.0.35:8144"', 'front = "10.1.0.35:99999"'),
         ('address = "10.200.1.7:8142"', "address = 5"),
         ("[bounds]", "[bounds"),
+        ("graceS = 6", "quotaWindowS = 0"),
+        ("graceS = 6", "quotaSlack = -1"),
     ],
 )
 def test_bad_settings_are_a_typed_error(
