--- a/nutmegscale/customers/usage_controller.py
+++ b/nutmegscale/customers/usage_controller.py
@@ -32,6 +32,11 @@
 # request mustn't bring a caller back too early.
 MIN_RETRY_AFTER_S = 0.01
 RETRY_MARGIN_S = 0.005
+# Largest cost in a message, units. It is beyond any limit.
+MAX_COST = 10**12
+# Length of the number at which requests begin to count; more is a longer
+# message.
+NUMBER_BITS = 30
 # Retry-After of a request for which no host could be asked, seconds.
 UNKNOWN_RETRY_AFTER_S = 1.0
 
@@ -67,7 +72,7 @@
 
     customer: str
     limit: directory.UsageLimit
-    cost: float
+    cost: int
 
 
 class _Inquiry:
@@ -149,11 +154,12 @@
         self._shares = shares
         self._own_part = own_part.OwnPart(rule)
         self._known = known_room.KnownRoom()
+        self._turn = 0
         self._slow_until: dict[str, float] = {}
         self._inquiries: dict[int, _Inquiry] = {}
-        # At random, so that replies to an earlier process of this host aren't
-        # taken for replies to this one.
-        self._last_number = secrets.randbits(48)
+        # Starts at random, so that replies to an earlier process of this host
+        # aren't taken for replies to this one.
+        self._last_number = secrets.randbits(NUMBER_BITS)
         link.on(messages.UsageReply, self._receive)
 
     def record_joined(self) -> None:
@@ -161,7 +167,7 @@
         self._shares.record_joined()
 
     async def charge(
-        self, customer: directory.Customer, cost: float, *, give_up_at: float
+        self, customer: directory.Customer, cost: int, *, give_up_at: float
     ) -> Charge:
         """Charge a request to its customer, before it may run.
 
@@ -172,8 +178,7 @@
         """
         if customer.limit is None or cost <= 0:
             return Allowed()
-        # A float, since messages hold integers of 64 bits only.
-        request = _Request(customer.name, customer.limit, float(cost))
+        request = _Request(customer.name, customer.limit, min(cost, MAX_COST))
         allocators = self._allocators(customer.name)
         decided = self._decide_unasked(request, allocators)
         if not isinstance(decided, _Inquiry):
@@ -220,18 +225,33 @@
         inquiry.asks_all_at_once = not hosts
         return inquiry
 
-    def give_back(self, customer: directory.Customer, cost: float) -> None:
+    def give_back(self, customer: directory.Customer, cost: int) -> None:
         """Return the cost of a request that was charged and didn't run."""
         if customer.limit is None or cost <= 0:
             return
         for host in self._allocators(customer.name):
             if not self._is_slow(host):
-                self._refund(host, customer.name, cost)
+                self._refund(host, customer.name, min(cost, MAX_COST))
                 return
 
     def _allocators(self, customer: str) -> list[str]:
-        key = usage_shares.share_key(customer)
-        return self._view.preferred(key, ())
+        """Return the hosts that hold the shares of a customer's limit, in turn.
+
+        Those of this host's failure domain come last: their shares are all that
+        is left to it in a cut, so they are kept full. The others are used
+        equally, however few hosts the customer sends to.
+        """
+        hosts = self._view.allocators(usage_shares.share_key(customer))
+        near = [host for host in hosts if self._is_near(host)]
+        distant = [host for host in hosts if host not in near]
+        self._turn += 1
+        first = self._turn % max(1, len(distant))
+        return distant[first:] + distant[:first] + near
+
+    def _is_near(self, host: str) -> bool:
+        member = self._board.membership.get(host)
+        domain = member.failure_domain if member else ""
+        return domain == self._board.failure_domain
 
     def _is_slow(self, host: str) -> bool:
         return (
@@ -340,6 +360,9 @@
             self._board.metrics.record_usage_message("slow")
         if inquiry.number in self._inquiries:
             inquiry.slow.add(host)
+            # If the hosts beyond a cut are asked one after the other, too
+            # little time is left for the last one.
+            inquiry.asks_all_at_once = True
             self._go_on(inquiry)
 
     def _go_on(self, inquiry: _Inquiry) -> None:
@@ -370,20 +393,20 @@
             self._known.record_room(reply.customer, host)
         elif reply.state == "short":
             inquiry.is_short = True
-            inquiry.wait_s = min(inquiry.wait_s, reply.wait_s)
-            if reply.crowd_s > 0.0:
+            inquiry.wait_s = min(inquiry.wait_s, reply.wait_ms / 1000)
+            if reply.crowd_ms > 0:
                 # Others were refused by all shares just before.
                 del inquiry.left[1:]
-            inquiry.crowd_s = max(inquiry.crowd_s, reply.crowd_s)
+            inquiry.crowd_s = max(inquiry.crowd_s, reply.crowd_ms / 1000)
             self._known.record_short(
                 self._board.now(),
                 reply.customer,
                 host,
                 cost=reply.cost,
-                wait_s=reply.wait_s,
+                wait_s=reply.wait_ms / 1000,
             )
 
-    def _refund(self, host: str, customer: str, cost: float) -> None:
+    def _refund(self, host: str, customer: str, cost: int) -> None:
         if host == self._board.host:
             self._shares.give_back(customer, cost)
             return
--- a/nutmegscale/customers/usage_shares.py
+++ b/nutmegscale/customers/usage_shares.py
@@ -1,5 +1,6 @@
 """Gives out this host's shares of the usage limits of customers."""
 
+import math
 from typing import Any
 from typing import Protocol
 
@@ -115,17 +116,18 @@
         share = self._share(request.customer, limit)
         if share is None:
             # Another host holds this share, or this one may not use it yet.
-            return _reply(request, "not_held", 0.0, 0.0)
+            return _reply(request, "not_held")
         now = self._board.now()
         share.hear(now, limit)
         own = self._own_limit(request.customer)
         if own is not None:
             share.hear(now, own)
         answer = share.ask(now, request.cost, is_last=request.is_last)
-        state = "granted" if answer.is_granted else "short"
-        return _reply(request, state, answer.wait_s, answer.crowd_s)
+        if answer.is_granted:
+            return _reply(request, "granted")
+        return _reply(request, "short", answer.wait_s, answer.crowd_s)
 
-    def give_back(self, customer: str, cost: float) -> None:
+    def give_back(self, customer: str, cost: int) -> None:
         """Return the cost of a request that didn't run, units."""
         share = self._shares.get(customer)
         if share is not None:
@@ -200,8 +202,16 @@
 
 
 def _reply(
-    request: messages.UsageRequest, state: str, wait_s: float, crowd_s: float
+    request: messages.UsageRequest,
+    state: str,
+    wait_s: float = 0.0,
+    crowd_s: float = 0.0,
 ) -> messages.UsageReply:
     return messages.UsageReply(
-        request.number, request.customer, request.cost, state, wait_s, crowd_s
+        request.number,
+        request.customer,
+        request.cost,
+        state,
+        math.ceil(wait_s * 1000),
+        math.ceil(crowd_s * 1000),
     )
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -564,7 +564,7 @@
     Attributes:
       number: Number of the request at its sender.
       customer: Name of the customer.
-      cost: Cost of the caller's request, units.
+      cost: Cost of the caller's request, units; an integer, as it is shorter.
       per_s: The customer's limit as the sender knows it, units a second.
       burst: Its burst as the sender knows it, units.
       is_last: Whether the sender asks no other host.
@@ -572,7 +572,7 @@
 
     number: int
     customer: str
-    cost: float
+    cost: int
     per_s: float
     burst: float
     is_last: bool
@@ -587,16 +587,16 @@
       cost: Cost that was asked for, units.
       state: "granted", "short" if the sender's share has too little, or
         "not_held" if it holds no share.
-      wait_s: When its share has room, seconds from now.
-      crowd_s: Time to add since other hosts were told the same, seconds.
+      wait_ms: When its share has room, milliseconds from now.
+      crowd_ms: Time to add since other hosts were told the same, milliseconds.
     """
 
     number: int
     customer: str
-    cost: float
+    cost: int
     state: str
-    wait_s: float = 0.0
-    crowd_s: float = 0.0
+    wait_ms: int = 0
+    crowd_ms: int = 0
 
 
 class UsageRefund(NamedTuple):
@@ -608,7 +608,7 @@
     """
 
     customer: str
-    cost: float
+    cost: int
 
 
 # The position in this tuple, from 1, is the type number on the wire.
--- a/standins/usage_world.py
+++ b/standins/usage_world.py
@@ -147,7 +147,7 @@
             self.clock.advance(STEP_S)
 
     def send(
-        self, number: int, customer: customers.Customer, cost: float
+        self, number: int, customer: customers.Customer, cost: int
     ) -> None:
         """Charge a request at a host, if it is alive."""
         host = self.hosts[number]
@@ -171,7 +171,7 @@
         customer: customers.Customer,
         *,
         seconds: float,
-        cost: float,
+        cost: int,
         per_second: float,
         hosts: list[int],
         seed: int = 1,
--- a/tests/test_usage_over_hosts.py
+++ b/tests/test_usage_over_hosts.py
@@ -188,10 +188,14 @@
     hosts = list(range(8))
     _load(world, 4.0, hosts=hosts)
     low = LIMIT._replace(per_s=PER_S / 5, burst=PER_S / 5)
-    late = customers.Customer("large", 1, low)
+    lower = customers.Customer("large", 1, low)
+    config = usage_world.Config(customers.CustomerDirectory([lower], {}))
+    for host in world.hosts[:4]:
+        assert host is not None
+        host.board.config = config
     since = world.clock.seconds()
     for number in range(1_600):
-        world.send(number % 8, late if number % 8 < 4 else LARGE, COST)
+        world.send(number % 8, lower if number % 8 < 4 else LARGE, COST)
         world.run(0.01)
     used = sum(
         c.cost for c in world.charged if c.is_allowed and c.at > since + 8.0
