--- a/nutmegscale/customers/usage_controller.py
+++ b/nutmegscale/customers/usage_controller.py
@@ -336,7 +336,7 @@
             host = inquiry.left.pop(0)
             request = inquiry.message()
             if host == self._board.host:
-                self._record(inquiry, host, self._shares.ask(request))
+                self._record(inquiry, host, self._shares.ask(host, request))
                 continue
             inquiry.waiting.add(host)
             self._board.metrics.record_usage_message("ask")
--- a/nutmegscale/customers/usage_share.py
+++ b/nutmegscale/customers/usage_share.py
@@ -52,6 +52,7 @@
     """
 
     __slots__ = (
+        "_crowd_host",
         "_crowded_until",
         "_filled_at",
         "_granted",
@@ -86,6 +87,8 @@
         self._shares = shares
         self._lowest_at = now
         self._filled_at = now
+        # Host that caused it, "" if there are several.
+        self._crowd_host = ""
         self._crowded_until = now
         # End and cost of what was granted in the current window.
         self._granted: deque[tuple[float, float]] = deque()
@@ -136,7 +139,9 @@
             )
         self._refill(now)
 
-    def ask(self, now: float, cost: float, *, is_last: bool) -> Answer:
+    def ask(
+        self, now: float, cost: float, *, host: str, is_last: bool
+    ) -> Answer:
         """Take the cost of a request from the share, if there is room.
 
         A request that costs more than the share holds is granted when the
@@ -145,6 +150,7 @@
         Args:
           now: Current time, seconds.
           cost: Cost of the request, units.
+          host: Host that asks.
           is_last: Whether the host asks no other share if this one has too
             little.
         """
@@ -157,12 +163,13 @@
             self._record_granted(now, cost)
             return Answer(True)
         crowd_s = max(0.0, self._crowded_until - now)
-        if not is_last:
-            return Answer(False, wait_s, crowd_s)
-        self._crowded_until = now + min(
-            MAX_CROWD_S, crowd_s + cost / self._rate
-        )
-        return Answer(False, wait_s, crowd_s)
+        is_alone = crowd_s == 0.0 or self._crowd_host == host
+        if is_last:
+            self._crowd_host = host if is_alone else ""
+            self._crowded_until = now + min(
+                MAX_CROWD_S, crowd_s + cost / self._rate
+            )
+        return Answer(False, wait_s, 0.0 if is_alone else crowd_s)
 
     def give_back(self, now: float, cost: float) -> None:
         """Return the cost of a request that didn't run, units."""
--- a/nutmegscale/customers/usage_shares.py
+++ b/nutmegscale/customers/usage_shares.py
@@ -110,7 +110,9 @@
         self._joined = True
         self._find_new_hosts()
 
-    def ask(self, request: messages.UsageRequest) -> messages.UsageReply:
+    def ask(
+        self, host: str, request: messages.UsageRequest
+    ) -> messages.UsageReply:
         """Return the answer to a host that asks for the cost of a request."""
         limit = directory.UsageLimit("tokens", request.per_s, request.burst)
         share = self._share(request.customer, limit)
@@ -122,7 +124,9 @@
         own = self._own_limit(request.customer)
         if own is not None:
             share.hear(now, own)
-        answer = share.ask(now, request.cost, is_last=request.is_last)
+        answer = share.ask(
+            now, request.cost, host=host, is_last=request.is_last
+        )
         if answer.is_granted:
             return _reply(request, "granted")
         return _reply(request, "short", answer.wait_s, answer.crowd_s)
@@ -134,7 +138,7 @@
             share.give_back(self._board.now(), cost)
 
     def _receive(self, sender: str, request: messages.UsageRequest) -> None:
-        self._mesh.send(sender, self.ask(request))
+        self._mesh.send(sender, self.ask(sender, request))
 
     def _receive_refund(
         self, sender: str, refund: messages.UsageRefund
--- a/tools/usage_ways.py
+++ b/tools/usage_ways.py
@@ -81,6 +81,8 @@
       refused: Part of the cost that was refused.
       worst: Most cost in a window, as a part of what the rule allows.
       busiest: Bytes a second that the busiest host sends.
+      requests: Part of the requests that were refused.
+      unasked: Part of the refused requests that cost no message.
     """
 
     way: str
@@ -89,6 +91,8 @@
     refused: float
     worst: float
     busiest: float
+    requests: float
+    unasked: float = 1.0
 
 
 def _arrivals(load: Load, hosts: int, seed: int) -> list[Arrival]:
@@ -125,7 +129,8 @@
         worst = max(worst, total)
     allowed = RULE.within(LIMIT) + RULE.beyond(LIMIT)
     part = refused / sum(a.cost for a, _ in late)
-    return Row(way, hosts, load.name, part, worst / allowed, busiest)
+    count = sum(not is_allowed for _, is_allowed in late) / len(late)
+    return Row(way, hosts, load.name, part, worst / allowed, busiest, count)
 
 
 class _Bucket:
@@ -205,7 +210,14 @@
     ]
     sent = [counts.sent_bytes for counts in world.messages()]
     busiest = max(now - then for now, then in zip(sent, before, strict=True))
-    return _row("permits", hosts, load, decided, busiest / load.seconds)
+    row = _row("permits", hosts, load, decided, busiest / load.seconds)
+    refused = [
+        c
+        for c in world.charged
+        if c.sent_at - start >= WARM_S and not c.is_allowed
+    ]
+    unasked = sum(c.at == c.sent_at for c in refused) / max(1, len(refused))
+    return row._replace(unasked=unasked)
 
 
 def compare(hosts: int, seed: int = 1) -> list[Row]:
@@ -228,12 +240,16 @@
     parser.add_argument("--hosts", type=int, nargs="+", default=[8, 76, 400])
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
-    print("hosts | load | way | refused | worst window | busiest host B/s")
+    print(
+        "hosts | load | way | cost refused | requests refused | unasked | "
+        "worst window | busiest host B/s"
+    )
     for hosts in arguments.hosts:
         for row in compare(hosts, arguments.seed):
             print(
                 f"{row.hosts} | {row.load} | {row.way} | {row.refused:.3f} | "
-                f"{row.worst:.2f} | {row.busiest:.0f}"
+                f"{row.requests:.3f} | {row.unasked:.2f} | {row.worst:.2f} | "
+                f"{row.busiest:.0f}"
             )
     return 0
 
