A caller that leaves before anything was sent gets its cost back

Cause: the cost of a stream whose caller left while it waited for a slot stayed charged, although nothing of it had run.

Change: a request that ended without an outcome counts as not run if nothing of it may have arrived at a server and no other host has it.

Measured: test_a_caller_that_leaves_before_its_request_is_sent_uses_nothing fails before (429) and passes now.

--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -108,6 +108,16 @@
         """Whether it may have run: it was sent to a server or offered."""
         return bool(self.tries) or self.is_offered
 
+    @property
+    def has_not_run(self) -> bool:
+        """Whether it has ended without having run at a server.
+
+        Its caller may have left while it waited.
+        """
+        if self.outcome:
+            return self.outcome == "not_run"
+        return not (self.sends.has_arrived or self.is_offered)
+
     def content(self) -> quarantine.Content:
         """Return the content of the request; see `CallerRequest`."""
         if self._content is None:
--- a/nutmegscale/request_sends.py
+++ b/nutmegscale/request_sends.py
@@ -43,6 +43,11 @@
         """Whether a worker accepted a prefill, so that none is free again."""
         return self._has_prefilled
 
+    @property
+    def has_arrived(self) -> bool:
+        """Whether anything of the request arrived at a server, or may have."""
+        return self._has_prefilled or self._arrivals > 0
+
     def reserve(self, count: int = 1) -> bool:
         """Pay for sends in advance; what is paid and not sent is kept.
 
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -592,7 +592,7 @@
         try:
             await self._serve_charged(context, runner)
         finally:
-            if context.outcome == "not_run":
+            if context.has_not_run:
                 self._usage.give_back(customer, cost)
 
     async def _serve_charged(
--- a/tests/test_request_sends.py
+++ b/tests/test_request_sends.py
@@ -39,6 +39,19 @@
         _send(sends)
 
 
+def test_only_what_a_server_may_have_got_counts_as_arrived() -> None:
+    """Guards against a refund for a request that ran."""
+    for exception in (errors.ConnectError(), errors.NotSentError()):
+        sends, _ = _make(1)
+        _fail(sends, exception)
+        assert not sends.has_arrived
+    _send(sends, prefill=True)
+    assert sends.has_arrived
+    sends, _ = _make(1)
+    _fail(sends, errors.ResponseTimeoutError())
+    assert sends.has_arrived
+
+
 def test_rejected_prefill_leaves_the_run_to_be_paid() -> None:
     sends, verdicts = _make(1)
     _fail(sends, errors.RejectedError("full"))
--- a/tests/test_usage_limits.py
+++ b/tests/test_usage_limits.py
@@ -8,7 +8,10 @@
 import random
 from typing import NamedTuple
 
+import pytest
+
 from nutmegscale import customers
+from nutmegscale import periodic
 from standins import raw_caller
 from standins import router_world
 
@@ -172,6 +175,27 @@
     assert [s.status for s in sent] == [200] * 16
 
 
+def test_a_caller_that_leaves_before_its_request_is_sent_uses_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a limit that is used up by callers that gave up."""
+    world = _world(2)
+    world.run(2.0)
+    for host in world.hosts:
+        # Waits as a stream without a slot does.
+        monkeypatch.setattr(
+            host.router._plain,
+            "run",
+            lambda context: periodic.sleep(world.clock, 5.0),
+        )
+    for number in range(40):
+        sent = _send(world, number % 2, 2 * COST)
+        world.run(0.02)
+        assert sent.status != 429
+        sent.caller.transport.abortConnection()
+        world.run(0.02)
+
+
 def test_a_refusal_by_the_host_that_was_passed_a_request_is_given_back() -> (
     None
 ):
