Usage limits without a stated rule are usable

Cause: where a host's settings state no rule, nothing may run beyond a limit, so that a burst of two requests over four shares granted none.

Change: without a rule, a request may cost as much as the burst, and shares grant rate and burst in a window. Test: a burst of two requests.

--- a/nutmegscale/customers/usage_rule.py
+++ b/nutmegscale/customers/usage_rule.py
@@ -11,6 +11,9 @@
 class QuotaRule(NamedTuple):
     """What may run for a customer in any window, beyond its limit.
 
+    Without a rule, which is nothing beyond it, hosts that reach no other allow
+    nothing, and requests may cost as much as the burst.
+
     Attributes:
       window_s: Length of the window, seconds.
       overshoot: Part of the limit that may be added to it.
@@ -31,7 +34,10 @@
         It leaves room for requests that wait before they run, for shares that
         start anew and for what hosts allow by themselves.
         """
-        allowed = self.within(limit) + self.beyond(limit)
+        beyond = self.beyond(limit)
+        if not beyond:
+            return self.within(limit)
+        allowed = self.within(limit) + beyond
         return max(TARGET * allowed, limit.per_s * self.window_s)
 
     def beyond(self, limit: directory.UsageLimit) -> float:
--- a/nutmegscale/customers/usage_share.py
+++ b/nutmegscale/customers/usage_share.py
@@ -108,7 +108,10 @@
 
     @property
     def _max_debt(self) -> float:
-        return DEBT_OF_SLACK * self._rule.beyond(self._limit) / self._shares
+        beyond = self._rule.beyond(self._limit)
+        if not beyond:
+            return self._limit.burst
+        return DEBT_OF_SLACK * beyond / self._shares
 
     def is_unused(self, now: float) -> bool:
         """Whether it is full, so that it can be forgotten."""
--- a/tests/test_usage_share.py
+++ b/tests/test_usage_share.py
@@ -68,6 +68,16 @@
     assert never == (False, usage_share.MAX_WAIT_S, 0.0)
 
 
+def test_small_limits_are_usable_without_a_rule() -> None:
+    """Guards against a burst of two requests that four shares never grant."""
+    limit = customers.UsageLimit("requests", 1.0, 2.0)
+    share = usage_share.UsageShare(
+        customers.QuotaRule(), limit, now=0.0, shares=4, held_s=60.0
+    )
+    assert _granted(share, 0.0, 1) == 1
+    assert _granted(share, 4.1, 1) == 1
+
+
 def test_hosts_that_are_refused_at_the_same_time_come_back_spread() -> None:
     share = _share()
     _granted(share, 0.0, 1_000)
