Usage limits: shares of small customers hold what the rule leaves

Cause: a share held a third of the burst of a customer. Change: shares together hold what the target for a window leaves beyond the rate, if that is more than the burst.

--- a/nutmegscale/customers/usage_rule.py
+++ b/nutmegscale/customers/usage_rule.py
@@ -40,6 +40,16 @@
         allowed = self.within(limit) + beyond
         return max(TARGET * allowed, limit.per_s * self.window_s)
 
+    def burst(self, limit: directory.UsageLimit) -> float:
+        """Return what all shares together hold at most, units.
+
+        It is more than the burst of the limit if the rule allows that: the
+        burst of a small customer, divided among the shares, is less than the
+        cost of one stream.
+        """
+        room = self.target(limit) - limit.per_s * self.window_s
+        return max(limit.burst, room)
+
     def beyond(self, limit: directory.UsageLimit) -> float:
         """Return what may run in a window beyond the limit, units."""
         return self.overshoot * self.within(limit) + self.slack
--- a/nutmegscale/customers/usage_share.py
+++ b/nutmegscale/customers/usage_share.py
@@ -94,7 +94,8 @@
         self._granted: deque[tuple[float, float]] = deque()
         self._granted_sum = 0.0
         start = min(
-            START_OF_BURST * limit.burst, START_OF_SLACK * rule.beyond(limit)
+            START_OF_BURST * rule.burst(limit),
+            START_OF_SLACK * rule.beyond(limit),
         )
         self._level = min(self._capacity, start / shares + self._rate * held_s)
 
@@ -104,7 +105,7 @@
 
     @property
     def _capacity(self) -> float:
-        return self._limit.burst / self._shares
+        return self._rule.burst(self._limit) / self._shares
 
     @property
     def _max_debt(self) -> float:
