Slots: customers share the engines' memory within a rank

Cause: within a rank streams went by first attempt, so that a customer that sends seven times its usual rate took the memory of all others for a run's time. Change: customers.FairShares knows what each customer usually uses; what one asks for beyond its part of the memory goes after the others of its rank, leaves them a 24th of the capacity and is refused first. stream_order takes the order of the queue out of SlotQueue. Slot requests carry the customer (last field); slot_given and slot_refused name it. With one customer or none nothing changes: tests/test_slot_queue.py is unchanged. Tests: test_fair_shares; found before the commit: use overflowed after 12 h without requests.

--- a/nutmegscale/customers/__init__.py
+++ b/nutmegscale/customers/__init__.py
@@ -4,6 +4,8 @@
 from nutmegscale.customers.directory import CustomerDirectory
 from nutmegscale.customers.directory import UsageLimit
 from nutmegscale.customers.directory import split_rank
+from nutmegscale.customers.fair_shares import Allowances
+from nutmegscale.customers.fair_shares import FairShares
 from nutmegscale.customers.identification import Identity
 from nutmegscale.customers.identification import identify
 from nutmegscale.customers.usage_controller import Allowed
@@ -16,8 +18,10 @@
 __all__ = [
     "Allowed",
     "Charge",
+    "Allowances",
     "Customer",
     "CustomerDirectory",
+    "FairShares",
     "Identity",
     "QuotaRule",
     "Refused",
--- a/nutmegscale/held_slots.py
+++ b/nutmegscale/held_slots.py
@@ -1,6 +1,7 @@
 """Index of held slots by stream and by worker; no I/O."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import ValuesView
 
 from nutmegscale import slot_types
@@ -16,6 +17,7 @@
         self._by_exchange: dict[str, slot_types.HeldSlot] = {}
         self._by_decode: dict[str, dict[str, slot_types.HeldSlot]] = {}
         self._queued_tokens: dict[str, int] = {}
+        self._customer_tokens: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._by_exchange)
@@ -24,6 +26,10 @@
         """Return the slot of a stream, or None if it holds none."""
         return self._by_exchange.get(exchange)
 
+    def customer_tokens(self) -> Mapping[str, int]:
+        """Return the tokens of the runs of each customer that has any."""
+        return self._customer_tokens
+
     def all(self) -> Iterable[slot_types.HeldSlot]:
         """Return a copy of all held slots; the index may change meanwhile."""
         return list(self._by_exchange.values())
@@ -48,6 +54,14 @@
         if held.prefill:
             tokens = self._queued_tokens.get(held.prefill, 0)
             self._queued_tokens[held.prefill] = tokens + held.prompt_tokens
+        self._add_customer_tokens(held.customer, held.tokens)
+
+    def _add_customer_tokens(self, customer: str, tokens: int) -> None:
+        left = self._customer_tokens.get(customer, 0) + tokens
+        if left > 0:
+            self._customer_tokens[customer] = left
+        else:
+            self._customer_tokens.pop(customer, None)
 
     def remove(self, exchange: str) -> slot_types.HeldSlot | None:
         """Remove the slot of a stream and return it, None if it held none."""
@@ -64,4 +78,5 @@
                 self._queued_tokens[held.prefill] = left
             else:
                 del self._queued_tokens[held.prefill]
+        self._add_customer_tokens(held.customer, -held.tokens)
         return held
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -315,6 +315,8 @@
       silent: Hosts that don't answer the sender and would plan instead of the
         receiver.
       version: Software version that the decode worker must have; "" for any.
+      customer: Name of the stream's customer; "" if it has none, and from hosts
+        of earlier builds.
     """
 
     service: str
@@ -330,6 +332,7 @@
     content: str = ""
     silent: tuple[str, ...] = ()
     version: str = ""
+    customer: str = ""
 
 
 class SlotReply(NamedTuple):
--- a/nutmegscale/planned_places.py
+++ b/nutmegscale/planned_places.py
@@ -220,6 +220,7 @@
             local_prefill=run.local_prefill,
             content=_content_digest(request),
             version=run.version,
+            customer=context.customer.name if context.customer else "",
         )
 
     def _paused_workers(self, service: str) -> list[str]:
--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -43,6 +43,7 @@
       local_prefill: Whether the decode worker must prefill locally.
       content: Digest of the request; "" if there is none.
       version: Software version that the worker must have; "" for any.
+      customer: Name of the stream's customer; "" if it has none.
     """
 
     service: str
@@ -57,6 +58,7 @@
     local_prefill: bool = False
     content: str = ""
     version: str = ""
+    customer: str = ""
 
 
 class _HeldSlot(NamedTuple):
@@ -233,6 +235,7 @@
             demand.content,
             self._view.silent_before(demand.service, planner),
             demand.version,
+            demand.customer,
         )
         return await self._mesh.call(
             planner, request, messages.SlotReply, timeout_s=REQUEST_TIMEOUT_S
--- a/nutmegscale/slot_planner.py
+++ b/nutmegscale/slot_planner.py
@@ -208,6 +208,7 @@
                 content=request.content,
                 failure_domain=member.failure_domain if member else "",
                 version=request.version,
+                customer=request.customer,
             ),
         )
         answer = messages.SlotReply(request.exchange, "queued")
@@ -237,6 +238,7 @@
                 decode=decision.decode,
                 prefill=decision.prefill,
                 expected_prefill_ms=round(decision.prefill_s * 1000, 1),
+                customer=decision.customer,
             )
         else:
             logs.get().info(
@@ -248,6 +250,8 @@
                 waiting=decision.waiting,
                 held=decision.held,
                 rate=decision.rate,
+                customer=decision.customer,
+                above_share=decision.is_above_share,
             )
 
     def receive_update(self, sender: str, update: messages.SlotUpdate) -> None:
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -7,7 +7,6 @@
 
 from collections import Counter
 from collections import deque
-import math
 
 from nutmegscale import backend
 from nutmegscale import cache_trust
@@ -19,12 +18,10 @@
 from nutmegscale import request_costs
 from nutmegscale import slot_types
 from nutmegscale import stage_plan
+from nutmegscale import stream_order
 from nutmegscale import worker_limits
 from nutmegscale import worker_pauses
 
-# Fraction of the capacity that late requests leave to those that can still be
-# in time.
-LATE_RESERVE_FRACTION = 1 / 12
 # Age up to which a request that can't be granted yet, as for lack of free
 # memory, may be bypassed by those behind it, seconds.
 MAX_BYPASS_S = 0.25
@@ -41,10 +38,6 @@
 RETRY_SPREAD_STEP_S = 0.1
 # Window of past arrivals from which the rate of arrivals is estimated, seconds.
 RATE_WINDOW_S = 1.0
-# Lateness that a forecast may have before the stream counts as late, seconds:
-# slots become free earlier or later than forecast, since answers differ from
-# their expected lengths.
-FORECAST_SLACK_S = 0.1
 
 
 class SlotQueue:
@@ -74,6 +67,9 @@
         self._slots = decode_slots.DecodeSlots(
             self._held, self._pauses, self._costs, self._limits
         )
+        self._order = stream_order.StreamOrder(
+            self._held, self._slots, self._costs
+        )
         self._refused_requests = refused_requests.RefusedRequests()
         self._arrivals: deque[float] = deque()
         self._refusal_count = 0
@@ -172,6 +168,7 @@
             held.decode,
             prefill_s,
             held.permitted,
+            held.customer,
         )
 
     def _restore_first_attempt(
@@ -320,13 +317,35 @@
         if self._waiting:
             self._slots.want_permits(len(self._waiting))
             self._prefill_workers.want_permits(len(self._waiting))
-        in_time, late = self._split_by_deadline(now)
+        order = self._arrange(now)
+        decisions += self._grant_in_time(now, order)
+        still_waiting = any(
+            stream.exchange in self._waiting for stream in order.in_time
+        )
+        for request in order.late:
+            if still_waiting or not self._has_late_capacity(now):
+                break
+            grant = self._try_grant(now, request)
+            if grant is not None:
+                decisions.append(grant)
+        decisions += self._refuse(now)
+        return decisions
+
+    def _grant_in_time(
+        self, now: float, order: stream_order.Order
+    ) -> list[slot_types.Decision]:
+        """Grant slots to the streams that can be in time."""
+        decisions: list[slot_types.Decision] = []
         bypassed = 0
-        for request in in_time:
+        for request in order.in_time:
             # One slot stays free for each bypassed request until there is
             # memory for it.
             if self._slots.free_slots(now) <= bypassed:
                 break
+            # Those behind it are less urgent, or above their share as well.
+            is_above = request.exchange in order.above_share
+            if is_above and self._slots.free_capacity(now) <= order.reserve:
+                break
             grant = self._try_grant(now, request)
             if grant is not None:
                 decisions.append(grant)
@@ -337,17 +356,6 @@
                 break
             else:
                 bypassed += 1
-        still_waiting = any(
-            stream.exchange in self._waiting for stream in in_time
-        )
-        reserve = self._late_reserve if late else 0
-        for request in late:
-            if still_waiting or self._slots.free_capacity(now) <= reserve:
-                break
-            grant = self._try_grant(now, request)
-            if grant is not None:
-                decisions.append(grant)
-        decisions += self._refuse(now)
         return decisions
 
     def first_event_s(
@@ -367,40 +375,10 @@
         prefill = self._prefill_workers.forecast(worker)
         return first_event_forecast.FirstEventForecast(prefill, local)
 
-    def _split_by_deadline(
-        self, now: float
-    ) -> tuple[list[slot_types.SlotRequest], list[slot_types.SlotRequest]]:
-        """Split the queue into streams that can be in time and late ones."""
-        ordered = sorted(
-            self._waiting.values(),
-            # Few workers can go on with a stream that has begun.
-            key=lambda stream: (
-                stream.priority,
-                not stream.version,
-                stream.requested_at,
-            ),
-        )
-        # With free capacity for the whole queue no forecast is needed. Else
-        # streams beyond the forecast aren't late, but `_refuse` refuses them.
-        has_capacity = self._slots.has_capacity(now, len(ordered))
-        times = [] if has_capacity else self._slots.capacity_times(now)
-        in_time: list[slot_types.SlotRequest] = []
-        late: list[slot_types.SlotRequest] = []
-        # Computed once: a burst leaves more than a hundred streams here, and
-        # each arrival looks at all of them.
+    def _arrange(self, now: float) -> stream_order.Order:
+        """Return the waiting streams in the order in which they are served."""
         forecast = self._first_event_forecast(now)
-        for request in ordered:
-            position = len(in_time)
-            start = times[position] if position < len(times) else now
-            first_at = start + forecast.first_event_s(request)
-            slack_s = FORECAST_SLACK_S if start > now else 0.0
-            is_in_time = (
-                bool(request.version)
-                or first_at <= request.in_time_by + slack_s
-            )
-            (in_time if is_in_time else late).append(request)
-        late.sort(key=lambda stream: stream.requested_at)
-        return in_time, late
+        return self._order.arrange(now, self._waiting.values(), forecast)
 
     def _try_grant(
         self, now: float, request: slot_types.SlotRequest
@@ -455,8 +433,10 @@
             if prefill_worker
             else 0,
             permitted,
+            request.customer,
         )
         self._held.put(held)
+        self._order.record_grant(now, request)
         return slot_types.Grant(
             request.exchange,
             request.host,
@@ -464,38 +444,53 @@
             decode,
             prefill_s,
             permitted,
+            request.customer,
         )
 
     def is_paused(self, now: float, worker: str) -> bool:
         """Whether a worker is paused or counts as unreachable."""
         return self._pauses.is_paused(now, worker)
 
-    @property
-    def _late_reserve(self) -> int:
-        return math.ceil(self._slots.capacity * LATE_RESERVE_FRACTION)
+    def _has_late_capacity(self, now: float) -> bool:
+        """Whether capacity is free beyond what late streams leave."""
+        return self._slots.free_capacity(now) > self._order.late_reserve
 
     def _refuse(self, now: float) -> list[slot_types.Decision]:
         """Refuse streams without an expected start that is early enough."""
         if not self._waiting:
             return []
-        in_time, late = self._split_by_deadline(now)
+        order = self._arrange(now)
         forecast = self._first_event_forecast(now)
         times = self._slots.capacity_times(now)
-        late_times = self._late_start_times(now, times, len(in_time))
-        decisions = self._refuse_of_version(now, in_time)
-        for request, start in _pair_starts(in_time, times):
+        late_times = self._late_start_times(now, times, len(order.in_time))
+        decisions = self._refuse_of_version(now, order.in_time)
+        for request, start in order.starts(times):
             if request.version:
                 continue
             if start is None or not _is_worth_waiting(forecast, request, start):
-                decisions.append(self._refusal(now, request, times))
+                decisions.append(
+                    self._refusal(
+                        now,
+                        request,
+                        times,
+                        is_above_share=request.exchange in order.above_share,
+                    )
+                )
         has_free = bool(times) and times[0] <= now
-        for request, start in _pair_starts(late, late_times):
+        for request, start in order.late_starts(late_times):
             # While capacity is free, a late stream without a start waits for
             # those that could still be in time to come first.
             if start is None and has_free:
                 start = now
             if start is None or start > _latest_start(request):
-                decisions.append(self._refusal(now, request, times))
+                decisions.append(
+                    self._refusal(
+                        now,
+                        request,
+                        times,
+                        is_above_share=request.exchange in order.above_share,
+                    )
+                )
         return decisions
 
     def _refuse_of_version(
@@ -538,7 +533,7 @@
           in_time: Number of streams that wait and can be in time.
         """
         rate = self._arrival_rate(now)
-        reserved = in_time + self._late_reserve
+        reserved = in_time + self._order.late_reserve
         found: list[float] = []
         for index, time in enumerate(times):
             needed = reserved + rate * (time - now)
@@ -558,6 +553,8 @@
         request: slot_types.SlotRequest,
         times: list[float],
         reason: str = "",
+        *,
+        is_above_share: bool = False,
     ) -> slot_types.Refusal:
         del self._waiting[request.exchange]
         first = refused_requests.FirstAttempt(
@@ -577,6 +574,8 @@
             waiting=len(self._waiting),
             held=len(self._held),
             rate=self._arrival_rate(now),
+            customer=request.customer,
+            is_above_share=is_above_share,
         )
 
     def _expire(self, now: float) -> None:
@@ -597,12 +596,3 @@
 def _latest_start(request: slot_types.SlotRequest) -> float:
     """Return the latest start that a late stream waits for."""
     return min(request.submitted_at + MAX_LATE_WAIT_S, request.give_up_at)
-
-
-def _pair_starts(
-    requests: list[slot_types.SlotRequest], times: list[float]
-) -> list[tuple[slot_types.SlotRequest, float | None]]:
-    """Pair each stream with its expected start, or None without one."""
-    starts: list[float | None] = [*times]
-    starts += [None] * (len(requests) - len(times))
-    return list(zip(requests, starts, strict=False))
--- a/nutmegscale/slot_types.py
+++ b/nutmegscale/slot_types.py
@@ -23,6 +23,8 @@
       version: Software version that the decode worker must have, since it began
         the stream; "" for any.
       submitted_at: When the queue got this request first.
+      customer: Name of the stream's customer; "" if it has none or if its host
+        is of an earlier build.
     """
 
     exchange: str
@@ -39,6 +41,12 @@
     failure_domain: str = ""
     version: str = ""
     submitted_at: float = 0.0
+    customer: str = ""
+
+    @property
+    def tokens(self) -> int:
+        """Length of the prompt and expected length of the answer, tokens."""
+        return self.prompt_tokens + self.expected_tokens
 
 
 class HeldSlot(NamedTuple):
@@ -59,6 +67,8 @@
       queued_tokens: Tokens in the queue of the prefill worker when the slot
         was granted, those of this prompt included; 0 without such a worker.
       permitted: Workers that state a limit and for which a permit was used.
+      customer: Name of the stream's customer; "" if it has none, or if the slot
+        comes from a host's list.
     """
 
     exchange: str
@@ -71,6 +81,12 @@
     confirmed: float
     queued_tokens: int = 0
     permitted: tuple[str, ...] = ()
+    customer: str = ""
+
+    @property
+    def tokens(self) -> int:
+        """Length of the prompt and expected length of the answer, tokens."""
+        return self.prompt_tokens + self.expected_tokens
 
 
 class Grant(NamedTuple):
@@ -84,6 +100,7 @@
       prefill_s: Expected time until the end of the prefill, seconds; 0 if the
         decode worker prefills the prompt.
       permitted: Workers that state a limit and for which a permit was used.
+      customer: Name of the stream's customer; "" if it has none.
     """
 
     exchange: str
@@ -92,6 +109,7 @@
     decode: str
     prefill_s: float = 0.0
     permitted: tuple[str, ...] = ()
+    customer: str = ""
 
 
 class Refusal(NamedTuple):
@@ -106,6 +124,9 @@
       waiting: Number of other streams in the queue at the time of the refusal.
       held: Number of slots held at the time of the refusal.
       rate: Recent arrivals of streams per second.
+      customer: Name of the stream's customer; "" if it has none.
+      is_above_share: Whether the customer asked for more than its share of the
+        engines' memory.
     """
 
     exchange: str
@@ -115,6 +136,8 @@
     waiting: int = 0
     held: int = 0
     rate: float = 0.0
+    customer: str = ""
+    is_above_share: bool = False
 
 
 Decision = Grant | Refusal
--- a/tools/slot_days.py
+++ b/tools/slot_days.py
@@ -71,6 +71,7 @@
       output_tokens: Length of the answer, tokens.
       hinted_tokens: Length of the answer that the caller expects, tokens.
       worth: Value of the answer if it is in time.
+      customer: Name of the caller's customer; "" if it has none.
     """
 
     name: str
@@ -81,6 +82,7 @@
     output_tokens: int
     hinted_tokens: int
     worth: float
+    customer: str = ""
 
 
 class WorkerLoss(NamedTuple):
--- a/tools/slot_simulation.py
+++ b/tools/slot_simulation.py
@@ -307,6 +307,7 @@
                     - PATIENCE_MARGIN_S,
                     call.arrival_s + day.deadline_s,
                 ),
+                customer=call.customer,
             ),
         )
         self._apply(simulation, decisions)
