Plain servers that differ in speed: estimates, limits and a choice by them

Cause: servers were chosen by reported load alone, which counts for 0.5 s; with 3 servers behind 32 hosts a host knows little, and slow servers got as much as fast ones. What servers couldn't take was queued or rejected there.

Change: nutmegscale/adaptive estimates work, pace and concurrency limit of each server from reports, own answer times and what other hosts report (message ServerEstimates, 5 a second to one random host), and chooses at random by the inverse of the expected completion time. While all are at their limits, calls are held by rank and deadline for a tenth of their target, then refused with the time when there is room (servers_full). Host setting adaptiveServers, in effect only for services whose servers state a fourth figure.

--- /dev/null
+++ b/nutmegscale/adaptive/__init__.py
@@ -0,0 +1,19 @@
+"""Servers of one service that differ in speed: estimates, limits and choice."""
+
+from nutmegscale.adaptive.estimates import ServerEstimates
+from nutmegscale.adaptive.estimates import ServerStatus
+from nutmegscale.adaptive.estimates import SharedEstimate
+from nutmegscale.adaptive.held_calls import HeldCalls
+from nutmegscale.adaptive.selector import FULL_STRETCH
+from nutmegscale.adaptive.selector import Candidate
+from nutmegscale.adaptive.selector import ServerSelector
+
+__all__ = [
+    "FULL_STRETCH",
+    "Candidate",
+    "HeldCalls",
+    "ServerEstimates",
+    "ServerSelector",
+    "ServerStatus",
+    "SharedEstimate",
+]
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from nutmegscale import adaptive
 from nutmegscale import membership
 from nutmegscale import placement
 from nutmegscale import quarantine
@@ -614,6 +615,16 @@
     cost: int
 
 
+class ServerEstimates(NamedTuple):
+    """What the sender knows of servers that report their pace.
+
+    Attributes:
+      servers: Estimate of each.
+    """
+
+    servers: tuple[adaptive.SharedEstimate, ...] = ()
+
+
 # The position in this tuple, from 1, is the type number on the wire.
 _MESSAGE_TYPES: tuple[Any, ...] = (
     membership.Probe,
@@ -664,6 +675,7 @@
     UsageRequest,
     UsageReply,
     UsageRefund,
+    ServerEstimates,
 )
 TYPE_BY_NUMBER: dict[int, Any] = dict(enumerate(_MESSAGE_TYPES, start=1))
 NUMBER_BY_TYPE: dict[Any, int] = {
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -173,6 +173,7 @@
         loads = self._board.loads
         request = self._codec.plain(context.request, server, context.left_s)
         loads.record_sent(server)
+        sent_at = self._board.now()
         call: upstream_call.Call | None = None
         try:
             with context.sends.send():
@@ -200,6 +201,7 @@
                     f"answer with status {head.status} has no valid signature"
                 )
             loads.record_success(server)
+            self._record_outcome(server, head.status, sent_at)
         except errors.ResponseTimeoutError:
             raise
         except errors.ConnectError:
@@ -207,14 +209,30 @@
             raise
         except errors.TransportError:
             loads.record_failure(self._board.now(), server)
+            self._board.estimates.record_failure(self._board.now(), server.key)
             raise
         finally:
             loads.record_ended(server)
+            self._servers.wake(server.service)
             if call is not None:
                 self._waiting.discard(call)
                 call.abort()
         return head, body
 
+    def _record_outcome(
+        self, server: backend.Backend, status: int, sent_at: float
+    ) -> None:
+        """Record what an answer tells of its server's speed.
+
+        A server that fails quickly isn't a fast one, and what a call costs that
+        is refused for its content says nothing.
+        """
+        now, known = self._board.now(), self._board.estimates
+        if status >= 500:
+            known.record_failure(now, server.key)
+        elif status < 400:
+            known.record_time(now, server.key, server.service, now - sent_at)
+
     def _fail_after_error(
         self, context: request_context.RequestContext, exc: Exception
     ) -> None:
--- a/nutmegscale/platform/settings.py
+++ b/nutmegscale/platform/settings.py
@@ -39,6 +39,7 @@
       memory_limits: What callers and servers may hold in memory.
       is_first_start: Whether the whole system starts for the first time.
       quota_rule: How far all hosts may exceed the usage limits of customers.
+      is_adaptive: Whether servers that report their pace are chosen by it.
     """
 
     host: str
@@ -58,6 +59,7 @@
     memory_limits: memory_budget.MemoryLimits
     is_first_start: bool
     quota_rule: customers.QuotaRule
+    is_adaptive: bool = True
 
 
 class _Listen(msgspec.Struct):
@@ -104,6 +106,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bootstrap: bool = False
+    adaptive_servers: bool = msgspec.field(name="adaptiveServers", default=True)
 
 
 def load(path: str | None = None) -> HostSettings:
@@ -164,6 +167,7 @@
         memory_limits=_memory_limits(path, file_settings.limits),
         is_first_start=file_settings.bootstrap,
         quota_rule=_quota_rule(path, bounds),
+        is_adaptive=file_settings.adaptive_servers,
     )
 
 
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -46,6 +46,7 @@
         ),
         is_first_start=host_settings.is_first_start,
         quota_rule=host_settings.quota_rule,
+        is_adaptive=host_settings.is_adaptive,
     )
 
 
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -21,6 +21,7 @@
 from nutmegscale import domain_watch
 from nutmegscale import envelope
 from nutmegscale import errors
+from nutmegscale import estimate_controller
 from nutmegscale import host_rows
 from nutmegscale import http_ingress
 from nutmegscale import lease_rows
@@ -275,7 +276,17 @@
         )
         self._waiting = waiting_calls.WaitingCalls(self.board)
         servers = server_choice.ServerChoice(
-            self.board, self.crashes, self._limits, rng=self._rng
+            self.board,
+            self.crashes,
+            self._limits,
+            rng=self._rng,
+            is_adaptive=lambda: self._settings.is_adaptive,
+        )
+        self._estimates = estimate_controller.EstimateController(
+            self.board,
+            self.mesh,
+            rng=self._rng,
+            is_enabled=lambda: self._settings.is_adaptive,
         )
         self._plain = plain_runner.PlainRunner(
             self.board,
@@ -385,6 +396,7 @@
         self._peers.start()
         self._domains.start()
         self.slots.start()
+        self._estimates.start()
         self.stages.start()
         self._reachability.start()
         self._versions.start()
@@ -401,6 +413,7 @@
         self._versions.stop()
         self._reachability.stop()
         self.stages.stop()
+        self._estimates.stop()
         self.slots.stop()
         self._domains.stop()
         self._peers.stop()
--- a/nutmegscale/router_metrics.py
+++ b/nutmegscale/router_metrics.py
@@ -8,7 +8,7 @@
 
 
 class RouterMetrics:
-    """Counters and histograms of one host; all labels are low-cardinality."""
+    """Counters and histograms of one host; all labels are bounded."""
 
     def __init__(self, meter: Any) -> None:
         self._requests = meter.create_counter(
@@ -43,6 +43,14 @@
             "nutmegscale_router_caller_memory_bytes",
             description="memory that callers' connections hold",
         )
+        self._server_pace = meter.create_gauge(
+            "nutmegscale_router_server_pace",
+            description="how long work takes at a server, 1 as usual",
+        )
+        self._server_limit = meter.create_gauge(
+            "nutmegscale_router_server_concurrency",
+            description="requests at once that a server serves in time",
+        )
         self._loop_lag = meter.create_gauge(
             "nutmegscale_router_loop_lag_seconds",
             description="how far the event loop is behind",
@@ -72,6 +80,11 @@
         """Record how many servers state a limit, as this host knows it."""
         self._limited_servers.set(count)
 
+    def record_server(self, server: str, pace: float, limit: float) -> None:
+        """Record the estimate of a server; callers bound their number."""
+        self._server_pace.set(pace, {"backend": server})
+        self._server_limit.set(limit, {"backend": server})
+
     def record_loop_lag(self, seconds: float) -> None:
         """Record how far the event loop is behind."""
         self._loop_lag.set(seconds)
--- a/nutmegscale/router_settings.py
+++ b/nutmegscale/router_settings.py
@@ -25,6 +25,8 @@
       relay_address_of: Returns where a host takes the requests that others pass
         on, given the address at which its peers reach it.
       quota_rule: How far all hosts may exceed the usage limits of customers.
+      is_adaptive: Whether servers of services without engines that report their
+        pace are chosen by it, within limits of their own.
     """
 
     host: str
@@ -36,6 +38,7 @@
     relay_address_of: Callable[[str], str]
     is_first_start: bool = False
     quota_rule: customers.QuotaRule = customers.QuotaRule()
+    is_adaptive: bool = True
 
 
 class Codecs(NamedTuple):
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -6,6 +6,7 @@
 import random
 from typing import Any
 
+from nutmegscale import adaptive
 from nutmegscale import backend
 from nutmegscale import http_ingress
 from nutmegscale import membership
@@ -33,6 +34,8 @@
       backends: Registered backend servers; backend controller.
       loads: Load and failures of backend servers; plain runner, stream runner
         and reach controller. The backend controller drops removed servers.
+      estimates: Work and speed of servers that report their pace; server calls,
+        plain runner and estimate controller.
       notices: What backend servers ask of this host; server calls and notice
         controller. The backend controller drops removed servers.
       unreachable_services: Names of services of which this host reaches no
@@ -65,6 +68,7 @@
         self.table: routes.RouteTable | None = None
         self.backends = backend.BackendDirectory()
         self.loads = loads or server_loads.ServerLoads()
+        self.estimates = adaptive.ServerEstimates()
         self.notices = server_notices.ServerNotices()
         self.unreachable_services: frozenset[str] = frozenset()
         self.is_cut_off = False
--- a/nutmegscale/server_calls.py
+++ b/nutmegscale/server_calls.py
@@ -99,15 +99,29 @@
             raise
 
     def record_load(
-        self, server: backend.Backend, info: caller_request.ResponseInfo
+        self,
+        server: backend.Backend,
+        info: caller_request.ResponseInfo,
+        *,
+        is_running: bool = False,
     ) -> None:
         """Record the load that an answer states, and what is malformed in it.
 
         Each malformed load is counted; they are logged at most once in
         `LOAD_LOG_PERIOD_S` for each server.
+
+        Args:
+          server: The server.
+          info: What the head of the answer states.
+          is_running: Whether the request still runs there.
         """
-        now = self._board.now()
-        self._board.loads.record_load(now, server, info.load)
+        now, loads = self._board.now(), self._board.loads
+        loads.record_load(now, server, info.load)
+        if info.load is not None:
+            own = loads.outstanding(server) - (not is_running)
+            self._board.estimates.record_load(
+                now, server.key, info.load, own=own
+            )
         if info.load_error is None:
             return
         self._load_logged_at = {
--- a/nutmegscale/server_choice.py
+++ b/nutmegscale/server_choice.py
@@ -1,9 +1,12 @@
 """Choice of a server for a call or a stream of a service without engines."""
 
+from collections.abc import Callable
 from collections.abc import Collection
+import math
 import random
 from typing import NamedTuple
 
+from nutmegscale import adaptive
 from nutmegscale import backend
 from nutmegscale import crash_watch
 from nutmegscale import limit_controller
@@ -14,6 +17,11 @@
 MIN_TIME_LEFT_S = 0.01
 # Retry-After of a call that ran on no server, seconds.
 REJECTED_RETRY_AFTER_S = 0.3
+# Part of its target for which a call is held while all servers are at their
+# limits.
+HOLD_PART = 0.1
+# Part of the time left to its deadline for which a call is held at most.
+MAX_HOLD_PART = 1 / 3
 
 
 class NoServer(NamedTuple):
@@ -38,11 +46,19 @@
         limits: limit_controller.LimitController,
         *,
         rng: random.Random,
+        is_adaptive: Callable[[], bool] = lambda: False,
     ) -> None:
         self._board = board
         self._crashes = crashes
         self._limits = limits
         self._rng = rng
+        self._is_adaptive = is_adaptive
+        self._selector = adaptive.ServerSelector(board.estimates, rng)
+        self._held = adaptive.HeldCalls(board.clock)
+
+    def wake(self, service: str) -> None:
+        """Let held calls of a service go that a server has room for."""
+        self._held.wake(service)
 
     async def choose_with_permit(
         self,
@@ -53,15 +69,56 @@
     ) -> backend.Backend | None:
         """Choose a server, once permits for limited ones were asked for.
 
-        See `choose`.
+        While all servers are at their limits, a call that was sent to none yet
+        is held, and then refused if that lasts. See `choose`.
         """
         if self._board.notices.limits:
             await self._limits.prepare(
                 self._board.wanted_servers(context.service),
                 priority=context.rank,
             )
+        if not context.tries and not await self._hold(context, avoid, version):
+            return None
         return self.choose(context, avoid=avoid, version=version)
 
+    async def _hold(
+        self,
+        context: request_context.RequestContext,
+        avoid: Collection[str],
+        version: str,
+    ) -> bool:
+        """Hold a call while all servers are at their limits.
+
+        Returns:
+          Whether it may be sent; False if the servers couldn't serve it within
+          their callers' targets.
+        """
+
+        def _has_room(**options: float) -> bool:
+            candidates = self._adaptive_candidates(context, avoid, version)
+            return not candidates or bool(
+                self._selector.with_room(
+                    self._board.now(), candidates, target_s, **options
+                )
+            )
+
+        target_s = _target_s(context)
+        must_wait = self._held.must_wait(
+            context.service, context.rank, context.deadline
+        )
+        if not must_wait and _has_room():
+            return True
+        is_ready = await self._held.wait(
+            context.service,
+            _has_room,
+            rank=context.rank,
+            deadline=context.deadline,
+            limit_s=max(
+                0.0, min(HOLD_PART * target_s, context.left_s * MAX_HOLD_PART)
+            ),
+        )
+        return is_ready or _has_room(stretch=adaptive.FULL_STRETCH)
+
     def choose(
         self,
         context: request_context.RequestContext,
@@ -95,6 +152,9 @@
         apart = self._crashes.server_apart(context.content, healthy)
         if apart is not None:
             return healthy[apart]
+        candidates = self._adaptive_candidates(context, avoid, version)
+        if candidates:
+            return self._choose_adaptively(context, candidates)
         return loads.choose(
             now,
             servers,
@@ -124,6 +184,9 @@
                 context.service, limited, priority=context.rank
             )
             return NoServer("limited", retry_after_s)
+        full = self._refuse_full(context, avoid, version)
+        if full is not None:
+            return full
         paused_s = self._board.paused_for_s(
             context.service, priority=context.rank, rng=self._rng
         )
@@ -131,6 +194,62 @@
             return NoServer("paused", paused_s)
         return NoServer("no_server", REJECTED_RETRY_AFTER_S)
 
+    def _adaptive_candidates(
+        self,
+        context: request_context.RequestContext,
+        avoid: Collection[str],
+        version: str,
+    ) -> list[adaptive.Candidate]:
+        """Return the servers to choose from if they report their paces.
+
+        Returns:
+          The servers; none if the choice is by load alone.
+        """
+        board, now = self._board, self._board.now()
+        servers = self._servers(context.service, version)
+        if not self._is_adaptive() or not any(
+            board.estimates.is_reporting(now, s.key) for s in servers
+        ):
+            return []
+        tried = frozenset((*context.tries, *avoid))
+        if board.notices.limits:
+            servers = tuple(
+                s for s in servers if self._limits.may_call(s, context.rank)
+            )
+        return [
+            adaptive.Candidate(
+                server,
+                board.loads.outstanding(server),
+                board.loads.silent_s(now, server) or 0.0,
+                is_permitted=bool(self._limits.permits(server)),
+            )
+            for server in board.loads.usable(now, servers, avoid=tried)
+        ]
+
+    def _choose_adaptively(
+        self,
+        context: request_context.RequestContext,
+        candidates: list[adaptive.Candidate],
+    ) -> backend.Backend:
+        now, target_s = self._board.now(), _target_s(context)
+        left_s = target_s - (now - context.incoming.arrived)
+        return self._selector.choose(now, candidates, target_s, left_s)
+
+    def _refuse_full(
+        self,
+        context: request_context.RequestContext,
+        avoid: Collection[str],
+        version: str,
+    ) -> NoServer | None:
+        """Explain a refusal because all servers are at their limits."""
+        candidates = self._adaptive_candidates(context, avoid, version)
+        if not candidates:
+            return None
+        retry_after_s = self._selector.refuse(
+            self._board.now(), candidates, _target_s(context)
+        )
+        return NoServer("servers_full", retry_after_s)
+
     def _servers(
         self, service: str, version: str
     ) -> tuple[backend.Backend, ...]:
@@ -155,3 +274,8 @@
             and not self._limits.may_call(server, context.rank)
             and not loads.is_paused(now, server)
         )
+
+
+def _target_s(context: request_context.RequestContext) -> float:
+    """Return the time in which a call is to be answered, seconds."""
+    return context.route.objective_s or math.inf
--- a/nutmegscale/server_loads.py
+++ b/nutmegscale/server_loads.py
@@ -184,13 +184,9 @@
         Returns:
           The server, or None if all are unreachable or to be avoided.
         """
-        candidates = [
-            s for s in servers if s.id not in avoid and self._may_try(now, s)
-        ]
-        healthy = [s for s in candidates if not self.is_paused(now, s)]
         best: backend.Backend | None = None
         best_key = (0.0, False, False, 0.0)
-        for server in healthy or candidates:
+        for server in self.usable(now, servers, avoid=avoid):
             key = (
                 self._load_per_slot(now, server),
                 server.id not in preferred,
@@ -201,6 +197,26 @@
                 best, best_key = server, key
         return best
 
+    def usable(
+        self,
+        now: float,
+        servers: tuple[backend.Backend, ...],
+        *,
+        avoid: frozenset[str] = frozenset(),
+    ) -> list[backend.Backend]:
+        """Return the servers to choose from: paused ones only if all are.
+
+        Args:
+          now: Monotonic time in seconds.
+          servers: Candidates.
+          avoid: Ids of servers that must not be chosen.
+        """
+        candidates = [
+            s for s in servers if s.id not in avoid and self._may_try(now, s)
+        ]
+        healthy = [s for s in candidates if not self.is_paused(now, s)]
+        return healthy or candidates
+
     def _may_try(self, now: float, server: backend.Backend) -> bool:
         """Whether a server may be tried.
 
--- a/nutmegscale/stream_runner.py
+++ b/nutmegscale/stream_runner.py
@@ -460,7 +460,7 @@
                 )
                 head = await self._wait_for_head(context, server, call)
             info = self._codec.read_head(head)
-            self._calls.record_load(server, info)
+            self._calls.record_load(server, info, is_running=True)
             self._check_has_run(run, server, head, info)
             if head.status >= 500 and self._may_try_another(
                 context, run, place
