Estimates of servers: usual paces, and calls that wait for an answer

Cause: a server that is slow for good counted as faster the older its last report was, and a slow moment was seen only when its calls were answered.

Change: old reports fade to the mean of the server's paces, which itself fades to the usual pace; the simulation passes on how long a server has been silent, as the hosts do.

--- a/nutmegscale/adaptive/estimates.py
+++ b/nutmegscale/adaptive/estimates.py
@@ -11,14 +11,17 @@
 # Age at which a reported work counts for a third, seconds: after a few calls
 # the server has other ones. The mean of the server's reports counts instead.
 WORK_AGE_S = 0.2
-# Age at which a reported deviation of the pace counts for a third, seconds. A
+# Age at which a reported pace counts for a third, seconds; the mean of the
+# server's paces counts instead.
+PACE_AGE_S = 0.5
+# Age at which the deviation of that mean from 1 counts for a third, seconds. A
 # server that was slow is thereby tried again, also if nothing is heard of it.
-PACE_AGE_S = 2.0
+USUAL_PACE_AGE_S = 5.0
 # Age at which the mean counts for a third, seconds: without any report, the
 # server may have become idle, and it is tried again.
 USUAL_AGE_S = 2.0
 # Weight of a new report in the means of a server.
-SMOOTHING = 0.1
+SMOOTHING = 0.05
 # Weight of a new answer in the part of failures.
 FAILURE_SMOOTHING = 0.2
 # Age at which a part of failures counts for a third, seconds.
@@ -26,7 +29,7 @@
 # Largest pace that one more request is assumed to add.
 MAX_SLOPE = 0.5
 # Variance of the running requests from which the slope is trusted.
-SLOPE_PRIOR = 1.0
+SLOPE_PRIOR = 0.2
 # Own times of calls that are kept for a service.
 KEPT_TIMES = 64
 # Part of a target that a call may take at the server by its limit.
@@ -81,6 +84,7 @@
       others: Requests of other hosts there, by that report.
       usual_others: Mean of these.
       pace: Pace by that report.
+      usual_pace: Mean of the paces.
       running: Requests that ran then; only own reports tell it.
       stated_at: When it stated its pace last.
       failures: Part of failures among its last answers to this host.
@@ -93,6 +97,7 @@
         self.others = 0.0
         self.usual_others = 0.0
         self.pace = 1.0
+        self.usual_pace = 1.0
         self.running = 0.0
         self.stated_at = -math.inf
         self.failures = 0.0
@@ -116,6 +121,7 @@
         is_first = self.at == -math.inf
         weight = 1.0 if is_first else SMOOTHING
         self.usual_others += weight * (others - self.usual_others)
+        self.usual_pace += weight * (pace - self.usual_pace)
         self.at, self.others, self.pace = at, others, pace
 
     def record_running(self, running: float, pace: float) -> None:
@@ -256,8 +262,11 @@
         known = self._known.get(server)
         if known is None:
             return 1.0
-        fresh = math.exp(-(now - known.at) / PACE_AGE_S)
-        pace = 1.0 + (known.pace - 1.0) * fresh
+        age_s = now - known.at
+        usual = 1.0 + (known.usual_pace - 1.0) * math.exp(
+            -age_s / USUAL_PACE_AGE_S
+        )
+        pace = usual + (known.pace - usual) * math.exp(-age_s / PACE_AGE_S)
         return max(0.1, pace + known.slope * (requests - known.running))
 
     def limit(
--- a/nutmegscale/adaptive/selector.py
+++ b/nutmegscale/adaptive/selector.py
@@ -13,7 +13,7 @@
 USAGE_COST = 8.0
 # Servers are chosen at random by the inverse of their cost to this power: hosts
 # that know the same would otherwise all choose the same server.
-SHARPNESS = 2.0
+SHARPNESS = 2.5
 # Factor on the cost of a server where a call is expected to be late.
 LATE_COST = 5.0
 # Factor on the cost of a server all of whose last answers were failures.
--- a/tools/uneven_servers.py
+++ b/tools/uneven_servers.py
@@ -427,6 +427,8 @@
             for n in range(len(self.own))
         ]
         self.known.keep_only({s.key for s in self._servers})
+        # When the first call was sent since a server was heard last.
+        self._asked_at = [0.0] * len(self.own)
 
     def _true_pace(self, now: float, server: str, requests: float) -> float:
         known = self.world.servers[int(server.partition("@")[0])]
@@ -440,7 +442,7 @@
     ) -> int | float | None:
         """Return a server, a time to wait or None to refuse."""
         found = [
-            adaptive.Candidate(server, self.own[n])
+            adaptive.Candidate(server, self.own[n], self._silent_s(now, n))
             for n, server in enumerate(self._servers)
             if n not in tried
         ]
@@ -456,6 +458,15 @@
         chosen = selector.choose(now, found, target_s, left_s)
         return self._servers.index(chosen)
 
+    def _silent_s(self, now: float, number: int) -> float:
+        asked_at = self._asked_at[number]
+        return now - asked_at if asked_at and self.own[number] else 0.0
+
+    def record_sent(self, now: float, number: int) -> None:
+        """Record a call to a server."""
+        super().record_sent(now, number)
+        self._asked_at[number] = self._asked_at[number] or now
+
     def record_answer(
         self,
         now: float,
@@ -465,6 +476,7 @@
     ) -> None:
         """Record an answer."""
         self.own[number] -= 1
+        self._asked_at[number] = 0.0
         key = self._servers[number].key
         self.known.record_load(now, key, load, own=self.own[number])
         if not math.isnan(took_s):
@@ -535,6 +547,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--hosts", type=int, nargs="+", default=[32, 96])
     parser.add_argument("--seeds", type=int, default=8)
+    parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--demand", type=float, default=0.8)
     parser.add_argument("--share", type=float, default=0.2)
@@ -542,7 +555,7 @@
     for hosts in args.hosts:
         plays = [
             Play(seed, hosts, servers, args.demand, args.seconds, args.share)
-            for seed in range(1, args.seeds + 1)
+            for seed in range(args.first_seed, args.first_seed + args.seeds)
             for servers in (3, 5)
         ]
         table = rich.table.Table(title=f"{hosts} hosts, demand {args.demand}")
