--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -314,18 +314,36 @@
             has_ended=functools.partial(self._has_ended, pool),
             is_first_start=settings.is_first_start,
         )
+        self._streams = self._make_streams(pool, calls, servers)
+        self._patience = patience.PatienceEstimator()
+        self._live: dict[
+            request_context.RequestContext, defer.Deferred[Any] | None
+        ] = {}
+        self._joining: defer.Deferred[Any] | None = None
+        self._stop: planned_stop.PlannedStop | None = None
+        self._durations = planned_stop.CallDurations()
+        self._joined_at: float | None = None
+
+    def _make_streams(
+        self,
+        pool: upstream.UpstreamPool,
+        calls: server_calls.ServerCalls,
+        servers: server_choice.ServerChoice,
+    ) -> stream_runner.StreamRunner:
+        """Create the runner of streams, and what finds places for them."""
+        codec = self._codecs.servers
         self._prefills = prefill_runner.PrefillRunner(
-            self.board, pool, calls, codecs.servers, self.slots, self.crashes
+            self.board, pool, calls, codec, self.slots, self.crashes
         )
         planned = planned_places.PlannedPlaces(
             self.board, self.slots, self._prefills, rng=self._rng
         )
         chosen = chosen_places.ChosenPlaces(self.board, self.crashes, servers)
-        self._streams = stream_runner.StreamRunner(
+        return stream_runner.StreamRunner(
             self.board,
             pool,
             calls,
-            codecs.servers,
+            codec,
             self.crashes,
             self._origins,
             self._waiting,
@@ -334,14 +352,6 @@
             ),
             retries_of=self._retry_share,
         )
-        self._patience = patience.PatienceEstimator()
-        self._live: dict[
-            request_context.RequestContext, defer.Deferred[Any] | None
-        ] = {}
-        self._joining: defer.Deferred[Any] | None = None
-        self._stop: planned_stop.PlannedStop | None = None
-        self._durations = planned_stop.CallDurations()
-        self._joined_at: float | None = None
 
     def _on_joined(self) -> None:
         if self._joined_at is None:
