Heads are kept as text until they are complete

Cause: a head of 4,060 short lines took 380 KB as pairs, 400 of them were closed for memory, and what they left kept 20 MB from being given back. Change: headers are kept as text and made into pairs when the request is complete; heads of up to 64 lines stay parsed meanwhile. A lost connection breaks its reference cycles. Memory is given back 20 s after callers hold little again, with a full garbage collection, which empties the lists of freed objects.

--- a/nutmegscale/answer_sender.py
+++ b/nutmegscale/answer_sender.py
@@ -176,6 +176,7 @@
     def stop(self) -> None:
         """Send nothing more, since the connection is lost."""
         self._is_streaming = self._is_watching = False
+        self._on_progress = lambda _: None
         self.drop()
 
     async def drained(self, timeout_s: float) -> None:
--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -34,10 +34,12 @@
 SLICE_BYTES = 16 << 10
 # Part of a head that its limit doesn't count: method, version and line breaks.
 UNCOUNTED_HEAD_BYTES = 64
-# Memory of a header besides its text, bytes: a pair and its place in two lists;
-# and of each string in it. Strings of less than two bytes are shared.
-HEADER_BYTES = 90
-HEADER_TEXT_BYTES = 40
+# Memory of a parsed header besides its text, bytes: a pair, its place in a
+# list, and two strings.
+HEADER_BYTES = 170
+# Longest head that is kept parsed until its body is complete, lines. A longer
+# one is parsed again, since short lines take up to 25 times their size.
+MAX_KEPT_LINES = 64
 # Connections that are being closed, beyond the limit on open ones.
 MAX_CLOSING = 32
 # Bytes received for each byte of the longest body, beyond which a body is
@@ -291,7 +293,7 @@
 
     def __init__(self, factory: "IngressFactory") -> None:
         self._factory = factory
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._timer: Any = None
         self._request: IncomingRequest | None = None
         self._is_closing = False
@@ -313,8 +315,10 @@
     def _reset_message(self) -> None:
         self._body = bytearray()
         self._target = b""
-        self._headers: list[http_message.Header] = []
-        self._header_memory = 0
+        # Headers as NAME:VALUE and a line break each.
+        self._lines = bytearray()
+        self._line_count = 0
+        self._method = b""
         self._head: http_message.RequestHead | None = None
         self._head_bytes = 0
         self._has_head = False
@@ -362,6 +366,8 @@
         self._factory.remove(self)
         self._factory.open_count -= 1
         self._sender.stop()
+        # Otherwise only the garbage collector frees both, much later.
+        self._parser = None
         self._cancel_timer()
         self._rest = b""
         self._reset_message()
@@ -376,7 +382,9 @@
         if self._body:
             held += sys.getsizeof(self._body)
         if self._head_bytes:
-            held += self._head_bytes + self._header_memory
+            held += self._head_bytes + len(self._lines)
+            if self._head is not None:
+                held += HEADER_BYTES * self._line_count
         if self._request is not None:
             held += self._request.size
         self._account.hold(held)
@@ -538,12 +546,21 @@
         self._calls += 1
         if self._has_head or self._refusal_status:
             return
-        if len(self._headers) >= self._factory.budget.limits.max_header_lines:
+        if self._line_count >= self._factory.budget.limits.max_header_lines:
             self._refusal_status = 431
             return
-        texts = (len(name) > 1) + (len(value) > 1)
-        self._header_memory += HEADER_BYTES + HEADER_TEXT_BYTES * texts
-        self._headers.append((name, value))
+        self._line_count += 1
+        self._lines += b"%b:%b\n" % (name, value)
+
+    def _parse_head(self) -> http_message.RequestHead:
+        """Return the head that was received."""
+        lines = bytes(self._lines).split(b"\n")[:-1]
+        pairs = (line.partition(b":") for line in lines)
+        return http_message.RequestHead(
+            self._method,
+            self._target,
+            tuple((name, value) for name, _, value in pairs),
+        )
 
     def on_headers_complete(self) -> None:
         """Validate the head; see httptools."""
@@ -552,13 +569,11 @@
         self._has_head = True
         limits = self._factory.limits()
         self._max_body_bytes = limits.max_body_bytes
-        size = len(self._target) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
-        head = http_message.RequestHead(
-            self._parser.get_method(), self._target, tuple(self._headers)
-        )
-        self._head, self._headers = head, []
+        # Each header counts with four bytes more than its text.
+        size = len(self._target) + len(self._lines) + 2 * self._line_count
+        self._method = self._parser.get_method()
+        head = self._parse_head()
+        self._head = head if self._line_count <= MAX_KEPT_LINES else None
         length = head.get(b"content-length") or b"0"
         if size > limits.max_header_bytes:
             self._refusal_status = 431
@@ -589,10 +604,9 @@
             self._keeps_alive = self._parser.should_keep_alive()
 
     def _dispatch(self) -> None:
-        assert self._head is not None
         self._cancel_timer()
-        head, body = self._head, bytes(self._body)
-        size = len(body) + self._header_memory + self._head_bytes
+        head, body = self._head or self._parse_head(), bytes(self._body)
+        size = len(body) + self._head_bytes + HEADER_BYTES * self._line_count
         self._is_closing = self._is_closing or not self._keeps_alive
         self._reset_message()
         now = self._factory.now()
--- a/nutmegscale/memory_release.py
+++ b/nutmegscale/memory_release.py
@@ -1,8 +1,14 @@
 """Gives freed memory back to the system."""
 
 import ctypes
+import gc
 from typing import Any
 
+# Time for which callers must hold little before memory is given back, seconds.
+# Cancelled timers of their connections, up to 15 s long, lie scattered among
+# what was freed and keep it from being given back.
+CALM_S = 20.0
+
 
 def find_trim() -> Any:
     """Return the C library's `malloc_trim`; None if it has none."""
@@ -12,8 +18,9 @@
 class MemoryRelease:
     """Gives memory back once callers hold little again after they held much.
 
-    The C library keeps freed memory below memory in use; a host that was full
-    for a moment would look full for days.
+    Neither Python nor the C library gives back freed memory that lies among
+    memory in use, and Python keeps lists of freed objects until a full garbage
+    collection, which takes about 40 ms.
 
     Args:
       limit: Memory that callers may hold, bytes.
@@ -23,11 +30,21 @@
         self._limit = limit
         self._trim = find_trim()
         self._was_high = False
-
-    def record(self, held_bytes: int, peak_bytes: int) -> None:
-        """Record what callers hold now, and held at most since then, bytes."""
-        self._was_high = self._was_high or peak_bytes > self._limit // 4
-        if self._was_high and held_bytes < self._limit // 32:
+        self._high_at = 0.0
+
+    def record(self, now: float, *, held_bytes: int, peak_bytes: int) -> None:
+        """Record what callers hold now, and held at most since the last call.
+
+        Args:
+          now: Current time, seconds.
+          held_bytes: What they hold, bytes.
+          peak_bytes: What they held at most, bytes.
+        """
+        self._was_high = self._was_high or peak_bytes > self._limit // 2
+        if peak_bytes > self._limit // 32 or held_bytes > self._limit // 32:
+            self._high_at = now
+        if self._was_high and now - self._high_at >= CALM_S:
             self._was_high = False
+            gc.collect()
             if self._trim is not None:
                 self._trim(0)
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -182,10 +182,14 @@
 
     def _look_at_memory(self) -> None:
         """Report what callers hold, and give back what they held."""
-        held_bytes = self._memory.budget.held_bytes
-        self._metrics.record_caller_memory(held_bytes)
-        self._release.record(held_bytes, self._memory.budget.peak_bytes)
-        self._memory.budget.peak_bytes = held_bytes
+        budget = self._memory.budget
+        self._metrics.record_caller_memory(budget.held_bytes)
+        self._release.record(
+            self._clock.seconds(),
+            held_bytes=budget.held_bytes,
+            peak_bytes=budget.peak_bytes,
+        )
+        budget.peak_bytes = budget.held_bytes
         self._reactor.callLater(MEMORY_PERIOD_S, self._look_at_memory)
 
     def _listen(self, port: int, factory: Any, ip: str) -> Any:
