Ordinary requests are parsed before costly ones

Cause: requests waited for their turn behind 400 connections with chunks of two bytes; one of three ordinary requests timed out after 5 s. Change: the first 256 calls of the parser for a request don't wait; heads and chunks are parsed 1 KB at a time, bodies with a length whole. Measured: 400 callers with 60 kB in two-byte chunks, limits 128 MB and 4,100 descriptors, ordinary requests one after the other: 15 of 15 answered with 200, the slowest after 0.5 s.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -30,8 +30,14 @@
 # While the bodies of all requests are beyond their limit, only smaller ones are
 # taken, bytes.
 MAX_SMALL_BODY_BYTES = 64 << 10
-# Bytes that are parsed at once. The parser makes up to 2,700 calls for them.
-SLICE_BYTES = 16 << 10
+# Bytes of a head or a body in chunks that are parsed at once. The parser makes
+# up to 256 calls for them, which take about 0.2 ms.
+SLICE_BYTES = 1 << 10
+# Calls of the parser for a request that don't wait for the connection's turn.
+# An ordinary request takes some twenty.
+FREE_CALLS = 256
+# More than is read at once.
+READ_BYTES = 1 << 20
 # Part of a head that its limit doesn't count: method, version and line breaks.
 UNCOUNTED_HEAD_BYTES = 64
 # Memory of a parsed header besides its text, bytes: a pair, its place in a
@@ -322,6 +328,7 @@
         self._head: http_message.RequestHead | None = None
         self._head_bytes = 0
         self._has_head = False
+        self._has_length = False
         self._max_body_bytes = 0
         self._wire_bytes = 0
         self._quiet_bytes = 0
@@ -462,7 +469,9 @@
             self._start_timer(self._factory.limits().idle_timeout_s)
 
     def _may_parse(self) -> bool:
-        return not self._sender.is_behind and self._factory.turns.may_parse()
+        if self._sender.is_behind:
+            return False
+        return self._calls < FREE_CALLS or self._factory.turns.may_parse()
 
     def _wait(self, rest: bytes) -> None:
         """Keep data until the answer before it is sent, or for a later turn."""
@@ -485,7 +494,8 @@
         heads are refused however they are cut.
         """
         if self._has_head:
-            return SLICE_BYTES
+            # A body with a stated length comes in one call.
+            return READ_BYTES if self._has_length else SLICE_BYTES
         return max(1, min(SLICE_BYTES, self._max_head_bytes - self._head_bytes))
 
     @property
@@ -499,14 +509,14 @@
             self._start_timer(self._factory.limits().header_timeout_s)
         if not self._has_head:
             self._head_bytes += len(data)
-        before, self._calls = len(self._body), 0
+        before, calls = len(self._body), self._calls
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refusal_status = self._refusal_status or 501
         except httptools.HttpParserError:
             self._refusal_status = self._refusal_status or 400
-        self._factory.turns.record(self._calls + 1)
+        self._factory.turns.record(self._calls - calls + 1)
         if self._has_head:
             self._record_body(len(data), len(self._body) - before)
         elif self._head_bytes >= self._max_head_bytes:
@@ -527,7 +537,7 @@
         max_wire_bytes = MAX_FRAMING_RATIO * limits.max_body_bytes
         if self._wire_bytes > max_wire_bytes + limits.max_header_bytes:
             self._refusal_status = self._refusal_status or 413
-        elif self._quiet_bytes > limits.max_header_bytes + SLICE_BYTES:
+        elif self._quiet_bytes > 2 * limits.max_header_bytes:
             # Trailers, or a chunk extension.
             self._refusal_status = self._refusal_status or 431
 
@@ -575,6 +585,7 @@
         head = self._parse_head()
         self._head = head if self._line_count <= MAX_KEPT_LINES else None
         length = head.get(b"content-length") or b"0"
+        self._has_length = length != b"0"
         if size > limits.max_header_bytes:
             self._refusal_status = 431
         elif head.count(b"host") != 1:
