Messages between hosts are bounded before they are received

Cause: nng takes a message of any stated length; the limit of 8 MB applied only to a message that was complete. Change: the socket refuses a longer message and closes its connection. Measured: tests/test_nng_transport.py fails for one byte too many before, and passes now.

--- a/nutmegscale/nng_transport.py
+++ b/nutmegscale/nng_transport.py
@@ -7,6 +7,8 @@
 
 import pynng
 
+from nutmegscale import envelope
+
 SEND_BUFFER_MESSAGES = 128
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1_000
@@ -39,7 +41,10 @@
 
     def start(self, receive: Callable[[bytes], None]) -> None:
         """Listen and pass every received message to `receive`."""
-        self._socket = pynng.Pull0(listen=self._address)
+        # Before it listens: nng takes messages of any stated length otherwise.
+        self._socket = pynng.Pull0()
+        self._socket.recv_max_size = envelope.MAX_MESSAGE_BYTES
+        self._socket.listen(self._address)
         self._receive_task = self._loop.create_task(self._receive(receive))
 
     async def _receive(self, receive: Callable[[bytes], None]) -> None:
