Refusals for memory are logged once, and a caller that waits isn't idle

Cause: a request refused for memory gave two log lines; the idle time of a connection ran while its data waited for its turn. Change: closings for memory have their own line only; waiting restarts the idle timer. A parameter that nothing used is gone. Measured: tests/test_http_ingress.py, test_caller_parser.py and test_memory_budget.py pass.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -476,6 +476,9 @@
     def _wait(self, rest: bytes) -> None:
         """Keep data until the answer before it is sent, or for a later turn."""
         self._rest = rest
+        if self._has_head:
+            # The caller isn't idle.
+            self._start_timer(self._factory.limits().idle_timeout_s)
         if not self._is_paused:
             self._is_paused = True
             self.transport.pauseProducing()
@@ -631,8 +634,12 @@
         self._factory.handler.handle(self._request)
 
     def _refuse(self, status: int) -> None:
-        """Respond with an error status and close the connection."""
+        """Refuse a request that can't be read or exceeds a limit."""
         self._factory.on_refused(status)
+        self._send_refusal(status)
+
+    def _send_refusal(self, status: int) -> None:
+        """Respond with an error status and close the connection."""
         self._is_closing = True
         self._is_refused = True
         headers = [(b"Content-Length", b"0")]
@@ -660,7 +667,7 @@
         self._factory.on_shed(reason, self._account.held_bytes)
         is_receiving = self._phase() is memory_budget.Phase.RECEIVING
         if is_receiving and self._head_bytes:
-            self._refuse(503)
+            self._send_refusal(503)
         elif is_receiving:
             self._is_discarding = True
             self._factory.remove(self)
--- a/nutmegscale/memory_budget.py
+++ b/nutmegscale/memory_budget.py
@@ -69,8 +69,6 @@
 def derive_limits(
     memory_mb: float = DEFAULT_MEMORY_MB,
     max_fds: int = DEFAULT_MAX_FDS,
-    *,
-    max_header_lines: int = MemoryLimits().max_header_lines,
 ) -> MemoryLimits:
     """Return the limits of a machine.
 
@@ -80,7 +78,6 @@
     Args:
       memory_mb: Memory that the daemon may use, megabytes.
       max_fds: File descriptors that it may use.
-      max_header_lines: Limit on the lines of a head.
     """
     memory = int(memory_mb * MEGABYTE)
     for_connections = memory // 8 // CONNECTION_BYTES
@@ -93,7 +90,6 @@
         buffered_bytes=memory // 16,
         caller_connections=connections * 4 // 5,
         relay_connections=connections // 5,
-        max_header_lines=max_header_lines,
     )
 
 
