Heads of the greatest length are served whatever their lines

Cause: each header counted with four bytes besides its text, but an empty one without a space has three: a head of 16,381 bytes in 4,075 lines got 431. Change: headers count with the three bytes that they have at least; the bytes received bound the rest. Measured: test_a_head_of_the_greatest_length_is_served_whatever_its_lines fails before and passes now.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -582,8 +582,9 @@
         self._has_head = True
         limits = self._factory.limits()
         self._max_body_bytes = limits.max_body_bytes
-        # Each header counts with four bytes more than its text.
-        size = len(self._target) + len(self._lines) + 2 * self._line_count
+        # Each header counts with the three bytes that it has besides its text
+        # at least. What this leaves out is bounded by `_max_head_bytes`.
+        size = len(self._target) + len(self._lines) + self._line_count
         self._method = self._parser.get_method()
         head = self._parse_head()
         self._head = head if self._line_count <= MAX_KEPT_LINES else None
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -167,6 +167,40 @@
     assert _Harness().receive(data).startswith(b"HTTP/1.1 413")
 
 
+def _default_harness() -> _Harness:
+    harness = _Harness()
+    harness.factory.limits = http_ingress.Limits
+    return harness
+
+
+def test_a_head_of_the_greatest_length_is_served_whatever_its_lines() -> None:
+    """A head of 4,075 lines of four bytes counted as if they had five."""
+    for line in (b"a:\r\n", b"a: b\r\n", b"name: value\r\n"):
+        harness = _default_harness()
+        room = http_ingress.Limits().max_header_bytes - len(POST_HEAD) - 2
+        head = POST_HEAD + line * (room // len(line)) + b"\r\n"
+        for start in range(0, len(head), 1_460):
+            assert not harness.receive(head[start : start + 1_460])
+        (request,) = harness.handler.requests
+        assert len(request.head.headers) == 1 + room // len(line)
+        assert request.head.headers[-1][0] == line.partition(b":")[0]
+
+
+def test_a_body_in_chunks_of_one_byte_is_served() -> None:
+    harness = _default_harness()
+    harness.transport.pauseProducing = lambda: None  # type: ignore[attr-defined]
+    harness.transport.resumeProducing = lambda: None  # type: ignore[attr-defined]
+    body = b"xyz" * 40_000
+    data = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+    harness.receive(POST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    for start in range(0, len(data), 65_536):
+        harness.receive(data[start : start + 65_536])
+    harness.receive(b"0\r\n\r\n")
+    for _ in range(100):
+        harness.clock.advance(0.01)
+    assert [r.body for r in harness.handler.requests] == [body]
+
+
 def test_slow_headers_and_idle_connections_are_closed() -> None:
     harness = _Harness()
     harness.receive(b"GET /a HT")
