--- a/tests/test_customer_slots.py
+++ b/tests/test_customer_slots.py
@@ -1,11 +1,13 @@
 """Tests that customers above their share leave slots to the others."""
 
 import msgspec
+from structlog import testing
 
 from nutmegscale import backend
 from nutmegscale import messages
 from nutmegscale import slot_queue
 from nutmegscale import slot_types
+from standins import router_world
 
 OBJECTIVE_S = 2.0
 PATIENCE_S = 8.0
@@ -149,6 +151,19 @@
     assert _granted(queue.dispatch(0.1)) == [f"r{SLOTS * DECODES}"]
 
 
+def test_the_planner_logs_whose_stream_it_decides_on() -> None:
+    """Guards against a customer that is lost between host and planner."""
+    world = router_world.Simulation()
+    world.start_default_workers()
+    world.configure(2, tenants=[{"name": "club-a", "apiKeys": ["k"]}])
+    world.start()
+    with testing.capture_logs() as lines:
+        reply = world.ask("brief", Authorization="Token k", seconds=6.0)
+    assert reply.status == 200
+    given = [line for line in lines if line["event"] == "slot_given"]
+    assert [line["customer"] for line in given] == ["club-a"]
+
+
 def test_a_host_of_an_earlier_build_names_no_customer() -> None:
     request = messages.SlotRequest(
         "s", "e", 1, 1, 0, 0.0, 1.0, 2.0, (), False, customer="c"
