Usage limits: turns of each customer, own part while all hosts start

Cause: one turn over all customers could lead a customer's requests to the same share again and again; right after a restart of all hosts, a host that had joined before the others refused with 503 although it had a part of its own.

Change: each customer has its own turn, from a place that differs between hosts; the own part is used if no share could be asked.

--- a/nutmegscale/customers/usage_controller.py
+++ b/nutmegscale/customers/usage_controller.py
@@ -154,7 +154,7 @@
         self._shares = shares
         self._own_part = own_part.OwnPart(rule)
         self._known = known_room.KnownRoom()
-        self._turn = 0
+        self._turns: dict[str, int] = {}
         self._slow_until: dict[str, float] = {}
         self._inquiries: dict[int, _Inquiry] = {}
         # Starts at random, so that replies to an earlier process of this host
@@ -189,7 +189,9 @@
         if decided.granted_by:
             self._board.metrics.record_usage_charge("allowed")
             return Allowed()
-        if self._take_own_part(request, allocators):
+        # Hosts that have just started may all hold no share yet.
+        is_unknown = not decided.is_short or self._is_any_slow(allocators)
+        if is_unknown and self._take_own_part(request):
             return Allowed(is_own_part=True)
         return self._refuse(decided)
 
@@ -211,7 +213,8 @@
         hosts = [host for host in heard if host not in self._slow_until]
         to_ask = known.to_ask(now, name, hosts, cost=cost, per_s=per_s)
         next_s = known.next_room_s(now, name, hosts, cost=cost, per_s=per_s)
-        if not to_ask and self._take_own_part(request, allocators):
+        may_use_own_part = not to_ask and self._is_any_slow(allocators)
+        if may_use_own_part and self._take_own_part(request):
             return Allowed(is_own_part=True)
         if hosts and not to_ask:
             return self._refuse_unasked(next_s)
@@ -241,11 +244,11 @@
         is left to it in a cut, so they are kept full. The others are used
         equally, however few hosts the customer sends to.
         """
-        hosts = self._view.allocators(usage_shares.share_key(customer))
+        hosts = self._view.preferred(usage_shares.share_key(customer), ())
         near = [host for host in hosts if self._is_near(host)]
         distant = [host for host in hosts if host not in near]
-        self._turn += 1
-        first = self._turn % max(1, len(distant))
+        turn = self._turns[customer] = self._turns.get(customer, 0) + 1
+        first = turn % max(1, len(distant))
         return distant[first:] + distant[:first] + near
 
     def _is_near(self, host: str) -> bool:
@@ -259,14 +262,13 @@
             or self._slow_until.get(host, 0.0) > self._board.now()
         )
 
-    def _take_own_part(
-        self, request: _Request, allocators: Sequence[str]
-    ) -> bool:
-        """Use this host's own part, unless all shares can be asked."""
+    def _is_any_slow(self, allocators: Sequence[str]) -> bool:
+        return any(self._is_slow(host) for host in allocators)
+
+    def _take_own_part(self, request: _Request) -> bool:
+        """Use this host's own part, which it has once it knows the others."""
         if not self._shares.has_joined:
             return False
-        if not any(self._is_slow(host) for host in allocators):
-            return False
         is_taken = self._own_part.take(
             self._board.now(),
             request.customer,
