Shares of customers begin with their limits

Cause: a planner that begins in a burst knows no customer's usual use and gives all equal shares; the largest customer sends a third of the streams. Change: a customer with a limit in tokens begins with 5 s of it as use; the others with the mean of these.

--- a/nutmegscale/customers/fair_shares.py
+++ b/nutmegscale/customers/fair_shares.py
@@ -8,16 +8,23 @@
 has usually used, and what it asks for beyond that fills what others leave.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import math
+import statistics
+
+from nutmegscale.customers import directory
 
 # Time constant over which the usual use of customers is averaged, seconds. Six
 # seconds at seven times the usual rate raise it by half of it at most.
 USUAL_USE_TIME_S = 60.0
-# Use that each customer starts with, tokens: about one stream. Until more is
-# known, customers have about equal shares. With three streams the largest of 16
-# customers had a sixth less than its part after 16 s.
+# Use that each customer starts with if no customer states a limit in tokens:
+# about one stream. Until more is known, they have about equal shares. With
+# three, the largest of 16 customers had a sixth less than its part after 16 s.
 INITIAL_USE_TOKENS = 8_000.0
+# Time at its limit that counts as use which a customer starts with, seconds:
+# limits are known at once, but they follow the usual use roughly only.
+INITIAL_USE_TIME_S = 5.0
 # Memory that a customer may hold relative to its share, and in typical streams
 # beyond that: arrivals vary by as much at a constant rate. With less, customers
 # lose answers while nobody sends more than usual; with a factor of 1.2, a hot
@@ -41,12 +48,36 @@
         self._base = 0.0
         self._use: dict[str, float] = {}
         self._total = 0.0
+        # Use that customers start with, and its sum over those in `_use`.
+        self._initial: dict[str, float] = {}
+        self._initial_default = INITIAL_USE_TOKENS
+        self._initial_total = 0.0
 
     @property
     def count(self) -> int:
         """Number of customers known."""
         return len(self._use)
 
+    def set_customers(self, known: Iterable[directory.Customer]) -> None:
+        """Set the customers whose limits show their usual use.
+
+        Customers without a limit in tokens start with the mean of the others.
+        """
+        self._initial = {
+            customer.name: customer.limit.per_s * INITIAL_USE_TIME_S
+            for customer in known
+            if customer.limit is not None
+            and customer.limit.unit == "tokens"
+            and customer.limit.per_s > 0.0
+        }
+        self._initial_default = INITIAL_USE_TOKENS
+        if self._initial:
+            self._initial_default = statistics.fmean(self._initial.values())
+        self._initial_total = sum(map(self._initial_use, self._use))
+
+    def _initial_use(self, customer: str) -> float:
+        return self._initial.get(customer, self._initial_default)
+
     def record_use(self, now: float, customer: str, tokens: float) -> None:
         """Record that a customer got memory for a stream.
 
@@ -57,6 +88,8 @@
         """
         self._rebase(now)
         use = tokens * self._growth(now)
+        if customer not in self._use:
+            self._initial_total += self._initial_use(customer)
         self._use[customer] = self._use.get(customer, 0.0) + use
         self._total += use
 
@@ -68,10 +101,13 @@
           customer: Name of the customer.
         """
         self._rebase(now)
-        initial = INITIAL_USE_TOKENS * self._growth(now)
-        count = len(self._use) + (customer not in self._use)
+        growth = self._growth(now)
+        own = self._initial_use(customer)
+        initial = self._initial_total
+        if customer not in self._use:
+            initial += own
         use = self._use.get(customer, 0.0)
-        return (use + initial) / (self._total + count * initial)
+        return (use + own * growth) / (self._total + initial * growth)
 
     def _growth(self, now: float) -> float:
         return math.exp((now - self._base) / USUAL_USE_TIME_S)
@@ -87,6 +123,7 @@
             if use * left >= MIN_USE_TOKENS
         }
         self._total = sum(self._use.values())
+        self._initial_total = sum(map(self._initial_use, self._use))
         self._base = now
 
 
--- a/nutmegscale/slot_planner.py
+++ b/nutmegscale/slot_planner.py
@@ -137,6 +137,8 @@
                 self._reachable_workers(service),
                 kv_tokens=kv_tokens,
             )
+            directory = config.customer_directory if config else None
+            queue.set_customers(directory.all() if directory else ())
         return queue
 
     def _reachable_workers(self, service: str) -> tuple[backend.Backend, ...]:
--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -7,9 +7,11 @@
 
 from collections import Counter
 from collections import deque
+from collections.abc import Iterable
 
 from nutmegscale import backend
 from nutmegscale import cache_trust
+from nutmegscale import customers
 from nutmegscale import decode_slots
 from nutmegscale import first_event_forecast
 from nutmegscale import held_slots
@@ -123,6 +125,10 @@
         self._caches.keep_only(names)
         self._costs.keep_only(names)
 
+    def set_customers(self, known: Iterable[customers.Customer]) -> None:
+        """Set the customers, whose limits show their usual use."""
+        self._order.set_customers(known)
+
     def submit(
         self, now: float, request: slot_types.SlotRequest
     ) -> list[slot_types.Decision]:
--- a/nutmegscale/stream_order.py
+++ b/nutmegscale/stream_order.py
@@ -107,6 +107,10 @@
         """Typical runs that customers above their share leave to others."""
         return math.ceil(self._slots.capacity * SHARE_RESERVE_FRACTION)
 
+    def set_customers(self, known: Iterable[customers.Customer]) -> None:
+        """Set the customers, whose limits show their usual use."""
+        self._shares.set_customers(known)
+
     def record_grant(self, now: float, request: slot_types.SlotRequest) -> None:
         """Record that a stream holds a slot now.
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -46,6 +46,20 @@
     assert 0.4 < shares.share(0.0, "a") < shares.share(0.0, "b") < 0.6
 
 
+def test_limits_show_the_use_before_anything_is_known() -> None:
+    """Guards against a new planner that cuts the largest customer down."""
+    shares = customers.FairShares()
+    shares.set_customers(
+        customers.Customer(name, 0, customers.UsageLimit("tokens", per_s, 0.0))
+        for name, per_s in (("large", 80_000.0), ("small", 20_000.0))
+    )
+    for name in ("large", "small", "unlimited"):
+        shares.record_use(0.0, name, 1.0)
+    assert shares.share(0.0, "large") == pytest.approx(0.8 / 1.5, abs=0.01)
+    assert shares.share(0.0, "small") == pytest.approx(0.2 / 1.5, abs=0.01)
+    assert shares.share(0.0, "unlimited") == pytest.approx(1 / 3, abs=0.01)
+
+
 def test_a_few_seconds_at_seven_times_the_rate_raise_a_share_little() -> None:
     shares = _shares(hot=1.0, other=9.0)
     before = shares.share(120.0, "hot")
