--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -95,3 +95,15 @@
     output = _run_soak(tmp_path, SEED, *options, "--stops")
     assert not _violations(output), output[-2_000:]
     assert " calls while hosts stopped, 0 cut" in output
+
+
+def test_soak_of_customers_keeps_to_their_keys_and_limits(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against keys at servers and in logs, and usage beyond limits."""
+    options = ("--minutes", "0.04", "--hosts", "4", "--callers", "6")
+    output = _run_soak(
+        tmp_path, SEED, *options, "--customers", "--recovery", "0.5"
+    )
+    assert not _violations(output), output[-2_000:]
+    assert output.count(" of the limit itself") == 3, output[-2_000:]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,6 +2,7 @@
 
     python -m tools.soak --seed N --minutes M [--hosts N] [--callers N]
         [--grey] [--limits] [--cuts] [--stops] [--split] [--roll REVISION]
+        [--customers] [--recovery SECONDS]
 
 All random choices come from the seed. Writes faults and results as JSON lines
 to out/soak-SEED/soak-SEED.jsonl; ends only the processes that it started.
@@ -9,6 +10,7 @@
 
 import argparse
 import json
+import math
 import os
 import pathlib
 import random
@@ -20,6 +22,7 @@
 
 from nutmegscale import periodic
 from tools import soak_callers
+from tools import soak_customers
 from tools import soak_cuts
 from tools import soak_grey
 from tools import soak_limits
@@ -52,6 +55,9 @@
 # Time until a server that a request crashed is back.
 POISON_RESTART_S = 2.0
 SUBNET_COUNT = 200
+# Short cuts; a connection that hung for less than keep-alive takes would stay
+# unresponsive after the cut, see `soak_links.HostLink.heal`.
+CUT_KINDS = ("reset", "refuse")
 
 
 class Soak:
@@ -62,12 +68,14 @@
     ) -> None:
         self._rng = random.Random(arguments.seed)
         self._duration_s = arguments.minutes * 60.0
+        self._recovery_s = arguments.recovery
         self.deployment = soak_world.SoakDeployment(
             reactor,
             folder,
             arguments.hosts,
             self._rng,
             subnet=1 + os.getpid() % SUBNET_COUNT,
+            bounds=soak_customers.BOUNDS if arguments.customers else "",
         )
         self.callers = soak_callers.Callers(
             self.deployment,
@@ -119,10 +127,18 @@
             self.deployment, self.callers, random.Random(arguments.seed + 8)
         )
         self._has_stops = arguments.stops
+        self._customers = soak_customers.CustomerCallers(
+            self.deployment,
+            self.callers,
+            random.Random(arguments.seed + 12),
+            steady_since=self._steady_since,
+        )
+        self._has_customers = arguments.customers
         self.figures: list[str] = []
         self.deployment.on_poison = self._crash_on_poison
         self._log_file = open(folder / f"soak-{arguments.seed}.jsonl", "w")  # noqa: SIM115
         self._disturbed_at: dict[str, float] = {}
+        self._store_back_at: dict[str, float] = {}
         self._planned_stops: list[tuple[str, float]] = []
         self._store_disturbed_at = 0.0
         self._workers_disturbed_at = 0.0
@@ -141,6 +157,8 @@
         """Run the test and return the number of violations."""
         if self._has_split:
             self.deployment.add_split_route()
+        if self._has_customers:
+            self._customers.start()
         self.deployment.start()
         await periodic.sleep(reactor, WARM_UP_S)
         self._start_parts()
@@ -155,10 +173,11 @@
             await periodic.sleep(reactor, self._rng.uniform(0.3, 3.0))
         await self._stop_parts()
         self._heal_all()
-        await periodic.sleep(reactor, RECOVERY_S)
+        await periodic.sleep(reactor, self._recovery_s)
         healed_at = reactor.seconds()
         await periodic.sleep(reactor, CHECK_WINDOW_S)
         await self.callers.stop()
+        await self._customers.finish()
         await periodic.sleep(reactor, SETTLE_S)
         self._check_outcome(healed_at)
         return len(self.callers.violations)
@@ -170,7 +189,8 @@
 
     def _start_parts(self) -> None:
         """Start the callers and faults that were asked for."""
-        if not self._is_planned:
+        if not self._is_planned and not self._has_customers:
+            # Its callers have no keys.
             self._poison.start()
         if self._has_grey_servers:
             self._grey.start()
@@ -197,6 +217,7 @@
         self._resumes.stop()
         self._split.stop()
         self._odd_rows.stop()
+        self._customers.stop()
         self._cuts.stop()
         self._pauses.stop()
         self._leavers.stop()
@@ -204,6 +225,9 @@
 
     def _inject_fault(self) -> None:
         self._fault_count += 1
+        if self._has_customers:
+            self._inject_host_fault()
+            return
         faults = (
             self._kill_host,
             self._pause_host,
@@ -221,6 +245,19 @@
         )
         self._rng.choice(faults)()
 
+    def _inject_host_fault(self) -> None:
+        """Disturb a host, with servers and store left as they are."""
+        faults = (
+            self._kill_host,
+            self._pause_host,
+            self._terminate_host,
+            self._reload_host,
+            self._inject_store_proxy_fault,
+            self._cut_host,
+            self._change_config,
+        )
+        self._rng.choice(faults)()
+
     def _inject_planned_change(self) -> None:
         """Change what leaves hosts in touch with all others and the store."""
         self._fault_count += 1
@@ -276,6 +313,28 @@
         host.signal(signal.SIGTERM)
         reactor.callLater(1.0, self._restart_host, host)
 
+    def _cut_host(self) -> None:
+        """Cut a host off from all backend servers for a time."""
+        host = self._rng.choice(self.deployment.hosts)
+        if host.cut:
+            return
+        how = self._rng.choice(CUT_KINDS)
+        self.log_event("cut", host=host.name, how=how)
+        host.cut_off(how)
+        self._call_later(1.0, 5.0, host.heal_links)
+
+    def _steady_since(self, host: soak_world.Host) -> float:
+        """Return since when a host has run and reached the store, seconds."""
+        proxy = host.store_proxy
+        drops = proxy.drops_to_target or proxy.drops_from_target
+        if drops or proxy.delay_s or not host.is_running:
+            return math.inf
+        return max(
+            host.disturbed_at,
+            self._disturbed_at.get(host.name, 0.0),
+            self._store_back_at.get(host.name, 0.0),
+        )
+
     def _reload_host(self) -> None:
         host = self._rng.choice(self.deployment.hosts)
         self.log_event("hang_up", host=host.name)
@@ -345,6 +404,9 @@
     def _heal_proxy(self, proxy: Any) -> None:
         self._workers_disturbed_at = reactor.seconds()
         proxy.heal()
+        for host in self.deployment.hosts:
+            if host.store_proxy is proxy:
+                self._store_back_at[host.name] = reactor.seconds()
 
     def _drain_worker(self) -> None:
         plain = [
@@ -428,6 +490,9 @@
         self._heal_store()
         for host in self.deployment.hosts:
             host.store_proxy.heal()
+            if host.cut:
+                host.heal_links()
+            host.disturbed_at = reactor.seconds()
             host.signal(signal.SIGCONT)
             if not host.is_running:
                 host.start()
@@ -447,6 +512,7 @@
         self._check_retries()
         self._check_limits()
         self._check_cuts()
+        self._check_customers()
         if self._has_stops:
             self.figures.append(self._stops.check())
         self._resumes.check()
@@ -492,8 +558,12 @@
     def _check_retries(self) -> None:
         """Check that the retries of all hosts stay within the budget."""
         windows = self.callers.worst_retry_windows(
-            self._poison.sent_at,
-            [*self._resumes.sent_at, *self._split.sent_at],
+            [*self._poison.sent_at, *self._customers.plain_sent_at],
+            [
+                *self._resumes.sent_at,
+                *self._split.sent_at,
+                *self._customers.model_sent_at,
+            ],
         )
         for window in windows:
             self.log_event("retries", **window._asdict())
@@ -521,6 +591,15 @@
         )
         self.log_event("cuts", figures=self.figures)
 
+    def _check_customers(self) -> None:
+        """Check keys and usage limits of customers."""
+        if not self._has_customers:
+            return
+        logs = {h.name: h.log.read_bytes() for h in self.deployment.hosts}
+        figures = self._customers.check(logs)
+        self.figures += figures
+        self.log_event("customers", figures=figures)
+
     def _check_planned_stops(self) -> None:
         """Check that planned stops cut off no answer in progress."""
         for name, stopped_at in self._planned_stops:
@@ -602,6 +681,18 @@
         metavar="REVISION",
         help="start hosts as an earlier build, and replace one after the other",
     )
+    parser.add_argument(
+        "--customers",
+        action="store_true",
+        help="change keys and limits of customers while hosts are disturbed",
+    )
+    parser.add_argument(
+        "--recovery",
+        type=float,
+        default=RECOVERY_S,
+        metavar="SECONDS",
+        help="time from the last fault until answers must be good again",
+    )
     parser.add_argument("--out", default="out")
     arguments = parser.parse_args()
     folder = pathlib.Path(arguments.out) / f"soak-{arguments.seed}"
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -8,6 +8,7 @@
 from twisted.internet import endpoints
 from twisted.internet import protocol
 
+from nutmegscale import http_message
 from nutmegscale import periodic
 from standins import platform_rows
 from standins import platform_worker
@@ -24,6 +25,8 @@
     "slot": "",
 }
 POLL_S = 0.02
+# Answers that guarantee that the request hasn't run.
+REFUSALS = (401, 408, 421, 429, 503)
 
 
 class Violation(NamedTuple):
@@ -71,10 +74,16 @@
     is_abandoned: bool
 
 
+def kind_of(route: str) -> str:
+    """Return the kind of a route; see `ROUTES`."""
+    return ROUTES.get(route, "")
+
+
 class Callers:
     """Callers that keep connections open and check their answers.
 
     Attributes:
+      further_lines: Header lines that all their requests have.
       is_stopping: Whether callers stop after their current requests.
       records: All requests that have ended.
       violations: Guarantees that weren't kept.
@@ -90,6 +99,7 @@
         self._rng = rng
         self._request_count = 0
         self.is_stopping = False
+        self.further_lines: list[str] = []
         self.records: list[RequestRecord] = []
         self.violations: list[Violation] = []
         self._loops = [
@@ -161,6 +171,40 @@
         connection.transport.abortConnection()
         return True
 
+    def next_request(self) -> str:
+        """Return the id of a new request."""
+        self._request_count += 1
+        return f"s{self._request_count}"
+
+    async def ask(
+        self,
+        host: soak_world.Host,
+        route: str,
+        request: str,
+        lines: list[str],
+    ) -> RequestRecord | None:
+        """Send a request to a host on a new connection, for another one.
+
+        Args:
+          host: The host.
+          route: Route of the request.
+          request: Its id.
+          lines: Header lines that it has in place of `further_lines`.
+
+        Returns:
+          Its outcome, which isn't recorded here; None if the host took no
+          connection.
+        """
+        connection = await self.connect(host)
+        if connection is None:
+            return None
+        record = await self._send_request(
+            connection, host, route=route, request=request, lines=lines
+        )
+        self._check_answer(record)
+        connection.transport.abortConnection()
+        return record
+
     async def _use_connection(
         self, connection: raw_caller.Caller, host: soak_world.Host
     ) -> None:
@@ -187,24 +231,26 @@
         host: soak_world.Host,
         *,
         route: str = "",
+        request: str = "",
+        lines: list[str] | None = None,
     ) -> RequestRecord:
-        self._request_count += 1
-        request = f"s{self._request_count}"
+        request = request or self.next_request()
         route = route or self._rng.choice(list(ROUTES))
         body = f"{request} {self._rng.random()}".encode()
-        lines = [
+        head = [
             f"POST /{route}/x HTTP/1.1",
             "Host: clubs.example",
             f"Request-Id: {request}",
             f"Deadline-Ms: {int(PATIENCE_S * 1000)}",
             f"Content-Length: {len(body)}",
+            *(self.further_lines if lines is None else lines),
         ]
-        if ROUTES[route] == "stream":
-            lines += ["Token-Count: 5000,4000", "Model: m"]
+        if kind_of(route) == "stream":
+            head += ["Token-Count: 5000,4000", "Model: m"]
         earlier_replies = len(connection.replies)
         sent_at = self._now()
         connection.transport.write(
-            "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+            "\r\n".join(head).encode() + b"\r\n\r\n" + body
         )
         leaves_at = sent_at + PATIENCE_S
         # For one request in twenty the caller disconnects early.
@@ -244,12 +290,16 @@
             self.record_violation(
                 "whole answer to its own caller", record.request, detail
             )
+        self._check_runs(record)
+
+    def _check_runs(self, record: RequestRecord) -> None:
+        """Check how often a request has run so far."""
         runs = self._count_runs(record.request)
-        if ROUTES[record.route] == "unsafe" and runs > 1:
+        if kind_of(record.route) == "unsafe" and runs > 1:
             self.record_violation(
                 "runs at most once", record.request, f"{runs} runs"
             )
-        if record.status == 503 and record.is_complete and runs:
+        if record.status in REFUSALS and record.is_complete and runs:
             self.record_violation(
                 "a refusal is true", record.request, f"{runs} runs"
             )
@@ -265,6 +315,22 @@
         """Return the id of the request of each run."""
         return [name for server in self._all_servers() for name in server.ran]
 
+    def all_timed_runs(self) -> list[tuple[float, str]]:
+        """Return when each run began, seconds, and its request, in order."""
+        return sorted(
+            run
+            for server in self._all_servers()
+            for run in zip(server.ran_at, server.ran, strict=True)
+        )
+
+    def all_heads(self) -> list[tuple[str, http_message.RequestHead]]:
+        """Return the head of each request, and the server that got it."""
+        return [
+            (server.id, head)
+            for server in self._all_servers()
+            for head in server.request_heads
+        ]
+
     def all_received(self) -> set[str]:
         """Return the ids of the requests that reached a server."""
         return {
@@ -315,18 +381,14 @@
     def _count_runs(self, request: str) -> int:
         return self.all_runs().count(request)
 
+    def check_records(self, records: list[RequestRecord]) -> None:
+        """Check how often each request has run, once all have ended."""
+        for record in records:
+            self._check_runs(record)
+
     def check_final_state(self) -> None:
         """Check what must hold once all requests have ended."""
-        for record in self.records:
-            runs = self._count_runs(record.request)
-            if ROUTES[record.route] == "unsafe" and runs > 1:
-                self.record_violation(
-                    "runs at most once", record.request, f"{runs} runs"
-                )
-            if record.status == 503 and record.is_complete and runs:
-                self.record_violation(
-                    "a refusal is true", record.request, f"{runs} runs"
-                )
+        self.check_records(self.records)
         for name, worker in self._deployment.workers.items():
             if worker.server.running:
                 detail = f"{worker.server.running} slots of {name}"
@@ -337,7 +399,7 @@
     """Return what is wrong with a complete, successful answer, or b""."""
     if reply.status != 200 or not reply.is_complete:
         return b""
-    if ROUTES[route] != "stream":
+    if kind_of(route) != "stream":
         return b"" if reply.body == body else reply.body or b"empty"
     lines = reply.body.split(b"\n")
     ids = [int(x[3:]) for x in lines if x.startswith(b"id:")]
--- a/tools/soak_resumes.py
+++ b/tools/soak_resumes.py
@@ -102,6 +102,8 @@
             return _Answer(0, False)
         self.sent_at.append(self._deployment.reactor.seconds())
         body = request.split("-")[1].encode()
+        for line in self._callers.further_lines:
+            headers += f"{line}\r\n"
         connection.transport.write(
             (
                 f"POST /{self._route}/x HTTP/1.1\r\nHost: clubs.example\r\n"
--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -85,11 +85,12 @@
         """Stop a host, call it up to its end, and start it again."""
         reactor: Any = self._deployment.reactor
         self.stops.append((host.name, reactor.seconds()))
-        host.signal(signal.SIGTERM)
+        self._signal(host, signal.SIGTERM)
         if self._rng.random() < 0.5:
             reactor.callLater(
                 self._rng.uniform(0.1, SECOND_SIGNAL_S),
-                host.signal,
+                self._signal,
+                host,
                 signal.SIGTERM,
             )
         calls = []
@@ -98,6 +99,7 @@
             await periodic.sleep(reactor, LATE_CALL_PERIOD_S)
         await defer.DeferredList(calls)
         host.start()
+        host.disturbed_at = reactor.seconds()
 
     async def _call(self, host: soak_world.Host) -> None:
         if await self._callers.send_once(host, "confirm"):
@@ -105,11 +107,15 @@
 
     def _freeze(self, host: soak_world.Host) -> None:
         """Let a host stand still for some seconds."""
-        host.signal(signal.SIGSTOP)
+        self._signal(host, signal.SIGSTOP)
         self._deployment.reactor.callLater(
-            self._rng.uniform(0.3, 4.0), host.signal, signal.SIGCONT
+            self._rng.uniform(0.3, 4.0), self._signal, host, signal.SIGCONT
         )
 
+    def _signal(self, host: soak_world.Host, number: int) -> None:
+        host.disturbed_at = self._deployment.reactor.seconds()
+        host.signal(number)
+
     def _release(self) -> None:
         """Replace a worker by one of another software version."""
         decodes = [
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -45,6 +45,7 @@
 [bounds]
 graceS = {grace}
 drainMs = 2000
+{bounds}
 retryBudgetRatio = {budget.ratio}
 budgetExtra = {budget.extra}
 budgetWindowS = {budget.window_s}
@@ -54,6 +55,8 @@
 
 
 SPLIT_PREFIX = b"/split/"
+# Plain route whose requests need no key.
+OPEN_ROUTE = "open"
 
 
 class Host:
@@ -189,6 +192,8 @@
     Attributes:
       on_poison: Called with the name of a server that runs a request that
         crashes it; stops it by default.
+      tenants: Customers of the next configuration, as the operator writes
+        them; None if it has none. With customers there is a public route.
     """
 
     def __init__(
@@ -199,7 +204,18 @@
         rng: random.Random,
         *,
         subnet: int = 1,
+        bounds: str = "",
     ) -> None:
+        """Create the deployment without starting it.
+
+        Args:
+          reactor: Twisted reactor.
+          folder: Folder of the hosts' settings and logs.
+          hosts: Number of hosts.
+          rng: Source of random numbers.
+          subnet: Second number of the hosts' addresses.
+          bounds: Further lines of the section `bounds` of their settings.
+        """
         self.reactor = reactor
         self.rng = rng
         self.store = row_table.RowTable(reactor)
@@ -208,6 +224,7 @@
         self.next_version = 1
         self._config = b""
         self._has_split_route = False
+        self.tenants: list[dict[str, Any]] | None = None
         self.on_poison: Callable[[str], None] = self.crash_worker
         self.workers: dict[str, Worker] = {}
         self.stopped_workers: list[Worker] = []
@@ -229,6 +246,7 @@
                     ready=READY_PORT,
                     grace=GRACE_S,
                     budget=RETRY_BUDGET,
+                    bounds=bounds,
                     store=host.store_proxy.address,
                 ),
                 encoding="utf-8",
@@ -300,6 +318,10 @@
             state["routes"].append(
                 {**template, "name": name, "pathPrefix": f"/{name}/"}
             )
+        if self.tenants is not None:
+            state["tenants"] = self.tenants
+            public = {"name": OPEN_ROUTE, "pathPrefix": f"/{OPEN_ROUTE}/"}
+            state["routes"].append({**template, **public, "public": True})
         if self._has_split_route:
             weights = {
                 platform_rows.MODEL_SERVICE: 50,
