--- a/nutmegscale/slot_queue.py
+++ b/nutmegscale/slot_queue.py
@@ -386,10 +386,16 @@
         forecast = self._first_event_forecast(now)
         return self._order.arrange(now, self._waiting.values(), forecast)
 
-    def _try_grant(
+    def _choose_workers(
         self, now: float, request: slot_types.SlotRequest
-    ) -> slot_types.Grant | None:
-        prefill_worker = (
+    ) -> tuple[str, str] | None:
+        """Choose the workers of a stream.
+
+        Returns:
+          The decode worker, and the prefill worker or "" if the decode worker
+          must prefill the prompt; None if the stream can't be granted a slot.
+        """
+        prefill = (
             None
             if request.local_prefill
             else self._prefill_workers.choose(now, avoid=request.avoid)
@@ -397,47 +403,51 @@
         decode = self._slots.choose(
             now,
             request,
-            local_prefill=prefill_worker is None,
+            local_prefill=prefill is None,
             prefill_versions=self._prefill_workers.versions(now),
         )
         if decode is None:
             return None
-        if prefill_worker is not None:
-            prefill_worker = self._prefill_workers.choose(
+        if prefill is not None:
+            prefill = self._prefill_workers.choose(
                 now,
                 self._slots.failure_domain(decode),
                 self._slots.version(decode),
                 avoid=request.avoid,
             )
-        if prefill_worker is None:
-            self._slots.record_local_prefill(now, decode, request.prompt_tokens)
-        else:
-            self._caches.record_grant(now, prefill_worker)
-        prefill_s = (
-            self._prefill_workers.expected_prefill_s(
-                prefill_worker, request.prompt_tokens
+        return decode, prefill or ""
+
+    def _try_grant(
+        self, now: float, request: slot_types.SlotRequest
+    ) -> slot_types.Grant | None:
+        workers = self._choose_workers(now, request)
+        if workers is None:
+            return None
+        decode, prefill = workers
+        prefill_s, queued_tokens = 0.0, 0
+        if prefill:
+            self._caches.record_grant(now, prefill)
+            prefill_s = self._prefill_workers.expected_prefill_s(
+                prefill, request.prompt_tokens
             )
-            if prefill_worker
-            else 0.0
-        )
+            queued_tokens = self._held.queued_tokens(prefill)
+            queued_tokens += request.prompt_tokens
+        else:
+            self._slots.record_local_prefill(now, decode, request.prompt_tokens)
         permitted = tuple(
-            worker
-            for worker in (decode, prefill_worker)
-            if worker and self._limits.take(worker)
+            worker for worker in workers if worker and self._limits.take(worker)
         )
         del self._waiting[request.exchange]
         held = slot_types.HeldSlot(
             request.exchange,
             request.host,
             decode,
-            prefill_worker or "",
+            prefill,
             request.prompt_tokens,
             request.expected_tokens,
             now,
             now,
-            self._held.queued_tokens(prefill_worker) + request.prompt_tokens
-            if prefill_worker
-            else 0,
+            queued_tokens,
             permitted,
             request.customer,
         )
@@ -446,7 +456,7 @@
         return slot_types.Grant(
             request.exchange,
             request.host,
-            prefill_worker or "",
+            prefill,
             decode,
             prefill_s,
             permitted,
@@ -470,18 +480,14 @@
         times = self._slots.capacity_times(now)
         late_times = self._late_start_times(now, times, len(order.in_time))
         decisions = self._refuse_of_version(now, order.in_time)
-        for request, start in order.starts(times):
-            if request.version:
-                continue
-            if start is None or not _is_worth_waiting(forecast, request, start):
-                decisions.append(
-                    self._refusal(
-                        now,
-                        request,
-                        times,
-                        is_above_share=request.exchange in order.above_share,
-                    )
-                )
+        refused = [
+            request
+            for request, start in order.starts(times)
+            if not request.version
+            and (
+                start is None or not _is_worth_waiting(forecast, request, start)
+            )
+        ]
         has_free = bool(times) and times[0] <= now
         for request, start in order.late_starts(late_times):
             # While capacity is free, a late stream without a start waits for
@@ -489,14 +495,12 @@
             if start is None and has_free:
                 start = now
             if start is None or start > _latest_start(request):
-                decisions.append(
-                    self._refusal(
-                        now,
-                        request,
-                        times,
-                        is_above_share=request.exchange in order.above_share,
-                    )
-                )
+                refused.append(request)
+        for request in refused:
+            is_above = request.exchange in order.above_share
+            decisions.append(
+                self._refusal(now, request, times, is_above_share=is_above)
+            )
         return decisions
 
     def _refuse_of_version(
--- a/nutmegscale/stream_order.py
+++ b/nutmegscale/stream_order.py
@@ -58,7 +58,7 @@
           Each stream with its start, None if there is none.
         """
         return [
-            (request, _at(times, self._place(number, request)))
+            (request, _at(times, self.place(number, request)))
             for number, request in enumerate(self.in_time)
         ]
 
@@ -78,7 +78,13 @@
             for number, request in enumerate(self.late)
         ]
 
-    def _place(self, number: int, request: slot_types.SlotRequest) -> int:
+    def place(self, number: int, request: slot_types.SlotRequest) -> int:
+        """Return the number of the next capacity that a stream in time gets.
+
+        Args:
+          number: Number of streams before it.
+          request: The stream.
+        """
         is_above = request.exchange in self.above_share
         return number + self.reserve if is_above else number
 
@@ -143,40 +149,48 @@
                 stream.requested_at,
             ),
         )
-        above = self._excesses(now, ordered)
-        if above:
+        excesses = self._excesses(now, ordered)
+        if excesses:
             ordered.sort(
                 key=lambda stream: (
                     stream.priority,
-                    above.get(stream.exchange, 0.0),
+                    excesses.get(stream.exchange, 0.0),
                 )
             )
+        order = Order([], [], excesses, self._share_reserve if excesses else 0)
+        self._split(now, ordered, forecast, order)
+        order.late.sort(
+            key=lambda stream: (
+                excesses.get(stream.exchange, 0.0),
+                stream.requested_at,
+            )
+        )
+        return order
+
+    def _split(
+        self,
+        now: float,
+        ordered: Collection[slot_types.SlotRequest],
+        forecast: first_event_forecast.FirstEventForecast,
+        order: Order,
+    ) -> None:
+        """Split streams into those that can be in time and late ones."""
         # With free capacity for the whole queue no forecast is needed. Else
         # streams beyond the forecast aren't late, but the queue refuses them.
-        reserve = self._share_reserve if above else 0
-        has_capacity = self._slots.has_capacity(now, len(ordered) + reserve)
+        needed = len(ordered) + order.reserve
+        has_capacity = self._slots.has_capacity(now, needed)
         times = [] if has_capacity else self._slots.capacity_times(now)
-        in_time: list[slot_types.SlotRequest] = []
-        late: list[slot_types.SlotRequest] = []
         for request in ordered:
-            position = len(in_time)
-            if request.exchange in above:
-                position += reserve
-            start = times[position] if position < len(times) else now
+            start = _at(times, order.place(len(order.in_time), request))
+            if start is None:
+                start = now
             first_at = start + forecast.first_event_s(request)
             slack_s = FORECAST_SLACK_S if start > now else 0.0
             is_in_time = (
                 bool(request.version)
                 or first_at <= request.in_time_by + slack_s
             )
-            (in_time if is_in_time else late).append(request)
-        late.sort(
-            key=lambda stream: (
-                above.get(stream.exchange, 0.0),
-                stream.requested_at,
-            )
-        )
-        return Order(in_time, late, above, reserve)
+            (order.in_time if is_in_time else order.late).append(request)
 
     def _excesses(
         self, now: float, ordered: Iterable[slot_types.SlotRequest]
