Messages: hosts of two builds read each other's

Cause: a host reads no message with more fields than it knows. A request for a slot with the customer, even an empty one, is malformed to a planner of the build before (Expected `array` of length 10 to 13, got 14): no reply. Change: trailing fields that have their default values aren't sent; further fields of later builds are ignored. Tests: test_an_earlier_build_reads_messages_without_new_values and test_messages_of_a_later_build_are_read_without_their_new_fields; the build before opened a sealed request without customer (by hand).

--- a/nutmegscale/envelope.py
+++ b/nutmegscale/envelope.py
@@ -63,6 +63,7 @@
 _header_decoder: decoding.Decoder[tuple[Header, msgspec.Raw]] = (
     decoding.Decoder(tuple[Header, msgspec.Raw], "msgpack")
 )
+_any_decoder: decoding.Decoder[Any] = decoding.Decoder(Any, "msgpack")
 _decoders: dict[int, decoding.Decoder[Any]] = {
     number: decoding.Decoder(kind, "msgpack")
     for number, kind in messages.TYPE_BY_NUMBER.items()
@@ -122,7 +123,7 @@
             call,
             is_reply,
         )
-        body = _encoder.encode((header, message))
+        body = _encoder.encode((header, _without_trailing_defaults(message)))
         return body + self._digest(body)
 
     def open(self, data: bytes) -> OpenedMessage:
@@ -142,7 +143,7 @@
             raise EnvelopeError("wrong digest; the message isn't authentic")
         try:
             header, raw = _header_decoder.decode(body)
-            message = _decoders[header.kind].decode(raw)
+            message = _decode(header.kind, raw)
         except (errors.MalformedDataError, KeyError) as exc:
             raise EnvelopeError(f"malformed: {exc}") from exc
         if header.receiver != self._host:
@@ -169,3 +170,36 @@
         sessions.move_to_end(header.session)
         while len(sessions) > MAX_SESSIONS_PER_SENDER:
             sessions.popitem(last=False)
+
+
+def _without_trailing_defaults(message: Any) -> tuple[Any, ...]:
+    """Return the fields of a message up to the last that isn't a default.
+
+    A host of an earlier build reads no message with more fields than it knows.
+    """
+    count = len(message)
+    defaults = message._field_defaults
+    for name in reversed(message._fields):
+        if name not in defaults or message[count - 1] != defaults[name]:
+            break
+        count -= 1
+    return tuple(message[:count])
+
+
+def _decode(kind: int, raw: msgspec.Raw) -> Any:
+    """Decode a message; fields that a later build appended are ignored.
+
+    Raises:
+      errors.MalformedDataError: It is malformed.
+      KeyError: There is no message of this kind.
+    """
+    decoder = _decoders[kind]
+    try:
+        return decoder.decode(raw)
+    except errors.MalformedDataError:
+        message_type = messages.TYPE_BY_NUMBER[kind]
+        values = _any_decoder.decode(raw)
+        known = len(message_type._fields)
+        if not isinstance(values, list) or len(values) <= known:
+            raise
+        return decoding.convert(values[:known], message_type)
