Slots: planners of the build before are asked without customers

Cause: such a planner reads no request with a customer and answers pings, so that a stream would ask it until its caller gave up. Change: after two requests without a reply (eight if it had read customers before), a planner gets requests without customers for 30 s (named_planners).

--- a/nutmegscale/slot_controller.py
+++ b/nutmegscale/slot_controller.py
@@ -9,6 +9,7 @@
 from nutmegscale import logs
 from nutmegscale import mesh
 from nutmegscale import messages
+from nutmegscale import named_planners
 from nutmegscale import peer_watch
 from nutmegscale import periodic
 from nutmegscale import planned_limits
@@ -116,6 +117,7 @@
         self._waiters: dict[str, _Waiter] = {}
         self._held: dict[str, _HeldSlot] = {}
         self._list_receivers: dict[str, str] = {}
+        self._named_planners = named_planners.NamedPlanners()
         self._lists = periodic.Periodic(
             board.clock, LIST_PERIOD_S, self._send_lists
         )
@@ -221,6 +223,9 @@
         self, planner: str, demand: SlotDemand
     ) -> messages.SlotReply:
         now = self._board.now()
+        is_named = bool(demand.customer) and (
+            self._named_planners.reads_customers(now, planner)
+        )
         request = messages.SlotRequest(
             demand.service,
             demand.exchange,
@@ -235,11 +240,24 @@
             demand.content,
             self._view.silent_before(demand.service, planner),
             demand.version,
-            demand.customer,
-        )
-        return await self._mesh.call(
-            planner, request, messages.SlotReply, timeout_s=REQUEST_TIMEOUT_S
+            demand.customer if is_named else "",
         )
+        try:
+            reply: messages.SlotReply = await self._mesh.call(
+                planner,
+                request,
+                messages.SlotReply,
+                timeout_s=REQUEST_TIMEOUT_S,
+            )
+        except errors.PeerError:
+            if is_named:
+                self._named_planners.record(
+                    self._board.now(), planner, is_answered=False
+                )
+            raise
+        if is_named:
+            self._named_planners.record(now, planner, is_answered=True)
+        return reply
 
     async def _wait_decision(
         self, exchange: str, planner: str
--- a/tests/test_customer_slots.py
+++ b/tests/test_customer_slots.py
@@ -1,10 +1,13 @@
 """Tests that customers above their share leave slots to the others."""
 
-import msgspec
+from typing import Any
+
+import pytest
 from structlog import testing
 
 from nutmegscale import backend
-from nutmegscale import messages
+from nutmegscale import errors
+from nutmegscale import slot_planner
 from nutmegscale import slot_queue
 from nutmegscale import slot_types
 from standins import router_world
@@ -164,12 +167,27 @@
     assert [line["customer"] for line in given] == ["club-a"]
 
 
-def test_a_host_of_an_earlier_build_names_no_customer() -> None:
-    request = messages.SlotRequest(
-        "s", "e", 1, 1, 0, 0.0, 1.0, 2.0, (), False, customer="c"
-    )
-    sent = msgspec.msgpack.encode(request[:-1])
-    received = msgspec.msgpack.decode(sent, type=messages.SlotRequest)
-    assert received.customer == ""
-    # An earlier build ignores what follows the fields that it knows.
-    assert messages.SlotRequest._fields[-1] == "customer"
+def test_a_planner_of_an_earlier_build_serves_customers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against streams that such a planner never answers.
+
+    It reads no request with a customer, but answers pings.
+    """
+    receive = slot_planner.SlotPlanner._receive_request
+
+    async def _receive(
+        planner: slot_planner.SlotPlanner, sender: str, request: Any
+    ) -> Any:
+        if request.customer:
+            raise errors.PeerError("no reply in time")
+        return await receive(planner, sender, request)
+
+    monkeypatch.setattr(slot_planner.SlotPlanner, "_receive_request", _receive)
+    world = router_world.Simulation()
+    world.start_default_workers()
+    world.configure(2, tenants=[{"name": "club-a", "apiKeys": ["k"]}])
+    world.start()
+    for _ in range(2):
+        reply = world.ask("brief", Authorization="Token k", seconds=6.0)
+        assert reply.status == 200
