Requests in progress stay within the memory of all connections

Cause: a request that was handed on is never closed, and the memory of its parsed head was counted only then: 400 complete heads of short lines that wait for servers take 152 MB. Change: a request is handed on only if its size in memory fits, a large one only up to 0.8 of the budget; otherwise it is refused with 503, not run. Tests of the log of closings and of giving memory back.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -30,6 +30,9 @@
 # While the bodies of all requests are beyond their limit, only smaller ones are
 # taken, bytes.
 MAX_SMALL_BODY_BYTES = 64 << 10
+# Part of the memory of all connections up to which requests that are larger
+# than a small body are handed on.
+LARGE_REQUEST_FRACTION = 0.8
 # Bytes of a head or a body in chunks that are parsed at once. The parser makes
 # up to 256 calls for them, which take about 0.2 ms.
 SLICE_BYTES = 1 << 10
@@ -618,10 +621,30 @@
             self._is_complete = True
             self._keeps_alive = self._parser.should_keep_alive()
 
+    def _may_dispatch(self, size: int) -> bool:
+        """Whether memory allows a request to be handed on.
+
+        It isn't closed from then on, so a large one leaves a part of the budget
+        to ordinary ones.
+
+        Args:
+          size: Its size in memory, bytes.
+        """
+        budget = self._factory.budget
+        limit = float(budget.limits.held_bytes)
+        if size > MAX_SMALL_BODY_BYTES:
+            limit *= LARGE_REQUEST_FRACTION
+        return budget.held_bytes - self._account.held_bytes + size <= limit
+
     def _dispatch(self) -> None:
+        size = len(self._body) + self._head_bytes
+        size += HEADER_BYTES * self._line_count
+        if not self._may_dispatch(size):
+            self._factory.on_shed("memory_short", size)
+            self._send_refusal(503)
+            return
         self._cancel_timer()
         head, body = self._head or self._parse_head(), bytes(self._body)
-        size = len(body) + self._head_bytes + HEADER_BYTES * self._line_count
         self._is_closing = self._is_closing or not self._keeps_alive
         self._reset_message()
         now = self._factory.now()
--- a/tests/test_caller_parser.py
+++ b/tests/test_caller_parser.py
@@ -89,16 +89,6 @@
 )
 
 
-class _Transport(test_http_ingress._Transport):
-    """Transport whose reading can be paused."""
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Do nothing: the tests send all the same."""
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Do nothing."""
-
-
 class _Outcome(NamedTuple):
     """What became of some bytes.
 
@@ -116,7 +106,7 @@
 def _open() -> test_http_ingress._Harness:
     harness = test_http_ingress._Harness()
     harness.connection.connectionLost()
-    harness.transport = _Transport()
+    harness.transport = test_http_ingress._Transport()
     harness.connection = harness.factory.buildProtocol(None)
     connection: Any = harness.connection
     connection.makeConnection(harness.transport)
@@ -237,7 +227,7 @@
     budget.limits = budget.limits._replace(held_bytes=limit)
     others = []
     for piece in pieces:
-        transport = _Transport()
+        transport = test_http_ingress._Transport()
         connection: Any = harness.factory.buildProtocol(None)
         connection.makeConnection(transport)
         connection.dataReceived(piece)
--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -60,6 +60,12 @@
         """Record a reset."""
         self.is_aborted = True
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: the tests send all the same."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing."""
+
 
 class _RecordingHandler:
     """Handler that records the requests."""
@@ -186,10 +192,33 @@
         assert request.head.headers[-1][0] == line.partition(b":")[0]
 
 
+def test_requests_in_progress_stay_within_the_memory() -> None:
+    """None of them is closed for memory: 400 heads of short lines took 152 MB.
+
+    An ordinary request is served beside them.
+    """
+    harness = _default_harness()
+    budget = harness.factory.budget
+    budget.limits = budget.limits._replace(held_bytes=4 << 20)
+    head = POST_HEAD + b"a:\r\n" * 3_900 + b"\r\n"
+    answers = []
+    for data in [head] * 20 + [VALID_GET]:
+        other = _Harness()
+        other.connection = harness.factory.buildProtocol(None)
+        connection: Any = other.connection
+        connection.makeConnection(other.transport)
+        other.receive(data)
+        harness.clock.advance(0.01)
+        answers.append(other.transport.value().partition(b"\r\n")[0])
+        assert budget.held_bytes <= budget.limits.held_bytes
+    assert b"HTTP/1.1 503 Service Unavailable" in answers
+    assert not answers[-1]
+    served = len(harness.handler.requests)
+    assert served == answers.count(b"") > 2
+
+
 def test_a_body_in_chunks_of_one_byte_is_served() -> None:
     harness = _default_harness()
-    harness.transport.pauseProducing = lambda: None  # type: ignore[attr-defined]
-    harness.transport.resumeProducing = lambda: None  # type: ignore[attr-defined]
     body = b"xyz" * 40_000
     data = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
     harness.receive(POST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -7,10 +7,13 @@
 import pathlib
 
 import pytest
+import structlog
 from twisted.internet import task
 
+from nutmegscale import closing_log
 from nutmegscale import errors
 from nutmegscale import memory_budget
+from nutmegscale import memory_release
 from nutmegscale import parse_turns
 from nutmegscale.platform import settings
 
@@ -113,6 +116,44 @@
     assert ran[:5] == ["a", "a", "b", "a", "b"]
 
 
+class _Counter:
+    """Counts closings by their reasons."""
+
+    def __init__(self) -> None:
+        self.reasons: list[str] = []
+
+    def record_closing(self, reason: str) -> None:
+        """Count a closing."""
+        self.reasons.append(reason)
+
+
+def test_closings_are_all_counted_and_few_are_logged() -> None:
+    clock = task.Clock()
+    counter = _Counter()
+    log = closing_log.ClosingLog("callers", counter, clock.seconds)
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(20):
+            log.record("memory_short", 7)
+        clock.advance(1.0)
+        log.record("connections_full", 0)
+    assert len(counter.reasons) == 21
+    assert len(lines) == closing_log.MAX_LINES_PER_S + 1
+    assert lines[-1]["left_out"] == 20 - closing_log.MAX_LINES_PER_S
+
+
+def test_memory_is_given_back_once_after_a_calm_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    trims: list[int] = []
+    monkeypatch.setattr(memory_release, "find_trim", lambda: trims.append)
+    release = memory_release.MemoryRelease(MEGABYTE)
+    release.record(0.0, held_bytes=0, peak_bytes=MEGABYTE)
+    calm_at = int(memory_release.CALM_S)
+    for at in range(1, 3 * calm_at):
+        release.record(float(at), held_bytes=0, peak_bytes=0)
+        assert len(trims) == (at >= calm_at)
+
+
 SETTINGS = """
 nodeName = "h"
 ip = "127.0.0.1"
