--- a/nutmegscale/adaptive/__init__.py
+++ b/nutmegscale/adaptive/__init__.py
@@ -4,6 +4,7 @@
 from nutmegscale.adaptive.estimates import ServerStatus
 from nutmegscale.adaptive.estimates import SharedEstimate
 from nutmegscale.adaptive.held_calls import HeldCalls
+from nutmegscale.adaptive.news import NewsBudget
 from nutmegscale.adaptive.selector import FULL_STRETCH
 from nutmegscale.adaptive.selector import Candidate
 from nutmegscale.adaptive.selector import ServerSelector
@@ -12,6 +13,7 @@
     "FULL_STRETCH",
     "Candidate",
     "HeldCalls",
+    "NewsBudget",
     "ServerEstimates",
     "ServerSelector",
     "ServerStatus",
--- a/nutmegscale/adaptive/estimates.py
+++ b/nutmegscale/adaptive/estimates.py
@@ -1,6 +1,7 @@
 """What one host knows of the work and the speed of servers; does no I/O."""
 
 from collections import deque
+from collections.abc import Callable
 from collections.abc import Collection
 import hashlib
 import math
@@ -32,6 +33,14 @@
 SLOPE_PRIOR = 0.2
 # Own times of calls that are kept for a service.
 KEPT_TIMES = 64
+# Time for which a server is sent no more requests at once than it had when it
+# rejected one, seconds.
+CAPACITY_AGE_S = 5.0
+# Subtracted from the stretch of a limit where that number counts instead of the
+# slots: of calls that were held, 1.2 times as many are sent. With 1.0 times as
+# many, servers without a queue rejected each call 0.5 instead of 1.4 times at a
+# demand of 1.4, but 0.39 instead of 0.34 of the calls were lost.
+CAPACITY_MARGIN = 0.8
 # Part of a target that a call may take at the server by its limit.
 TARGET_PART = 0.8
 # Time after the last report with a pace for which a server counts as one that
@@ -39,6 +48,9 @@
 REPORTING_S = 10.0
 # Oldest report that is shared or taken from another host, seconds.
 MAX_SHARED_AGE_S = 0.5
+# Factor between a reported pace and the expected one from which the other hosts
+# are told at once.
+NEWS_FACTOR = 1.5
 # Estimates in one message to another host.
 MAX_SHARED = 8
 NAME_BYTES = 4
@@ -89,6 +101,8 @@
       stated_at: When it stated its pace last.
       failures: Part of failures among its last answers to this host.
       failed_at: When that part was changed last.
+      capacity: Requests that it had when it rejected another one.
+      rejected_at: When that was.
       target_s: Target of the last call that a limit was computed for.
     """
 
@@ -102,6 +116,8 @@
         self.stated_at = -math.inf
         self.failures = 0.0
         self.failed_at = -math.inf
+        self.capacity = math.inf
+        self.rejected_at = -math.inf
         self.target_s = math.inf
         # Smoothed moments of running requests and pace in own reports.
         self._count = 0
@@ -159,6 +175,11 @@
         self._key_by_name: dict[int, str] = {}
         self._times: dict[str, deque[float]] = {}
         self._call_s: dict[str, float] = {}
+        self._on_news: Callable[[], None] = lambda: None
+
+    def watch_news(self, on_news: Callable[[], None]) -> None:
+        """Set a function to call when a server's pace has changed."""
+        self._on_news = on_news
 
     def keep_only(self, servers: Collection[str]) -> None:
         """Forget all but the registered servers, and get to know new ones.
@@ -194,11 +215,23 @@
         if not load.states_pace:
             return
         known = self._known.setdefault(server, _Estimate())
+        expected = self.pace(now, server, load.running)
         known.stated_at = now
         known.running = load.running
         known.record_running(load.running, load.pace)
         others = max(0, load.running + load.waiting - own)
         known.record(now, others, load.pace)
+        if _is_news(expected, load.pace):
+            self._on_news()
+
+    def record_rejection(
+        self, now: float, server: str, load: caller_request.ServerLoad
+    ) -> None:
+        """Record that a server turned a request away at a load."""
+        known = self._known.get(server)
+        if known is not None:
+            known.capacity = max(1, load.running + load.waiting)
+            known.rejected_at = now
 
     def record_time(
         self, now: float, server: str, service: str, took_s: float
@@ -301,7 +334,12 @@
             # Otherwise no server meets the target, however few it serves.
             pace = self.pace(now, server, slots)
             part = min(stretch, allowed_s / (call_s * pace))
-        return max(1.0, slots * part)
+        limit = slots * part
+        if known is not None and now - known.rejected_at < CAPACITY_AGE_S:
+            limit = min(
+                limit, known.capacity * max(1.0, stretch - CAPACITY_MARGIN)
+            )
+        return max(1.0, limit)
 
     def status(
         self, now: float, server: str, service: str, slots: int, *, own: int
@@ -354,6 +392,7 @@
           shared: What it tells; servers that aren't registered are ignored.
           own: This host's requests at each server, by key.
         """
+        has_news = False
         for told in shared:
             key = self._key_by_name.get(told.name)
             age_s = max(0, told.age_ms) / 1000
@@ -362,10 +401,18 @@
             known = self._known.setdefault(key, _Estimate())
             if now - age_s <= known.at:
                 continue
+            expected = self.pace(now, key, told.work)
+            has_news = has_news or _is_news(expected, told.pace / 100)
             others = max(0, told.work - own.get(key, 0))
             known.stated_at = max(known.stated_at, now - age_s)
             known.running = min(float(told.work), max(known.running, 0.0))
             known.record(now - age_s, others, told.pace / 100)
+        if has_news:
+            self._on_news()
+
+
+def _is_news(expected: float, pace: float) -> bool:
+    return max(expected, pace) > NEWS_FACTOR * min(expected, pace)
 
 
 def _failures(now: float, known: _Estimate) -> float:
--- a/nutmegscale/estimate_controller.py
+++ b/nutmegscale/estimate_controller.py
@@ -3,15 +3,16 @@
 from collections.abc import Callable
 import random
 
+from nutmegscale import adaptive
 from nutmegscale import logs
 from nutmegscale import mesh
 from nutmegscale import messages
 from nutmegscale import periodic
 from nutmegscale import routing_board
 
-# Period in which a host tells one other, seconds: 5 messages a second of about
-# 130 bytes, whatever the number of hosts.
-SHARE_PERIOD_S = 0.2
+# Period in which a host tells one other, seconds: 4 messages a second of about
+# 130 bytes, whatever the number of hosts, and as many of changed paces.
+SHARE_PERIOD_S = 0.25
 # Period in which metrics are set and changes are logged, seconds.
 REPORT_PERIOD_S = 1.0
 # Servers whose estimates become metrics; the others would be too many labels.
@@ -27,7 +28,8 @@
     """Shares estimates of servers, and shows them in logs and metrics.
 
     Each host tells a random other one at a time, which passes on what is newer
-    than what it knows. Losses don't matter: the next message replaces them.
+    than what it knows, at once if a pace has changed. Losses don't matter: the
+    next message replaces them.
 
     Args:
       board: State of this host.
@@ -48,6 +50,7 @@
         self._mesh = link
         self._rng = rng
         self._is_enabled = is_enabled
+        self._budget = adaptive.NewsBudget()
         self._version = -1
         self._slow: set[str] = set()
         self._logged_at: dict[str, float] = {}
@@ -58,6 +61,7 @@
         self._reporting = periodic.Periodic(
             board.clock, REPORT_PERIOD_S, self._report
         )
+        board.estimates.watch_news(self._tell_news)
         link.on(messages.ServerEstimates, self._receive)
 
     def start(self) -> None:
@@ -82,36 +86,39 @@
             k: at for k, at in self._logged_at.items() if k in keys
         }
 
-    def _own(self) -> dict[str, int]:
-        """Return this host's requests at each server without engine."""
-        return {
-            server.key: self._board.loads.outstanding(server)
-            for server in self._board.backends.all()
-            if not server.stage
-        }
-
     async def _share(self) -> None:
         self._update_servers()
-        if not self._is_enabled():
+        self._tell(1)
+
+    def _tell_news(self) -> None:
+        """Tell some hosts at once that a server's pace has changed."""
+        if self._is_enabled():
+            self._tell(self._budget.take(self._board.now()))
+
+    def _tell(self, count: int) -> None:
+        """Tell a number of random hosts what this one knows."""
+        if not self._is_enabled() or not count:
+            return
+        shared = self._board.estimates.share(
+            self._board.now(), self._board.loads.outstanding_by_key()
+        )
+        if not shared:
             return
         others = [
             host
             for host in self._board.membership.alive()
             if host != self._board.host
         ]
-        if not others:
-            return
-        shared = self._board.estimates.share(self._board.now(), self._own())
-        if shared:
-            self._mesh.send(
-                self._rng.choice(others), messages.ServerEstimates(shared)
-            )
+        for host in self._rng.sample(others, min(count, len(others))):
+            self._mesh.send(host, messages.ServerEstimates(shared))
 
     def _receive(self, sender: str, message: messages.ServerEstimates) -> None:
         if self._is_enabled():
             self._update_servers()
             self._board.estimates.receive(
-                self._board.now(), message.servers, self._own()
+                self._board.now(),
+                message.servers,
+                self._board.loads.outstanding_by_key(),
             )
 
     async def _report(self) -> None:
--- a/nutmegscale/plain_runner.py
+++ b/nutmegscale/plain_runner.py
@@ -193,6 +193,10 @@
                     f"another server has the address {server.address}"
                 )
             if not info.has_run:
+                if info.load is not None:
+                    self._board.estimates.record_rejection(
+                        self._board.now(), server.key, info.load
+                    )
                 raise errors.RejectedError(
                     f"rejected with status {head.status}"
                 )
--- a/nutmegscale/server_choice.py
+++ b/nutmegscale/server_choice.py
@@ -199,9 +199,17 @@
         context: request_context.RequestContext,
         avoid: Collection[str],
         version: str,
+        *,
+        is_tried_left_out: bool = True,
     ) -> list[adaptive.Candidate]:
         """Return the servers to choose from if they report their paces.
 
+        Args:
+          context: The request.
+          avoid: Ids of servers that must not be chosen.
+          version: Software version that they must have; "" for any.
+          is_tried_left_out: Whether those that it was sent to are left out.
+
         Returns:
           The servers; none if the choice is by load alone.
         """
@@ -211,7 +219,7 @@
             board.estimates.is_reporting(now, s.key) for s in servers
         ):
             return []
-        tried = frozenset((*context.tries, *avoid))
+        tried = context.tries if is_tried_left_out else ()
         if board.notices.limits:
             servers = tuple(
                 s for s in servers if self._limits.may_call(s, context.rank)
@@ -223,7 +231,9 @@
                 board.loads.silent_s(now, server) or 0.0,
                 is_permitted=bool(self._limits.permits(server)),
             )
-            for server in board.loads.usable(now, servers, avoid=tried)
+            for server in board.loads.usable(
+                now, servers, avoid=frozenset((*tried, *avoid))
+            )
         ]
 
     def _choose_adaptively(
@@ -242,13 +252,17 @@
         version: str,
     ) -> NoServer | None:
         """Explain a refusal because all servers are at their limits."""
-        candidates = self._adaptive_candidates(context, avoid, version)
+        candidates = self._adaptive_candidates(
+            context, avoid, version
+        ) or self._adaptive_candidates(
+            context, avoid, version, is_tried_left_out=False
+        )
         if not candidates:
             return None
         retry_after_s = self._selector.refuse(
             self._board.now(), candidates, _target_s(context)
         )
-        return NoServer("servers_full", retry_after_s)
+        return NoServer("servers_full", round(retry_after_s, 3))
 
     def _servers(
         self, service: str, version: str
--- a/nutmegscale/server_loads.py
+++ b/nutmegscale/server_loads.py
@@ -70,6 +70,14 @@
         """Return the number of this host's requests at a server."""
         return self._record_of(server).outstanding
 
+    def outstanding_by_key(self) -> dict[str, int]:
+        """Return the numbers of this host's requests at servers with any."""
+        return {
+            key: record.outstanding
+            for key, record in self._records.items()
+            if record.outstanding
+        }
+
     def record_sent(self, server: backend.Backend) -> None:
         """Record that a request is sent to a server."""
         record = self._record_of(server)
--- a/tests/test_adaptive_servers.py
+++ b/tests/test_adaptive_servers.py
@@ -1,6 +1,7 @@
 """Tests of the choice among plain servers that differ in speed."""
 
 import random
+from unittest import mock
 
 import pytest
 from twisted.internet import defer
@@ -9,6 +10,7 @@
 from nutmegscale import adaptive
 from nutmegscale import backend
 from nutmegscale import caller_request
+from standins import raw_caller
 from standins import router_world
 from tools import uneven_servers
 
@@ -197,3 +199,45 @@
         simulation.clock.seconds() - at
     )
     assert per_s < 2000
+
+
+def _overload(further: str) -> tuple[list[raw_caller.Reply], int]:
+    """Send more than the servers take; return answers and their rejections."""
+    simulation = _simulation(further)
+    _burst(simulation, 0)
+    workers = [simulation.workers[name] for name in ("w1", "w2")]
+    for worker in workers:
+        worker.service_time_s = 0.1
+    before = sum(len(w.received) - len(w.ran) for w in workers)
+    callers = [
+        simulation.send("confirm", host=number % 4) for number in range(400)
+    ]
+    simulation.run(2.0)
+    rejected = sum(len(w.received) - len(w.ran) for w in workers) - before
+    return [caller.replies[-1] for caller in callers], rejected
+
+
+def test_excess_is_held_and_refused_at_the_host() -> None:
+    """Guards against bursts that servers reject, and callers left alone."""
+    replies, rejected = _overload(",100")
+    assert {reply.status for reply in replies} == {200, 503}
+    for reply in replies:
+        if reply.status == 503:
+            assert 0.0 < float(reply.headers[b"retry-after"]) <= 2.0
+    as_before, rejected_before = _overload("")
+    assert rejected < 0.8 * rejected_before
+    served = sum(reply.status == 200 for reply in replies)
+    assert served >= 0.95 * sum(reply.status == 200 for reply in as_before)
+
+
+def test_setting_switches_it_off() -> None:
+    """Guards days that are played with the choice by load."""
+    simulation = _simulation(",100")
+    for host in simulation.hosts:
+        router = host.router
+        router.update_settings(router._settings._replace(is_adaptive=False))
+    _burst(simulation, 0)
+    known = simulation.hosts[0].router.board.estimates
+    with mock.patch.object(known, "work") as asked:
+        _burst(simulation, 4)
+    assert not asked.called
--- a/tools/uneven_servers.py
+++ b/tools/uneven_servers.py
@@ -51,6 +51,7 @@
       demand: Demand, as a part of what all servers serve.
       seconds: Length, seconds.
       share_s: Period in which each host tells one other what it knows.
+      queue: Requests that a server queues before it rejects others.
     """
 
     seed: int
@@ -58,7 +59,8 @@
     servers: int = 3
     demand: float = 0.8
     seconds: float = 10.0
-    share_s: float = 0.2
+    share_s: float = 0.25
+    queue: int = QUEUE
 
 
 class Server:
@@ -168,16 +170,18 @@
         def _send() -> None:
             message = host.share(self.now)
             if message is not None:
-                other = self._rng.choice(self.choosers)
-                self.at(
-                    self.now + ONE_WAY_S,
-                    lambda: other.receive(self.now, message),
-                )
+                self.tell(message)
             if self.now < self.play.seconds:
                 self._share(host, self.play.share_s)
 
         self.at(self.now + after_s, _send)
 
+    def tell(self, message: Any) -> None:
+        """Send what a host knows to a random one."""
+        self.counts["messages"] += 1
+        other = self._rng.choice(self.choosers)
+        self.at(self.now + ONE_WAY_S, lambda: other.receive(self.now, message))
+
     def _make_call(self, at: float) -> Callable[[], None]:
         host = self._rng.choice(self.choosers)
         work_s = self._rng.uniform(*CALL_S)
@@ -251,7 +255,7 @@
 
         if server.running < SLOTS:
             _start()
-        elif len(server.queue) < QUEUE:
+        elif len(server.queue) < self.play.queue:
             server.queue.append(_start)
         else:
             self._rejections += 1
@@ -406,7 +410,7 @@
         if server.kind == "early":
             pace = 1 + EARLY_STEP * max(0, min(work, SLOTS) - EARLY_RUNNING)
         cost = pace * (1 + max(0, work - SLOTS) / SLOTS) * (1 + work / SLOTS)
-        return cost + 100 * (work > SLOTS + QUEUE)
+        return cost + 100 * (work > SLOTS + self.world.play.queue)
 
 
 class AdaptiveChooser(Chooser):
@@ -427,6 +431,9 @@
             for n in range(len(self.own))
         ]
         self.known.keep_only({s.key for s in self._servers})
+        self._budget = adaptive.NewsBudget()
+        if self.is_sharing:
+            self.known.watch_news(self._tell_news)
         # When the first call was sent since a server was heard last.
         self._asked_at = [0.0] * len(self.own)
 
@@ -458,6 +465,12 @@
         chosen = selector.choose(now, found, target_s, left_s)
         return self._servers.index(chosen)
 
+    def _tell_news(self) -> None:
+        world = self.world
+        message = self.share(world.now)
+        for _ in range(self._budget.take(world.now)):
+            world.tell(message)
+
     def _silent_s(self, now: float, number: int) -> float:
         asked_at = self._asked_at[number]
         return now - asked_at if asked_at and self.own[number] else 0.0
@@ -479,7 +492,9 @@
         self._asked_at[number] = 0.0
         key = self._servers[number].key
         self.known.record_load(now, key, load, own=self.own[number])
-        if not math.isnan(took_s):
+        if math.isnan(took_s):
+            self.known.record_rejection(now, key, load)
+        else:
             self.known.record_time(now, key, "s", took_s)
 
     def _own_by_key(self) -> dict[str, int]:
@@ -550,11 +565,20 @@
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--demand", type=float, default=0.8)
-    parser.add_argument("--share", type=float, default=0.2)
+    parser.add_argument("--share", type=float, default=0.25)
+    parser.add_argument("--queue", type=int, default=QUEUE)
     args = parser.parse_args()
     for hosts in args.hosts:
         plays = [
-            Play(seed, hosts, servers, args.demand, args.seconds, args.share)
+            Play(
+                seed,
+                hosts,
+                servers,
+                args.demand,
+                args.seconds,
+                args.share,
+                args.queue,
+            )
             for seed in range(args.first_seed, args.first_seed + args.seeds)
             for servers in (3, 5)
         ]
