Headers without a value are forwarded no longer than they came

Cause: a legal head of 16,001 bytes in 3,980 empty lines grew by a byte each and was refused by the server, so that its caller got 502. Change: no space follows the colon of a header without a value.

--- a/nutmegscale/http_message.py
+++ b/nutmegscale/http_message.py
@@ -124,7 +124,11 @@
     GET, HEAD and DELETE requests without a body get no Content-Length.
     """
     lines = [head.method + b" " + head.target + b" HTTP/1.1"]
-    lines += [name + b": " + value for name, value in head.headers]
+    # No longer than the caller sent it: a server may limit the length as well.
+    lines += [
+        name + (b": " + value if value else b":")
+        for name, value in head.headers
+    ]
     if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
