Test of the settings compares rules by their type

Cause: the rule got a field with a default; the test compared it with a tuple. Change: it compares with a rule of the same figures. Measured: mypy is clean, the test passes.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from nutmegscale import customers
 from nutmegscale import errors
 from nutmegscale import http_message
 from nutmegscale import row_store
@@ -107,7 +108,9 @@
     assert _load(tmp_path, f"bootstrap = true{SETTINGS}").is_first_start
     rule = "quotaWindowS = 6\nquotaOvershoot = 0.2\nquotaSlack = 900"
     text = SETTINGS.replace("graceS = 6", rule)
-    assert _load(tmp_path, text).quota_rule == (6.0, 0.2, 900.0)
+    assert _load(tmp_path, text).quota_rule == customers.QuotaRule(
+        6.0, 0.2, 900.0
+    )
 
 
 @pytest.mark.parametrize(
