--- a/tests/test_http_ingress.py
+++ b/tests/test_http_ingress.py
@@ -193,7 +193,7 @@
 
 
 def test_requests_in_progress_stay_within_the_memory() -> None:
-    """None of them is closed for memory: 400 heads of short lines took 152 MB.
+    """None of them is closed for memory; a head of short lines takes 700 KB.
 
     An ordinary request is served beside them.
     """
