Usage limits: the slack counts up to half of a limit

Cause: the slack is one figure, 120,000 tokens here, whatever the unit. Change: the slack counts up to half of what the limit admits in a window. Tests: one new, which fails before; the last check of the own part asks for 3 instead of 10 requests. Measured: tests of usage limits pass.

--- a/nutmegscale/customers/usage_rule.py
+++ b/nutmegscale/customers/usage_rule.py
@@ -8,6 +8,9 @@
 # that wait for up to a second between their charge and their run keep the rule.
 # At 0.79, a fifth of what a hot customer may use was refused.
 TARGET_PART = 0.9
+# Part of a limit up to which the slack counts. It is one figure for all customers
+# and units, and would make a limit of a few requests meaningless.
+SLACK_PART = 0.5
 
 
 class QuotaRule(NamedTuple):
@@ -56,4 +59,5 @@
 
     def beyond(self, limit: directory.UsageLimit) -> float:
         """Return what may run in a window beyond the limit, units."""
-        return self.overshoot * self.within(limit) + self.slack
+        within = self.within(limit)
+        return self.overshoot * within + min(self.slack, SLACK_PART * within)
--- a/tests/test_usage_share.py
+++ b/tests/test_usage_share.py
@@ -82,6 +82,16 @@
     assert _granted(share, 0.0, 13_000) >= 2
 
 
+def test_the_slack_leaves_a_limit_of_few_requests_in_force() -> None:
+    """Guards against hosts that each use a whole window of such a limit."""
+    limit = customers.UsageLimit("requests", 5.0, 5.0)
+    part = own_part.OwnPart(RULE)
+    granted = sum(part.take(0.0, "a", limit, 1, hosts=65) for _ in range(50))
+    assert granted <= 1
+    share = _share(limit, rule=RULE, shares=3)
+    assert _granted(share, 0.0, 1) <= 0.6 * RULE.within(limit) / 3
+
+
 def test_small_limits_are_usable_without_a_rule() -> None:
     """Guards against a burst of two requests that four shares never grant."""
     limit = customers.UsageLimit("requests", 1.0, 2.0)
@@ -153,7 +163,7 @@
         assert used <= allowed
     assert len(taken) >= 5 * int(allowed / 1_000)
     small = customers.UsageLimit("requests", 1.0, 2.0)
-    assert sum(part.take(0.0, "b", small, 1, hosts=1) for _ in range(99)) == 10
+    assert sum(part.take(0.0, "b", small, 1, hosts=1) for _ in range(99)) == 3
 
 
 def test_known_room_is_scaled_by_cost() -> None:
