--- a/tools/soak.py
+++ b/tools/soak.py
@@ -132,6 +132,7 @@
             self.callers,
             random.Random(arguments.seed + 12),
             steady_since=self._steady_since,
+            log_event=self.log_event,
         )
         self._has_customers = arguments.customers
         self.figures: list[str] = []
--- a/tools/soak_customers.py
+++ b/tools/soak_customers.py
@@ -34,6 +34,8 @@
 # Requests a second of each customer at its usual rate, whose limit is about
 # 1.8 times that, and in a hot phase.
 HOT_FACTOR = 4.0
+# Limits are lowered to a part of what they were, until one would hold less than
+# a request.
 LOWERED_TO = 0.6
 # Time for which a configuration that can't be parsed stays in the store.
 INVALID_S = 0.5
@@ -107,6 +109,7 @@
         rng: random.Random,
         *,
         steady_since: Callable[[soak_world.Host], float],
+        log_event: Callable[..., None],
     ) -> None:
         """Create the customers.
 
@@ -116,11 +119,13 @@
           rng: Source of random numbers.
           steady_since: Returns since when a host ran and reached the store,
             seconds of the reactor clock; infinity if it doesn't now.
+          log_event: Writes an event, given its kind and fields, to the log.
         """
         self._deployment = deployment
         self._callers = callers
         self._rng = rng
         self._steady_since = steady_since
+        self._log_event = log_event
         self.checks = soak_customer_checks.CustomerChecks(RULE)
         self.plain_sent_at: list[float] = []
         self.model_sent_at: list[float] = []
@@ -201,23 +206,33 @@
     async def _change_versions(self) -> None:
         reactor = self._deployment.reactor
         await periodic.sleep(reactor, START_S)
-        kinds = (self._add, self._rotate, self._remove, self._lower)
+        kinds = {
+            "add": self._add_key,
+            "rotate": self._rotate,
+            "remove": self._remove,
+            "lower": self._lower,
+        }
         # Each kind once first, in a random order.
-        order = self._rng.sample(kinds, len(kinds))
+        order = self._rng.sample(list(kinds), len(kinds))
         while True:
             await periodic.sleep(reactor, self._rng.uniform(0.4, 2.0))
-            change = order.pop() if order else self._rng.choice(kinds)
-            change(self._rng.choice(self._customers))
+            kind = order.pop() if order else self._rng.choice(list(kinds))
+            customer = self._rng.choice(self._customers)
+            kinds[kind](customer)
             self._write()
+            self._log_event(
+                "customer_change",
+                change=kind,
+                customer=customer.name,
+                per_s=customer.limit.per_s,
+                version=self._deployment.next_version - 1,
+            )
             if self._rng.random() < 0.2:
                 await periodic.sleep(reactor, INVALID_S)
                 self._write({"name": "copy", "apiKeys": [FREE_KEY]})
                 await periodic.sleep(reactor, INVALID_S)
                 self._write()
 
-    def _add(self, customer: _Customer) -> None:
-        self._add_key(customer)
-
     def _rotate(self, customer: _Customer) -> None:
         self._add_key(customer)
         self._remove_key(customer)
@@ -228,6 +243,8 @@
 
     def _lower(self, customer: _Customer) -> None:
         limit = customer.limit
+        if limit.burst * LOWERED_TO < limit.cost(CALL_TOKENS):
+            return
         customer.limit = limit._replace(
             per_s=round(limit.per_s * LOWERED_TO, 1),
             burst=round(limit.burst * LOWERED_TO, 1),
