--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -111,6 +111,9 @@
     assert _load(tmp_path, text).quota_rule == customers.QuotaRule(
         6.0, 0.2, 900.0
     )
+    assert found.is_adaptive
+    off = _load(tmp_path, f"adaptiveServers = false{SETTINGS}")
+    assert not off.is_adaptive
 
 
 @pytest.mark.parametrize(
