A refusal for a usage limit logs the cost and the limit

Cause: the line said which customer, not how far it was beyond what. Change: cost, limit_per_s and limit_burst in the line. Measured: tests of usage limits pass.

--- a/nutmegscale/request_context.py
+++ b/nutmegscale/request_context.py
@@ -154,7 +154,16 @@
         failure = errors.Failure(
             status, refusal.reason, "not run", "not_run", refusal.retry_after_s
         )
-        self.fail(failure)
+        limit = self.customer.limit if self.customer else None
+        if limit is None:
+            self.fail(failure)
+            return
+        self.fail(
+            failure,
+            cost=limit.cost(self.request.stated_tokens),
+            limit_per_s=limit.per_s,
+            limit_burst=limit.burst,
+        )
 
     def fail(self, failure: errors.Failure, **fields: Any) -> None:
         """Answer with a failure, or cut off an answer that has begun."""
