Usage limits: what is given back no longer blocks the window

Cause: a refund was recorded from the end of its grant's window on. The grants after it were merged into that entry and counted 8 s longer with each refund. Change: a refund is taken off the last part of the window. Test: a share that gives back every second grant refused at 29.7 s before.

--- a/nutmegscale/customers/usage_share.py
+++ b/nutmegscale/customers/usage_share.py
@@ -180,7 +180,11 @@
         self._refill(now)
         self._level = min(self._capacity, self._level + cost)
         if self._granted:
-            self._record_granted(self._granted[-1][0], -cost)
+            # It was granted a moment ago, so the last part of the window is
+            # close to its own.
+            ends_at, granted = self._granted[-1]
+            self._granted[-1] = (ends_at, granted - cost)
+            self._granted_sum -= cost
 
     def _wait_s(self, now: float, cost: float) -> float:
         """Return when a request may be granted, seconds from now."""
--- a/tests/test_usage_share.py
+++ b/tests/test_usage_share.py
@@ -150,6 +150,21 @@
     assert _granted(share, 0.0, 1_000) == 6
 
 
+def test_what_was_given_back_counts_no_longer_than_a_window() -> None:
+    """Guards against a customer that is refused long after a burst.
+
+    What was given back was counted from the end of its window on, so that the
+    grants behind it counted on and on.
+    """
+    share = _share(rule=RULE)
+    for step in range(600):
+        now = step / 10
+        is_granted = share.ask(now, 800, host="h1", is_last=True).is_granted
+        assert is_granted, now
+        if step % 2:
+            share.give_back(now, 800)
+
+
 def test_a_hosts_own_part_is_bounded_in_every_window() -> None:
     part = own_part.OwnPart(RULE)
     allowed = 0.5 * RULE.beyond(LIMIT) / 10
