--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -70,10 +70,6 @@
 # hosts have links of 5 or 10, which transferring a configuration of 1,344
 # routes occupies for half a second or more.
 PLANNER_LINK_MBPS = 50.0
-# Entries of servers change in clusters, as when many start or are replaced, and
-# each answer of the store costs a call of each host. This time is well below
-# the shortest bound for a server that leaves, 2 s; seconds.
-ENTRY_BATCH_S = 0.4
 # Retry-After of a request that this host can't serve yet, because it has just
 # started, has no usable backend server or is shutting down, seconds.
 NOT_READY_RETRY_AFTER_S = 0.5
@@ -196,7 +192,6 @@
             on_snapshot=self.backends.apply_rows,
             on_change=self.backends.apply_row,
             on_contact=self.backends.record_contact,
-            batch_s=ENTRY_BATCH_S,
             rng=self._rng,
         )
         self._followers = [configs, entries]
--- a/nutmegscale/table_follower.py
+++ b/nutmegscale/table_follower.py
@@ -18,10 +18,6 @@
 MAX_RETRY_S = 1.0
 RETRY_FACTOR = 1.7
 JITTER_FRACTION = 0.3
-# Changes come in a cluster after this many answers with some within this time,
-# seconds.
-CLUSTER_ANSWERS = 3
-CLUSTER_S = 1.0
 
 
 class TableFollower:
@@ -40,9 +36,6 @@
       on_snapshot: Called with all rows of the table after each snapshot.
       on_change: Called with each row that changed after the snapshot.
       on_contact: Called after each call with whether the store answered.
-      batch_s: Time after an answer with changes until the next call, seconds,
-        while changes come in a cluster. Rows of a cluster then come with few
-        answers, and single changes at once.
       rng: Source of the retries' jitter.
     """
 
@@ -55,7 +48,6 @@
         on_snapshot: Callable[[tuple[row_store.Row, ...]], None],
         on_change: Callable[[row_store.Row], None],
         on_contact: Callable[[bool], None] = lambda ok: None,
-        batch_s: float = 0.0,
         rng: random.Random | None = None,
     ) -> None:
         self._clock = clock
@@ -64,8 +56,6 @@
         self._on_snapshot = on_snapshot
         self._on_change = on_change
         self._on_contact = on_contact
-        self._batch_s = batch_s
-        self._changed_at: list[float] = []
         self._rng = rng or random.Random()
         self._running: defer.Deferred[Any] | None = None
         self._starts = 0
@@ -155,18 +145,6 @@
             self._version = None
             return
         self._apply_all(changes)
-        if changes.rows:
-            await self._wait_for_cluster()
-
-    async def _wait_for_cluster(self) -> None:
-        """Wait until further changes can be read, if they come in a cluster."""
-        now = self._clock.seconds()
-        self._changed_at = [
-            at for at in self._changed_at if now - at < CLUSTER_S
-        ]
-        self._changed_at.append(now)
-        if self._batch_s and len(self._changed_at) >= CLUSTER_ANSWERS:
-            await periodic.sleep(self._clock, self._batch_s)
 
     def _apply_all(self, changes: row_store.StoreResult) -> None:
         """Apply changes, except those that a refresh has applied before."""
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -1,8 +1,6 @@
 """Tests of following a table of a store that is restored from a copy."""
 
 import random
-from typing import Any
-from unittest import mock
 
 import pytest
 from twisted.internet import defer
@@ -20,7 +18,7 @@
 class _Reader:
     """A follower of a store, and the rows that it reported."""
 
-    def __init__(self, *, batch_s: float = 0.0) -> None:
+    def __init__(self) -> None:
         self.clock = task.Clock()
         self.store = row_table.RowTable(self.clock)
         self.rows: dict[str, bytes] = {}
@@ -30,7 +28,6 @@
             TABLE,
             on_snapshot=self._replace,
             on_change=self._change,
-            batch_s=batch_s,
             rng=random.Random(1),
         )
         self.follower.start()
@@ -150,35 +147,3 @@
     )
     reader.run(0.1)
     assert failures
-
-
-@pytest.mark.parametrize(
-    ("batch_s", "least_calls", "most_calls"), [(0.0, 20, 22), (0.4, 2, 6)]
-)
-def test_changes_of_a_cluster_come_with_few_answers(
-    batch_s: float, least_calls: int, most_calls: int
-) -> None:
-    """Guards against one call of each host for each of many servers that start.
-
-    The first change still comes at once, and the last within the batch time.
-    """
-    reader = _Reader(batch_s=batch_s)
-    reader.run(1.0)
-    follow = row_table.RowTableClient.follow
-    calls = 0
-
-    def _count(*args: Any) -> Any:
-        nonlocal calls
-        calls += 1
-        return follow(*args)
-
-    with mock.patch.object(row_table.RowTableClient, "follow", _count):
-        reader.store.put(TABLE, "first", b"1")
-        reader.run(0.05)
-        assert reader.rows == reader.stored()
-        for number in range(20):
-            reader.store.put(TABLE, f"s{number}", b"1")
-            reader.run(0.05)
-        reader.run(batch_s + 0.05)
-        assert reader.rows == reader.stored()
-    assert least_calls <= calls <= most_calls
