Errors on customers name the platform's fields in the adapter only

Cause: customers/directory.py named tenants.NAME.apiKeys, words of the platform. Change: the directory names the customer and its keys; routing_config puts the platform's path before it. Measured: tests of keys, config diff and the adapter; no other run after it.

--- a/nutmegscale/customers/__init__.py
+++ b/nutmegscale/customers/__init__.py
@@ -1,5 +1,6 @@
 """Customers: who sends a request, and how much each may use."""
 
+from nutmegscale.customers.directory import KEYS_SUFFIX
 from nutmegscale.customers.directory import Customer
 from nutmegscale.customers.directory import CustomerDirectory
 from nutmegscale.customers.directory import UsageLimit
@@ -16,6 +17,7 @@
 from nutmegscale.customers.usage_rule import QuotaRule
 
 __all__ = [
+    "KEYS_SUFFIX",
     "Allowed",
     "Charge",
     "Allowances",
--- a/nutmegscale/customers/directory.py
+++ b/nutmegscale/customers/directory.py
@@ -12,6 +12,8 @@
 # Longest API key, bytes.
 MAX_KEY_BYTES = 200
 KEY_DIGEST_BYTES = 16
+# What an error adds to the name of a customer whose key is invalid.
+KEYS_SUFFIX = ".keys"
 # Ranks of a customer's requests start at its priority times this number, so
 # that the priority of its route decides among them only.
 RANKS_PER_CUSTOMER = 1000
@@ -91,7 +93,8 @@
 
         Raises:
           errors.ConfigError: A name is used twice, a key is empty, too long or
-            has two customers.
+            has two customers. Its key is the customer's name, followed by
+            `KEYS_SUFFIX` for a key.
         """
         self._digest_key = secrets.token_bytes(hashlib.blake2b.MAX_KEY_SIZE)
         self._by_name: dict[str, Customer] = {}
@@ -99,7 +102,7 @@
         for customer in customers:
             if customer.name in self._by_name:
                 raise errors.ConfigError(
-                    "the name is used twice", key=f"tenants.{customer.name}"
+                    "the name is used twice", key=customer.name
                 )
             self._by_name[customer.name] = customer
             for key in keys.get(customer.name, ()):
@@ -111,7 +114,7 @@
 
     def _add_key(self, customer: Customer, key: bytes) -> None:
         # An error never names the key.
-        place = f"tenants.{customer.name}.apiKeys"
+        place = f"{customer.name}{KEYS_SUFFIX}"
         if not 0 < len(key) <= MAX_KEY_BYTES:
             raise errors.ConfigError(
                 f"a key of {len(key)} bytes, expected 1 to {MAX_KEY_BYTES}",
--- a/nutmegscale/errors.py
+++ b/nutmegscale/errors.py
@@ -22,6 +22,7 @@
         a single one.
       line: Line in the file, from 1; 0 if unknown.
       key: Dotted path of the invalid key, or "".
+      message: What is invalid, without the place.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         self.file = file
         self.line = line
         self.key = key
+        self.message = message
         place = f"{file}:{line}: " if file else ""
         where = f"{key}: " if key else ""
         super().__init__(f"{place}{where}{message}")
--- a/nutmegscale/platform/routing_config.py
+++ b/nutmegscale/platform/routing_config.py
@@ -148,13 +148,20 @@
             raise errors.ConfigError(
                 str(exc), file=f"{TABLE}/{KEY}", key="tenants"
             ) from exc
-    return customers.CustomerDirectory(
-        (
-            customers.Customer(t.name, t.priority, _to_usage_limit(t))
-            for t in tenants
-        ),
-        {t.name: t.keys for t in tenants},
-    )
+    try:
+        return customers.CustomerDirectory(
+            (
+                customers.Customer(t.name, t.priority, _to_usage_limit(t))
+                for t in tenants
+            ),
+            {t.name: t.keys for t in tenants},
+        )
+    except errors.ConfigError as exc:
+        name = exc.key.removesuffix(customers.KEYS_SUFFIX)
+        place = f"tenants.{name}" + (".apiKeys" if name != exc.key else "")
+        raise errors.ConfigError(
+            exc.message, file=f"{TABLE}/{KEY}", key=place
+        ) from exc
 
 
 def _to_usage_limit(tenant: _Tenant) -> customers.UsageLimit | None:
