Hosts keep and send digests of customers' keys, not the keys

Cause: the configuration as it was read, with all keys, was kept by each host and sent to peers that the store doesn't serve; messages between hosts are authenticated, not encrypted. The head of a request kept its key while it was in progress. Change: a configuration is kept and sent with digests in place of keys (remove_keys, apiKeyDigests), which the decoder takes as well; digests don't depend on the host, and are digested once more with a secret for look-ups. The head of a request in progress is the one without the key. Measured: a host that the store refuses admits a new key within 2.5 s and refuses the removed one, and no message holds either (virtual time).

--- a/nutmegscale/customers/__init__.py
+++ b/nutmegscale/customers/__init__.py
@@ -4,6 +4,7 @@
 from nutmegscale.customers.directory import Customer
 from nutmegscale.customers.directory import CustomerDirectory
 from nutmegscale.customers.directory import UsageLimit
+from nutmegscale.customers.directory import digest_keys
 from nutmegscale.customers.directory import split_rank
 from nutmegscale.customers.fair_shares import Allowances
 from nutmegscale.customers.fair_shares import FairShares
@@ -29,6 +30,7 @@
     "Refused",
     "UsageController",
     "UsageLimit",
+    "digest_keys",
     "identify",
     "make_usage_controller",
     "split_rank",
--- a/nutmegscale/customers/directory.py
+++ b/nutmegscale/customers/directory.py
@@ -75,28 +75,60 @@
         return self.priority * RANKS_PER_CUSTOMER + within
 
 
+def digest_keys(customer: str, keys: Iterable[str]) -> tuple[bytes, ...]:
+    """Return the digests of a customer's API keys, which stand for them.
+
+    Hosts keep and send only digests. They need no key of their own: API keys
+    are random, so that none can be found by trying.
+
+    Raises:
+      errors.ConfigError: A key is empty or too long. The error's key is the
+        customer's name followed by `KEYS_SUFFIX`.
+    """
+    digests = []
+    for key in keys:
+        size = len(key.encode())
+        # An error never names the key.
+        if not 0 < size <= MAX_KEY_BYTES:
+            raise errors.ConfigError(
+                f"a key of {size} bytes, expected 1 to {MAX_KEY_BYTES}",
+                key=f"{customer}{KEYS_SUFFIX}",
+            )
+        digests.append(_digest_key(key.encode()))
+    return tuple(digests)
+
+
+def _digest_key(key: bytes) -> bytes:
+    return hashlib.blake2b(
+        key, digest_size=KEY_DIGEST_BYTES, person=b"customer key"
+    ).digest()
+
+
 class CustomerDirectory:
     """Finds customers by key or by name.
 
-    Keys are kept as keyed digests only, so that neither a memory dump nor the
-    time of a lookup reveals them.
+    The digests of keys are digested once more with a secret of the process, so
+    that the time of a lookup reveals nothing of them.
     """
 
     def __init__(
-        self, customers: Iterable[Customer], keys: Mapping[str, Iterable[str]]
+        self,
+        customers: Iterable[Customer],
+        key_digests: Mapping[str, Iterable[bytes]],
     ) -> None:
         """Create the directory.
 
         Args:
           customers: The customers.
-          keys: API keys of each customer, by its name.
+          key_digests: Digests of the API keys of each customer, by its name;
+            see `digest_keys`.
 
         Raises:
-          errors.ConfigError: A name is used twice, a key is empty, too long or
-            has two customers. Its key is the customer's name, followed by
-            `KEYS_SUFFIX` for a key.
+          errors.ConfigError: A name is used twice, or a key has two customers.
+            The error's key is the customer's name, followed by `KEYS_SUFFIX`
+            for a key.
         """
-        self._digest_key = secrets.token_bytes(hashlib.blake2b.MAX_KEY_SIZE)
+        self._secret = secrets.token_bytes(hashlib.blake2b.MAX_KEY_SIZE)
         self._by_name: dict[str, Customer] = {}
         self._by_key: dict[bytes, Customer] = {}
         for customer in customers:
@@ -105,38 +137,31 @@
                     "the name is used twice", key=customer.name
                 )
             self._by_name[customer.name] = customer
-            for key in keys.get(customer.name, ()):
-                self._add_key(customer, key.encode())
+            for digest in key_digests.get(customer.name, ()):
+                self._add_key(customer, digest)
 
     def __len__(self) -> int:
         """Return the number of customers."""
         return len(self._by_name)
 
-    def _add_key(self, customer: Customer, key: bytes) -> None:
-        # An error never names the key.
-        place = f"{customer.name}{KEYS_SUFFIX}"
-        if not 0 < len(key) <= MAX_KEY_BYTES:
-            raise errors.ConfigError(
-                f"a key of {len(key)} bytes, expected 1 to {MAX_KEY_BYTES}",
-                key=place,
-            )
-        digest = self._digest(key)
-        known = self._by_key.setdefault(digest, customer)
+    def _add_key(self, customer: Customer, digest: bytes) -> None:
+        known = self._by_key.setdefault(self._hide(digest), customer)
         if known.name != customer.name:
             raise errors.ConfigError(
-                f"a key is also one of {known.name}", key=place
+                f"a key is also one of {known.name}",
+                key=f"{customer.name}{KEYS_SUFFIX}",
             )
 
-    def _digest(self, key: bytes) -> bytes:
+    def _hide(self, digest: bytes) -> bytes:
         return hashlib.blake2b(
-            key, key=self._digest_key, digest_size=KEY_DIGEST_BYTES
+            digest, key=self._secret, digest_size=KEY_DIGEST_BYTES
         ).digest()
 
     def find(self, key: bytes) -> Customer | None:
         """Return the customer that holds a key, or None."""
         if not 0 < len(key) <= MAX_KEY_BYTES:
             return None
-        return self._by_key.get(self._digest(key))
+        return self._by_key.get(self._hide(_digest_key(key)))
 
     def get(self, name: str) -> Customer | None:
         """Return the customer with a name, or None."""
--- a/nutmegscale/platform/codecs.py
+++ b/nutmegscale/platform/codecs.py
@@ -13,6 +13,7 @@
         callers=ingress.CallerCodec(),
         servers=worker_calls.ServerCodec(),
         decode_config=routing_config.decode,
+        remove_keys=routing_config.remove_keys,
         config_table=routing_config.TABLE,
         config_key=routing_config.KEY,
         decode_entry=worker_entries.decode,
--- a/nutmegscale/platform/routing_config.py
+++ b/nutmegscale/platform/routing_config.py
@@ -1,5 +1,6 @@
 """Decoder for the routing configuration that the platform's operator writes."""
 
+from typing import Any
 from typing import Literal
 
 import msgspec
@@ -73,6 +74,8 @@
 class _Tenant(msgspec.Struct):
     name: str
     keys: list[str] = msgspec.field(name="apiKeys", default=[])
+    # What hosts send each other instead; the operator doesn't write it.
+    key_digests: list[str] = msgspec.field(name="apiKeyDigests", default=[])
     priority: decoding.Natural = 0
     # "token_stream" counts the tokens that requests state; else requests count.
     unit: str = ""
@@ -94,6 +97,7 @@
 
 
 _decoder = decoding.Decoder[_Config](_Config)
+_any_decoder = decoding.Decoder[dict[str, Any]](Any)
 
 
 def decode(data: bytes) -> routes.RoutingConfig:
@@ -154,7 +158,7 @@
                 customers.Customer(t.name, t.priority, _to_usage_limit(t))
                 for t in tenants
             ),
-            {t.name: t.keys for t in tenants},
+            {t.name: _key_digests(t) for t in tenants},
         )
     except errors.ConfigError as exc:
         name = exc.key.removesuffix(customers.KEYS_SUFFIX)
@@ -164,6 +168,35 @@
         ) from exc
 
 
+def _key_digests(tenant: _Tenant) -> tuple[bytes, ...]:
+    digests = customers.digest_keys(tenant.name, tenant.keys)
+    try:
+        return (*digests, *map(bytes.fromhex, tenant.key_digests))
+    except ValueError as exc:
+        raise errors.ConfigError(
+            "a digest of a key isn't hexadecimal",
+            key=f"{tenant.name}{customers.KEYS_SUFFIX}",
+        ) from exc
+
+
+def remove_keys(data: bytes) -> bytes:
+    """Replace customers' keys by their digests in a valid configuration.
+
+    Hosts keep the result, and send it to those that the store doesn't serve.
+    """
+    config = _any_decoder.decode(data)
+    if not config.get("tenants"):
+        return data
+    for tenant in config["tenants"]:
+        digests = customers.digest_keys(
+            tenant["name"], tenant.pop("apiKeys", ())
+        )
+        if digests:
+            known = tenant.get("apiKeyDigests", [])
+            tenant["apiKeyDigests"] = [*known, *(d.hex() for d in digests)]
+    return msgspec.json.encode(config)
+
+
 def _to_usage_limit(tenant: _Tenant) -> customers.UsageLimit | None:
     if not tenant.rate:
         return None
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -170,6 +170,7 @@
             self.board,
             self.mesh,
             codecs.decode_config,
+            remove_keys=codecs.remove_keys,
             key=codecs.config_key,
             rng=self._rng,
         )
@@ -506,6 +507,7 @@
             request = self._codecs.callers.set_customer(
                 request, identity.customer.name if identity.customer else ""
             )
+            incoming.head = request.head
         names = [t.service for t in route.targets]
         usable = [name for name in names if board.backends.usable(name)]
         if not usable:
--- a/nutmegscale/router_settings.py
+++ b/nutmegscale/router_settings.py
@@ -48,6 +48,7 @@
       callers: Codec for requests and answers of callers.
       servers: Codec for calls to backend servers.
       decode_config: Decodes a routing configuration.
+      remove_keys: Replaces customers' keys by digests in a valid one.
       config_table: Table of the store that holds the configuration.
       config_key: Key of the configuration in that table.
       decode_entry: Decodes the entry of a backend server.
@@ -57,6 +58,7 @@
     callers: caller_request.CallerCodec
     servers: caller_request.ServerCodec
     decode_config: Callable[[bytes], routes.RoutingConfig]
+    remove_keys: Callable[[bytes], bytes]
     config_table: str
     config_key: str
     decode_entry: Callable[[row_store.Row], backend.Backend]
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -29,7 +29,7 @@
       membership: View of the hosts; membership controller. The host registry
         adds hosts, and the routing controller sets the revision.
       config: Routing configuration in force or None; routing controller.
-      content: Its encoded form as received; routing controller.
+      content: Its encoded form, without customers' keys; routing controller.
       table: Index of its routes; routing controller.
       backends: Registered backend servers; backend controller.
       loads: Load and failures of backend servers; plain runner, stream runner
--- a/nutmegscale/routing_controller.py
+++ b/nutmegscale/routing_controller.py
@@ -34,12 +34,14 @@
         link: mesh.Mesh,
         decode: Callable[[bytes], routes.RoutingConfig],
         *,
+        remove_keys: Callable[[bytes], bytes],
         key: str,
         rng: random.Random,
     ) -> None:
         self._board = board
         self._mesh = link
         self._decode = decode
+        self._remove_keys = remove_keys
         self._key = key
         self._rng = rng
         self._is_fetching = False
@@ -107,7 +109,7 @@
                 )
             return
         self._board.config = config
-        self._board.content = content
+        self._board.content = self._remove_keys(content)
         self._board.table = routes.RouteTable(config)
         self._board.membership.revision = config.version
         logs.get().info(
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import pytest
+import structlog
 
 from nutmegscale import customers
 from nutmegscale import errors
@@ -138,7 +139,8 @@
 def test_a_key_is_found_by_its_bytes_alone() -> None:
     """Guards against keys that match by prefix, case or surrounding blanks."""
     directory = customers.CustomerDirectory(
-        [customers.Customer("a")], {"a": ["Key"]}
+        [customers.Customer("a")],
+        {"a": customers.digest_keys("a", ["Key"])},
     )
     found = directory.find(b"Key")
     assert found is not None
@@ -208,3 +210,67 @@
     assert own.status == 200
     assert b"id: 3" in own.body
     assert b"id: 2" not in own.body
+
+
+def _record_messages(world: router_world.Simulation) -> list[bytes]:
+    """Record what hosts send each other from now on."""
+    sent: list[bytes] = []
+    deliver = world.peer_network.deliver
+
+    def _deliver(source: str, target: str, data: bytes) -> None:
+        sent.append(data)
+        deliver(source, target, data)
+
+    world.peer_network.deliver = _deliver  # type: ignore[method-assign]
+    return sent
+
+
+def test_a_host_that_the_store_refuses_learns_keys_without_reading_them() -> (
+    None
+):
+    """Guards against keys in messages between hosts and in what they keep."""
+    world = _world(hosts=2)
+    sent = _record_messages(world)
+    world.store.refused_hosts.add("host-1")
+    world.configure(3, tenants=[{"name": "club-a", "apiKeys": ["new-key"]}])
+    world.run(2.5)
+    for host in (0, 1):
+        assert _ask(world, "slot", "new-key", host=host).status == 200
+        assert _ask(world, "slot", KEY, host=host).status == 401
+        content = world.hosts[host].router.board.content
+        assert b"club-a" in content
+        assert b"new-key" not in content
+    assert any(b"club-a" in data for data in sent)
+    assert not any(b"new-key" in data or KEY.encode() in data for data in sent)
+
+
+def test_a_configuration_without_keys_admits_the_same_requests() -> None:
+    """Guards against a host that knows other customers than its peers."""
+    row = platform_rows.config_row(2, tenants=TENANTS)
+    kept = routing_config.remove_keys(row)
+    for content in (row, kept, routing_config.remove_keys(kept)):
+        directory = routing_config.decode(content).customer_directory
+        assert directory is not None
+        found = [directory.find(k.encode()) for k in (KEY, OTHER_KEY, "x")]
+        names = [customer.name if customer else "" for customer in found]
+        assert names == ["club-a", "club-b", ""]
+    assert KEY.encode() not in kept
+    plain = platform_rows.config_row(2)
+    assert routing_config.remove_keys(plain) == plain
+
+
+def test_no_log_line_or_kept_request_holds_a_key() -> None:
+    """Guards against keys that are kept while a request is in progress."""
+    world = _world(hosts=2)
+    heads: list[Any] = []
+    with structlog.testing.capture_logs() as lines:
+        for route in ("confirm", "brief"):
+            world.send(route, Authorization=f"Token {KEY}")
+            world.run(0.02)
+            live = world.hosts[0].router._live
+            heads += [context.incoming.head for context in live]
+            world.run(6.0)
+        world.ask("slot", Authorization=f"Token {KEY}x")
+    assert heads
+    assert not any(KEY in str(head) for head in heads)
+    assert not any(KEY in str(line) for line in lines)
