--- a/nutmegscale/customers/usage_rule.py
+++ b/nutmegscale/customers/usage_rule.py
@@ -6,7 +6,6 @@
 
 # Part of what may run in a window that shares grant at most. With it, requests
 # that wait for up to a second between their charge and their run keep the rule.
-# At 0.79, a fifth of what a hot customer may use was refused.
 TARGET_PART = 0.9
 # Part of a limit up to which the slack counts. It is one figure for customers
 # of all sizes and units, and would make a limit of a few requests meaningless.
