--- a/nutmegscale/adaptive/estimates.py
+++ b/nutmegscale/adaptive/estimates.py
@@ -37,8 +37,8 @@
 # rejected one, seconds.
 CAPACITY_AGE_S = 5.0
 # Subtracted from the stretch of a limit where that number counts instead of the
-# slots: of calls that were held, 1.2 times as many are sent. With fewer, servers
-# without a queue reject less, but more calls are lost in all.
+# slots: of calls that were held, 1.2 times as many are sent. With fewer,
+# servers without a queue reject less, but more calls are lost in all.
 CAPACITY_MARGIN = 0.8
 # Part of a target that a call may take at the server by its limit.
 TARGET_PART = 0.8
--- a/nutmegscale/config_check/version.py
+++ b/nutmegscale/config_check/version.py
@@ -146,6 +146,5 @@
       max_fds: File descriptors of a host; 0 if unknown.
     """
 
-    # Measured on the deployments that docs/experiments/hard-load.md covers.
     stream_tokens: int = 10_000
     max_fds: int = 0
--- a/nutmegscale/customers/fair_shares.py
+++ b/nutmegscale/customers/fair_shares.py
@@ -19,8 +19,8 @@
 # seconds at seven times the usual rate raise it by half of it at most.
 USUAL_USE_TIME_S = 60.0
 # Use that each customer starts with if no customer states a limit in tokens:
-# about one stream. Until more is known, they have about equal shares; with more,
-# a large customer gets less than its part for longer.
+# about one stream. Until more is known, they have about equal shares; with
+# more, a large customer gets less than its part for longer.
 INITIAL_USE_TOKENS = 8_000.0
 # Time at its limit that counts as use which a customer starts with, seconds:
 # limits are known at once, but they follow the usual use roughly only.
