--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -15,6 +15,7 @@
 import pathlib
 import random
 import signal
+import socket
 import tempfile
 import time
 import tomllib
@@ -26,6 +27,13 @@
 HOST_NAME = "clubs.example"
 FRONT_PORT = 8_144
 READY_PORT = 8_140
+# Ports of each host, with those between hosts and that of the metrics, and the
+# last parts of the hosts' addresses.
+HOST_PORTS = (FRONT_PORT, READY_PORT, 7_660, 7_661, 9_464)
+HOST_NUMBERS = range(11, 23)
+PREFIX_TRIES = 20
+# Longest run of a case; its processes are ended after that.
+MAX_RUN_S = 112.0
 STORE_DELAY_S = 0.004
 BEAT_S = 1.2
 RESTART_DELAY_S = 1.0
@@ -518,10 +526,29 @@
     return Caller(*await asyncio.wait_for(opening, 1.0))
 
 
+def _is_free(ip: str, port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 def loopback_prefix() -> str:
-    """Return the first three parts of loopback addresses that are unused."""
+    """Return the first three parts of loopback addresses whose ports are free.
+
+    Raises:
+      RuntimeError: None were found.
+    """
     chosen = random.SystemRandom()
-    return f"127.{chosen.randint(2, 250)}.{chosen.randint(2, 250)}."
+    for _ in range(PREFIX_TRIES):
+        prefix = f"127.{chosen.randint(2, 250)}.{chosen.randint(2, 250)}."
+        ips = [f"{prefix}{number}" for number in HOST_NUMBERS]
+        if all(_is_free(ip, port) for ip in ips for port in HOST_PORTS):
+            return prefix
+    raise RuntimeError("no loopback addresses with free ports")
 
 
 async def _end_tasks() -> None:
@@ -555,7 +582,10 @@
 
         async def _run() -> bool:
             try:
-                return await case(pathlib.Path(scratch), record, has_trouble)
+                async with asyncio.timeout(MAX_RUN_S):
+                    return await case(
+                        pathlib.Path(scratch), record, has_trouble
+                    )
             finally:
                 await _end_tasks()
 
