Logs and metrics of late replies between hosts, and of failed fetches

- reply_too_late: kind, peer, bytes, and time since the call began.
- config_not_learnt: time, bytes received and sent meanwhile, how long the peer has been silent, lag of the event loop.
- config_in_force: bytes.
- nutmegscale_router_peer_bytes: bytes of messages by kind and direction.
- A body that isn't complete in time names the bytes that arrived.

No logic is changed.

--- a/nutmegscale/mesh.py
+++ b/nutmegscale/mesh.py
@@ -18,6 +18,9 @@
 
 CALL_TIMEOUT_S = 0.3
 UNRESPONSIVE_BACKOFF_S = 0.5
+# Time for which a call that timed out is remembered, to report how late its
+# reply came, seconds.
+LATE_REPLY_MEMORY_S = 10.0
 
 _T = TypeVar("_T")
 Handler = Callable[[str, Any], Any]
@@ -45,6 +48,8 @@
       received_bytes: Bytes of the accepted messages.
       rejected: Messages rejected as malformed, not authentic, misdirected or
         replayed.
+      late: Replies received after their call had timed out.
+      late_bytes: Bytes of these replies.
     """
 
     sent: int = 0
@@ -52,6 +57,27 @@
     received: int = 0
     received_bytes: int = 0
     rejected: int = 0
+    late: int = 0
+    late_bytes: int = 0
+
+
+class Traffic(Protocol):
+    """Records the messages between hosts by kind; see `RouterMetrics`."""
+
+    def record_peer_message(
+        self, kind: str, size: int, *, direction: str
+    ) -> None:
+        """Count a message of a kind that was sent, received or came late."""
+        ...
+
+
+class _NoTraffic:
+    """`Traffic` that records nothing."""
+
+    def record_peer_message(
+        self, kind: str, size: int, *, direction: str
+    ) -> None:
+        """Do nothing."""
 
 
 class _PendingCall(NamedTuple):
@@ -71,6 +97,7 @@
       address_of: Returns the address of a host, or None if it is unknown;
         messages to such a host are dropped.
       host: Name of this host; calls to it run its own handlers.
+      traffic: Records the messages by kind.
     """
 
     def __init__(
@@ -82,8 +109,10 @@
         address_of: Callable[[str], str | None],
         *,
         host: str = "",
+        traffic: Traffic | None = None,
     ) -> None:
         self._host = host
+        self._traffic = traffic or _NoTraffic()
         self._clock = clock
         self._transport = transport
         self._sealer = sealer
@@ -91,6 +120,8 @@
         self._address_of = address_of
         self._handlers: dict[type, Handler] = {}
         self._pending_calls: dict[int, _PendingCall] = {}
+        # Calls that timed out, oldest first.
+        self._overdue_calls: dict[int, _PendingCall] = {}
         self._last_received: dict[str, float] = {}
         self._unresponsive_until: dict[str, float] = {}
         self._silent: set[str] = set()
@@ -202,6 +233,7 @@
         try:
             answer = await reply
         except (defer.TimeoutError, TimeoutError) as exc:
+            self._remember_overdue(call, _PendingCall(host, reply, now))
             self.mark_silent(host)
             if self._last_received.get(host, 0.0) < now:
                 self._transport.reset(host)
@@ -242,6 +274,9 @@
             received=self._counts.received + 1,
             received_bytes=self._counts.received_bytes + len(data),
         )
+        self._traffic.record_peer_message(
+            type(message).__name__, len(data), direction="received"
+        )
         self._timeline.receive_stamp(header.lamport)
         self._last_received[header.sender] = self._clock.seconds()
         self._unresponsive_until.pop(header.sender, None)
@@ -254,6 +289,8 @@
             if pending is not None and pending.host == header.sender:
                 del self._pending_calls[header.call]
                 pending.reply.callback(message)
+            else:
+                self._record_late_reply(header, message, len(data))
             return
         handler = self._handlers.get(type(message))
         if handler is None:
@@ -275,6 +312,36 @@
         elif header.call and result is not None:
             self._send(header.sender, result, header.call, is_reply=True)
 
+    def _remember_overdue(self, number: int, call: _PendingCall) -> None:
+        """Remember a call that timed out, and forget the old ones."""
+        forgotten_before = self._clock.seconds() - LATE_REPLY_MEMORY_S
+        for known, overdue in list(self._overdue_calls.items()):
+            if overdue.since >= forgotten_before:
+                break
+            del self._overdue_calls[known]
+        self._overdue_calls[number] = call
+
+    def _record_late_reply(
+        self, header: envelope.Header, message: Any, size: int
+    ) -> None:
+        """Report a reply whose call has timed out."""
+        overdue = self._overdue_calls.pop(header.call, None)
+        if overdue is None or overdue.host != header.sender:
+            return
+        kind = type(message).__name__
+        self._counts = self._counts._replace(
+            late=self._counts.late + 1,
+            late_bytes=self._counts.late_bytes + size,
+        )
+        self._traffic.record_peer_message(kind, size, direction="late")
+        logs.get().info(
+            "reply_too_late",
+            kind=kind,
+            peer=header.sender,
+            bytes=size,
+            took_s=round(self._clock.seconds() - overdue.since, 3),
+        )
+
     async def _send_reply_when_ready(
         self, header: envelope.Header, result: Awaitable[Any]
     ) -> None:
@@ -299,4 +366,7 @@
             sent=self._counts.sent + 1,
             sent_bytes=self._counts.sent_bytes + len(data),
         )
+        self._traffic.record_peer_message(
+            type(message).__name__, len(data), direction="sent"
+        )
         self._transport.send(host, address, data)
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -161,6 +161,7 @@
             self.board.timeline,
             self._address_of,
             host=settings.host,
+            traffic=self.board.metrics,
         )
         self.members = membership_controller.MembershipController(
             self.board, self.mesh, period_s=PROBE_PERIOD_S
--- a/nutmegscale/router_metrics.py
+++ b/nutmegscale/router_metrics.py
@@ -55,6 +55,10 @@
             "nutmegscale_router_loop_lag_seconds",
             description="how far the event loop is behind",
         )
+        self._peer_bytes = meter.create_counter(
+            "nutmegscale_router_peer_bytes",
+            description="bytes of messages between hosts, by kind",
+        )
         self._first_event = meter.create_histogram(
             "nutmegscale_router_first_event_seconds",
             explicit_bucket_boundaries_advisory=FIRST_EVENT_BOUNDS_S,
@@ -115,6 +119,19 @@
         """Count a message about a usage limit: "ask", "slow" or "refund"."""
         self._usage_messages.add(1, {"kind": kind})
 
+    def record_peer_message(
+        self, kind: str, size: int, *, direction: str
+    ) -> None:
+        """Count the bytes of a message between hosts.
+
+        Args:
+          kind: Type of the message.
+          size: Its size, bytes.
+          direction: "sent", "received", or "late" for a received reply whose
+            call had timed out.
+        """
+        self._peer_bytes.add(size, {"kind": kind, "direction": direction})
+
     def record_answer(self, kind: str, seconds: float) -> None:
         """Record the time to a complete answer of a plain service."""
         self._answer.record(seconds, {"kind": kind})
--- a/nutmegscale/routing_controller.py
+++ b/nutmegscale/routing_controller.py
@@ -74,6 +74,8 @@
             periodic.spawn(self._fetch(host))
 
     async def _fetch(self, host: str) -> None:
+        began_at = self._board.now()
+        before = self._mesh.counts
         try:
             reply = await self._mesh.call(
                 host,
@@ -81,13 +83,29 @@
                 messages.RoutingReply,
             )
         except errors.PeerError as exc:
-            logs.get().info("config_not_learnt", peer=host, why=str(exc))
+            self._log_failed_fetch(host, str(exc), began_at, before)
             return
         finally:
             self._is_fetching = False
         if reply.content:
             self._adopt(reply.content, host)
 
+    def _log_failed_fetch(
+        self, host: str, why: str, began_at: float, before: mesh.Counts
+    ) -> None:
+        """Log what a fetch was waiting for, and what arrived meanwhile."""
+        counts = self._mesh.counts
+        logs.get().info(
+            "config_not_learnt",
+            peer=host,
+            why=why,
+            took_s=round(self._board.now() - began_at, 3),
+            received_bytes=counts.received_bytes - before.received_bytes,
+            sent_bytes=counts.sent_bytes - before.sent_bytes,
+            silent_s=round(self._board.now() - self._mesh.last_heard(host), 3),
+            lag_s=round(self._board.loop_lag_s, 3),
+        )
+
     @property
     def _version(self) -> int:
         return self._board.config.version if self._board.config else 0
@@ -118,6 +136,7 @@
             before=known,
             source=source,
             routes=len(config.routes),
+            bytes=len(content),
         )
 
     def _receive_request(
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -150,7 +150,12 @@
         try:
             while True:
                 left_s = max(0.0, deadline - self._clock.seconds())
-                data = await self.chunk(left_s)
+                try:
+                    data = await self.chunk(left_s)
+                except errors.ResponseTimeoutError as exc:
+                    raise errors.ResponseTimeoutError(
+                        f"{size} bytes of the body arrived in {timeout_s:.2f} s"
+                    ) from exc
                 if not data:
                     return bytes(collected)
                 size += len(data)
