Failing tests: large configurations over slow links

A host that the store refuses asks its peers for a configuration of 1,405 routes (346 KB) over links of 5 Mbit/s: no answer arrives within the 0.3 s of a call, each one crosses the link all the same, and is asked for again. The network of the stand-ins gets links of a limited speed.

--- a/standins/fake_network.py
+++ b/standins/fake_network.py
@@ -1,5 +1,6 @@
 """Network between hosts on a virtual clock, with partitions."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from twisted.internet import task
@@ -13,12 +14,19 @@
     Attributes:
       receivers: Function that receives the messages of a host, by name.
       cut: Pairs of sender and receiver whose messages are lost.
+      link_bytes_per_s: Speed of each host's link in each direction; unlimited
+        if 0.
+      delivered_bytes: Bytes of the messages that each host has received.
     """
 
     def __init__(self, clock: task.Clock) -> None:
         self.clock = clock
         self.receivers: dict[str, Callable[[bytes], None]] = {}
         self.cut: set[tuple[str, str]] = set()
+        self.link_bytes_per_s = 0.0
+        self.delivered_bytes: Counter[str] = Counter()
+        # When each link is free again, by host and direction, seconds.
+        self._free_at: dict[tuple[str, str], float] = {}
 
     def cut_off(self, group: list[str], others: list[str]) -> None:
         """Cut two groups of names off from each other, both ways."""
@@ -34,14 +42,31 @@
         return (source, target) in self.cut
 
     def deliver(self, source: str, target: str, data: bytes) -> None:
-        """Deliver a message after `DELAY_S`; it is lost if the pair is cut."""
+        """Deliver a message after `DELAY_S` and its time on both links.
+
+        It is lost if the pair is cut when it is sent or arrives.
+        """
 
         def _arrive() -> None:
             if target in self.receivers and not self.is_cut(source, target):
+                self.delivered_bytes[target] += len(data)
                 self.receivers[target](data)
 
         if not self.is_cut(source, target):
-            self.clock.callLater(DELAY_S, _arrive)
+            link_s = self._link_s(source, target, len(data))
+            self.clock.callLater(DELAY_S + link_s, _arrive)
+
+    def _link_s(self, source: str, target: str, size: int) -> float:
+        """Return the time until a message has crossed two links, seconds."""
+        if not self.link_bytes_per_s:
+            return 0.0
+        now = self.clock.seconds()
+        ends = ((source, "out"), (target, "in"))
+        begins_at = max(now, *(self._free_at.get(end, now) for end in ends))
+        ends_at = begins_at + size / self.link_bytes_per_s
+        for end in ends:
+            self._free_at[end] = ends_at
+        return ends_at - now
 
 
 class FakeTransport:
--- /dev/null
+++ b/tests/test_large_configurations.py
@@ -0,0 +1,62 @@
+"""Tests of large configurations that hosts get from each other.
+
+A host that the store refuses hears of a later version from its peers. The
+answers of peers came too late on a slow link, and were requested again and
+again, so that they filled the link.
+"""
+
+import json
+import random
+from typing import Any
+
+from standins import platform_rows
+from standins import router_world
+
+# Bound of the operator on the time until a version is in force, seconds.
+APPLY_S = 3.0
+SLOW_LINK_BYTES_PER_S = 5e6 / 8
+
+
+def _large_routes(count: int) -> list[dict[str, Any]]:
+    """Return the usual routes, and more of them with random names."""
+    rng = random.Random(1)
+    routes: list[dict[str, Any]] = json.loads(platform_rows.config_row())[
+        "routes"
+    ]
+    for _ in range(count):
+        name = f"{rng.getrandbits(40):x}"
+        routes.append({**routes[-1], "name": name, "pathPrefix": f"/{name}/"})
+    return routes
+
+
+def _make_world(*, hosts: int) -> router_world.Simulation:
+    """Start hosts on slow links with a large configuration."""
+    world = router_world.Simulation(hosts=hosts)
+    world.start_default_workers()
+    world.configure(routes=_large_routes(1_400))
+    world.start()
+    world.peer_network.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+    return world
+
+
+def _versions(world: router_world.Simulation) -> list[int]:
+    configs = [host.router.board.config for host in world.hosts]
+    return [config.version if config else 0 for config in configs]
+
+
+def test_refused_host_gets_a_large_configuration_over_a_slow_link() -> None:
+    world = _make_world(hosts=4)
+    world.store.refused_hosts = {"host-1", "host-2"}
+    world.configure(2, routes=_large_routes(1_401))
+    world.run(APPLY_S)
+    assert _versions(world) == [2, 2, 2, 2]
+
+
+def test_failing_fetches_leave_the_link_to_others() -> None:
+    world = _make_world(hosts=4)
+    world.store.refused_hosts = {"host-1"}
+    world.configure(2, routes=_large_routes(1_401))
+    before = world.peer_network.delivered_bytes["host-1"]
+    world.run(APPLY_S)
+    received = world.peer_network.delivered_bytes["host-1"] - before
+    assert received < 0.5 * APPLY_S * SLOW_LINK_BYTES_PER_S
