Hosts transfer configurations in compressed parts, with pauses after failures

Callers saw: requests handled by a version that was replaced seconds before, and 404 for routes that had been added (CONFIG, DENIED), on hosts that the store had refused.

Cause: a host asked a peer for the whole configuration in a call of 0.3 s. On a link of 10 Mbit/s, 1,449 routes take longer, so that no call could succeed; the reply crossed the link all the same, was dropped, and the next membership message started the next call. Replies filled the link, so that neither the store's answers nor new connections to servers got through, long after the store was back.

Change: hosts keep the configuration compressed (459 KB become 31 KB) and transfer it in parts of 16 KB, each in a call of its own. A host has one call in progress; after a failure it pauses, and gives the next call more time, both up to a bound. A call that fails costs at most one part. Hosts of the build before are answered with, and answer with, the whole configuration.

The fetcher draws its pauses from numbers of its own, so that no other draw is shifted.

test_customer_keys searched messages for keys; it now searches the decompressed configurations as well, since a key can't be seen in compressed bytes.

--- /dev/null
+++ b/nutmegscale/config_fetcher.py
@@ -0,0 +1,164 @@
+"""Fetches a later configuration from other hosts, one part at a time."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from twisted.internet import defer
+
+from nutmegscale import config_transfer
+from nutmegscale import errors
+from nutmegscale import logs
+from nutmegscale import mesh
+from nutmegscale import messages
+from nutmegscale import periodic
+
+# Time in which a host answers, seconds: at first, and at most after failures.
+FIRST_ANSWER_S = mesh.CALL_TIMEOUT_S
+MAX_ANSWER_S = 1.2
+# Pause after a failure, seconds: after the first one, and at most.
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.0
+FAILURE_FACTOR = 2.0
+JITTER_FRACTION = 0.3
+
+
+class ConfigFetcher:
+    """Fetches a configuration from the hosts that may have a later one.
+
+    One part is requested at a time, from the same host as long as it answers.
+    After each failure the pause and the time to answer are longer, so that a
+    slow link isn't filled with parts that come too late.
+    """
+
+    def __init__(
+        self,
+        clock: Any,
+        link: mesh.Mesh,
+        *,
+        version: Callable[[], int],
+        on_content: Callable[[bytes, str], None],
+        rng: random.Random,
+    ) -> None:
+        """Create the fetcher.
+
+        Args:
+          clock: Twisted clock.
+          link: Messages between hosts.
+          version: Returns the version in force on this host, 0 if there is
+            none.
+          on_content: Called with a later configuration and the host that sent
+            its last part.
+          rng: Source of random numbers.
+        """
+        self._clock = clock
+        self._mesh = link
+        self._version = version
+        self._on_content = on_content
+        self._rng = rng
+        self._parts = config_transfer.Collector()
+        # Hosts that may have a later version; a dict keeps their order.
+        self._sources: dict[str, None] = {}
+        self._source = ""
+        self._pause_s = FIRST_PAUSE_S
+        self._answer_s = FIRST_ANSWER_S
+        self._running: defer.Deferred[Any] | None = None
+        self._is_stopped = False
+
+    def ask(self, host: str) -> None:
+        """Ask a host for a later configuration, after a pause if one is due."""
+        if self._is_stopped:
+            return
+        self._sources[host] = None
+        if self._running is None or self._running.called:
+            self._running = periodic.spawn(self._run())
+
+    def stop(self) -> None:
+        """Stop fetching, even while a call is in progress."""
+        self._is_stopped = True
+        if self._running is not None:
+            self._running.cancel()
+
+    async def _run(self) -> None:
+        while self._sources:
+            if self._source not in self._sources:
+                self._source = self._rng.choice(list(self._sources))
+            if not await self._fetch_part(self._source):
+                self._sources.pop(self._source, None)
+                await self._pause()
+
+    async def _pause(self) -> None:
+        jitter = 1.0 + JITTER_FRACTION * (2.0 * self._rng.random() - 1.0)
+        pause_s = self._pause_s * jitter
+        self._pause_s = min(MAX_PAUSE_S, self._pause_s * FAILURE_FACTOR)
+        self._answer_s = min(MAX_ANSWER_S, self._answer_s * FAILURE_FACTOR)
+        await periodic.sleep(self._clock, pause_s)
+
+    async def _fetch_part(self, host: str) -> bool:
+        """Ask a host for the next part; return whether it answered."""
+        began_at, before = self._clock.seconds(), self._mesh.counts
+        try:
+            reply = await self._mesh.call(
+                host,
+                messages.RoutingRequest(
+                    self._version(), self._parts.digest, self._parts.offset
+                ),
+                messages.RoutingReply,
+                timeout_s=self._answer_s,
+            )
+            self._receive(host, reply)
+        except (errors.PeerError, errors.MalformedDataError) as exc:
+            self._log_failure(host, str(exc), began_at, before)
+            return False
+        return True
+
+    def _receive(self, host: str, reply: messages.RoutingReply) -> None:
+        """Use the answer of a host.
+
+        Raises:
+          errors.MalformedDataError: The part isn't one that was asked for, or
+            the configuration is invalid.
+        """
+        if reply.version <= self._version():
+            self._sources.pop(host, None)
+            self._parts.clear()
+            return
+        content: bytes | None = reply.content
+        # A host of an earlier build answers with the whole configuration.
+        if reply.size:
+            content = self._parts.add(
+                config_transfer.Part(
+                    reply.version,
+                    reply.digest,
+                    reply.size,
+                    reply.offset,
+                    reply.content,
+                )
+            )
+        if content is None:
+            return
+        self._on_content(content, host)
+        if self._version() < reply.version:
+            raise errors.MalformedDataError(
+                f"version {reply.version} can't be used"
+            )
+        # Those that have a yet later version announce it again.
+        self._sources.clear()
+        self._pause_s = FIRST_PAUSE_S
+        self._answer_s = FIRST_ANSWER_S
+
+    def _log_failure(
+        self, host: str, why: str, began_at: float, before: mesh.Counts
+    ) -> None:
+        """Log what a fetch was waiting for, and what arrived meanwhile."""
+        now, counts = self._clock.seconds(), self._mesh.counts
+        logs.get().info(
+            "config_not_learnt",
+            peer=host,
+            why=why,
+            took_s=round(now - began_at, 3),
+            offset=self._parts.offset,
+            received_bytes=counts.received_bytes - before.received_bytes,
+            sent_bytes=counts.sent_bytes - before.sent_bytes,
+            silent_s=round(now - self._mesh.last_heard(host), 3),
+        )
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -416,22 +416,43 @@
     service: str
 
 
+# Offset of a request for a whole configuration, as earlier builds make it.
+WHOLE = -1
+
+
 class RoutingRequest(NamedTuple):
-    """Request for the routing configuration if newer than a version."""
+    """Request for the routing configuration if newer than a version.
+
+    Attributes:
+      known_version: Version in force at the sender.
+      digest: Digest of the packed configuration that the sender has parts of;
+        may be empty. See `config_transfer`.
+      offset: Position of the part that it asks for; `WHOLE` for the whole
+        configuration.
+    """
 
     known_version: int
+    digest: bytes = b""
+    offset: int = WHOLE
 
 
 class RoutingReply(NamedTuple):
-    """Routing configuration in force.
+    """Routing configuration in force, or a part of it.
 
     Attributes:
       version: Version of the configuration.
-      content: The configuration as it was read; may be empty.
+      content: A part of the packed configuration, or the whole one as it is if
+        `size` is 0; empty if it isn't newer than the known version.
+      digest: Digest of the packed configuration.
+      size: Size of the packed configuration, bytes.
+      offset: Position of the part.
     """
 
     version: int
     content: bytes
+    digest: bytes = b""
+    size: int = 0
+    offset: int = 0
 
 
 class BackendLeft(NamedTuple):
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -428,6 +428,7 @@
         self.backends.stop()
         for follower in self._followers:
             follower.stop()
+        self.configs.stop()
         self._lag.stop()
 
     async def drain(
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -8,6 +8,7 @@
 
 from nutmegscale import adaptive
 from nutmegscale import backend
+from nutmegscale import config_transfer
 from nutmegscale import http_ingress
 from nutmegscale import membership
 from nutmegscale import router_metrics
@@ -29,7 +30,8 @@
       membership: View of the hosts; membership controller. The host registry
         adds hosts, and the routing controller sets the revision.
       config: Routing configuration in force or None; routing controller.
-      content: Its encoded form, without customers' keys; routing controller.
+      packed_config: Its encoded form, without customers' keys, or None; routing
+        controller.
       table: Index of its routes; routing controller.
       backends: Registered backend servers; backend controller.
       loads: Load and failures of backend servers; plain runner, stream runner
@@ -64,7 +66,7 @@
         self.timeline = timeline.Timeline(host)
         self.membership = view
         self.config: routes.RoutingConfig | None = None
-        self.content = b""
+        self.packed_config: config_transfer.PackedConfig | None = None
         self.table: routes.RouteTable | None = None
         self.backends = backend.BackendDirectory()
         self.loads = loads or server_loads.ServerLoads()
--- a/nutmegscale/routing_controller.py
+++ b/nutmegscale/routing_controller.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 import random
 
+from nutmegscale import config_fetcher
+from nutmegscale import config_transfer
 from nutmegscale import errors
 from nutmegscale import logs
 from nutmegscale import mesh
 from nutmegscale import messages
-from nutmegscale import periodic
 from nutmegscale import routes
 from nutmegscale import routing_board
 from nutmegscale import row_store
@@ -23,7 +24,7 @@
 
 
 class RoutingController:
-    """Writes `RoutingBoard.config`, `content` and `table`.
+    """Writes `RoutingBoard.config`, `packed_config` and `table`.
 
     It also sets the version that the membership messages announce.
     """
@@ -39,12 +40,18 @@
         rng: random.Random,
     ) -> None:
         self._board = board
-        self._mesh = link
         self._decode = decode
         self._remove_keys = remove_keys
         self._key = key
         self._rng = rng
-        self._is_fetching = False
+        self._fetcher = config_fetcher.ConfigFetcher(
+            board.clock,
+            link,
+            version=lambda: self._version,
+            on_content=self._adopt,
+            # Pauses only have to differ between hosts.
+            rng=random.Random(board.host),
+        )
         link.on(messages.RoutingRequest, self._receive_request)
 
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
@@ -62,49 +69,15 @@
         peers = self._board.membership.alive()
         peers = [host for host in peers if host != self._board.host]
         for host in self._rng.sample(peers, min(ASKED_PEERS, len(peers))):
-            periodic.spawn(self._fetch(host))
+            self._fetcher.ask(host)
 
     def fetch_from(self, host: str) -> None:
-        """Fetch the configuration of a peer that has a later version.
-
-        Nothing is done while another fetch is in progress.
-        """
-        if not self._is_fetching:
-            self._is_fetching = True
-            periodic.spawn(self._fetch(host))
+        """Fetch the configuration of a peer that has a later version."""
+        self._fetcher.ask(host)
 
-    async def _fetch(self, host: str) -> None:
-        began_at = self._board.now()
-        before = self._mesh.counts
-        try:
-            reply = await self._mesh.call(
-                host,
-                messages.RoutingRequest(self._version),
-                messages.RoutingReply,
-            )
-        except errors.PeerError as exc:
-            self._log_failed_fetch(host, str(exc), began_at, before)
-            return
-        finally:
-            self._is_fetching = False
-        if reply.content:
-            self._adopt(reply.content, host)
-
-    def _log_failed_fetch(
-        self, host: str, why: str, began_at: float, before: mesh.Counts
-    ) -> None:
-        """Log what a fetch was waiting for, and what arrived meanwhile."""
-        counts = self._mesh.counts
-        logs.get().info(
-            "config_not_learnt",
-            peer=host,
-            why=why,
-            took_s=round(self._board.now() - began_at, 3),
-            received_bytes=counts.received_bytes - before.received_bytes,
-            sent_bytes=counts.sent_bytes - before.sent_bytes,
-            silent_s=round(self._board.now() - self._mesh.last_heard(host), 3),
-            lag_s=round(self._board.loop_lag_s, 3),
-        )
+    def stop(self) -> None:
+        """Stop fetching from peers."""
+        self._fetcher.stop()
 
     @property
     def _version(self) -> int:
@@ -127,7 +100,9 @@
                 )
             return
         self._board.config = config
-        self._board.content = self._remove_keys(content)
+        self._board.packed_config = config_transfer.pack(
+            config.version, self._remove_keys(content)
+        )
         self._board.table = routes.RouteTable(config)
         self._board.membership.revision = config.version
         logs.get().info(
@@ -142,7 +117,14 @@
     def _receive_request(
         self, sender: str, request: messages.RoutingRequest
     ) -> messages.RoutingReply:
-        content = b""
-        if self._version > request.known_version:
-            content = self._board.content
-        return messages.RoutingReply(self._version, content)
+        packed = self._board.packed_config
+        if packed is None or packed.version <= request.known_version:
+            return messages.RoutingReply(self._version, b"")
+        if request.offset == messages.WHOLE:
+            return messages.RoutingReply(packed.version, packed.content)
+        part = config_transfer.part_of(
+            packed, digest=request.digest, offset=request.offset
+        )
+        return messages.RoutingReply(
+            part.version, part.data, part.digest, part.size, part.offset
+        )
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -3,11 +3,15 @@
 import json
 from typing import Any
 
+import msgspec
 import pytest
 import structlog
 
+from nutmegscale import config_transfer
 from nutmegscale import customers
+from nutmegscale import envelope
 from nutmegscale import errors
+from nutmegscale import messages
 from nutmegscale.platform import routing_config
 from standins import platform_rows
 from standins import router_world
@@ -225,6 +229,32 @@
     return sent
 
 
+def _sent_configurations(sent: list[bytes], receiver: str) -> list[bytes]:
+    """Return the configurations that a host was sent, decompressed."""
+    collector = config_transfer.Collector()
+    found = []
+    for data in sent:
+        header, message = msgspec.msgpack.decode(
+            data[: -envelope.DIGEST_BYTES],
+            type=tuple[envelope.Header, msgspec.Raw],
+        )
+        kind = messages.TYPE_BY_NUMBER[header.kind]
+        if kind is messages.RoutingReply and header.receiver == receiver:
+            reply = msgspec.msgpack.decode(message, type=messages.RoutingReply)
+            if reply.size:
+                content = collector.add(
+                    config_transfer.Part(
+                        reply.version,
+                        reply.digest,
+                        reply.size,
+                        reply.offset,
+                        reply.content,
+                    )
+                )
+                found += [content] if content else []
+    return found
+
+
 def test_a_host_that_the_store_refuses_learns_keys_without_reading_them() -> (
     None
 ):
@@ -237,9 +267,11 @@
     for host in (0, 1):
         assert _ask(world, "slot", "new-key", host=host).status == 200
         assert _ask(world, "slot", KEY, host=host).status == 401
-        content = world.hosts[host].router.board.content
-        assert b"club-a" in content
-        assert b"new-key" not in content
+        packed = world.hosts[host].router.board.packed_config
+        assert packed is not None
+        assert b"club-a" in packed.content
+        assert b"new-key" not in packed.content
+    sent += _sent_configurations(sent, "host-1")
     assert any(b"club-a" in data for data in sent)
     assert not any(b"new-key" in data or KEY.encode() in data for data in sent)
 
