Reads of the store continue as long as parts of the answer arrive

The same class as the late replies between hosts: an answer of the store that took more than 1.5 s from its head to its end was dropped, and read again from its start, over the same link. An operator's row of 1,449 routes has 613 KB in base64; beside other traffic on 5 to 10 Mbit/s that is not out of reach, and the longest answer (8 MB) takes 13.4 s on 5 Mbit/s.

Change: 1.5 s for each further part, 15 s for all of it.

Tests: test_answer_that_arrives_slowly_is_read_to_its_end failed before (8 parts, 0.5 s apart); an answer that stops, or never ends, is given up in time.

--- a/nutmegscale/platform/store_client.py
+++ b/nutmegscale/platform/store_client.py
@@ -14,9 +14,13 @@
 from nutmegscale import upstream
 from nutmegscale import upstream_call
 
-# Longest wait for an answer beyond the requested wait of a long poll, seconds.
-# A slow store takes up to 62 times its typical 4 ms, several calls in a row.
+# Longest wait for an answer beyond the requested wait of a long poll, and for
+# each further part of it, seconds. A slow store takes up to 62 times its
+# typical 4 ms, several calls in a row.
 ANSWER_TIMEOUT_S = 1.5
+# Longest wait for a whole answer, seconds: a link of 5 Mbit/s takes 13.4 s for
+# the longest one.
+READ_TIMEOUT_S = 15.0
 MAX_ANSWER_BYTES = 8 << 20
 PAGE_ROWS = 500
 # Longest table that is read, in all its pages: keys and values, bytes. The
@@ -163,7 +167,11 @@
             raise errors.StoreRefusedError(str(exc)) from exc
         try:
             answer = await call.head(timeout_s)
-            data = await call.body(self._answer_timeout_s, MAX_ANSWER_BYTES)
+            data = await call.body(
+                READ_TIMEOUT_S,
+                MAX_ANSWER_BYTES,
+                idle_timeout_s=self._answer_timeout_s,
+            )
         except errors.TransportError as exc:
             raise errors.StoreError(str(exc)) from exc
         finally:
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -1,6 +1,7 @@
 """One request to a server and its response as it is received."""
 
 from collections.abc import Callable
+import math
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
@@ -137,24 +138,37 @@
         self._connection.resume()
         return data
 
-    async def body(self, timeout_s: float, max_bytes: int) -> bytes:
+    async def body(
+        self,
+        timeout_s: float,
+        max_bytes: int,
+        *,
+        idle_timeout_s: float = math.inf,
+    ) -> bytes:
         """Wait for the complete body.
 
+        Args:
+          timeout_s: Longest wait for all of it, seconds.
+          max_bytes: Longest body.
+          idle_timeout_s: Longest wait for its next part, seconds.
+
         Raises:
-          errors.ResponseTimeoutError: The body wasn't complete in time.
+          errors.ResponseTimeoutError: The body or a part wasn't there in time.
           errors.TransportError: The response broke off or is too long.
         """
-        deadline = self._clock.seconds() + timeout_s
+        began_at = self._clock.seconds()
+        deadline = began_at + timeout_s
         collected = bytearray()
         size = 0
         try:
             while True:
                 left_s = max(0.0, deadline - self._clock.seconds())
                 try:
-                    data = await self.chunk(left_s)
+                    data = await self.chunk(min(left_s, idle_timeout_s))
                 except errors.ResponseTimeoutError as exc:
+                    waited_s = self._clock.seconds() - began_at
                     raise errors.ResponseTimeoutError(
-                        f"{size} bytes of the body arrived in {timeout_s:.2f} s"
+                        f"{size} bytes of the body arrived in {waited_s:.2f} s"
                     ) from exc
                 if not data:
                     return bytes(collected)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -1,10 +1,13 @@
 """Tests of the adapter's client of the row store, against its stand-in."""
 
+import base64
 from collections.abc import Awaitable
+import json
 from typing import Any
 
 import pytest
 from twisted.internet import defer
+from twisted.internet import protocol
 from twisted.internet import task
 
 from nutmegscale import errors
@@ -19,6 +22,33 @@
 ADDRESS = "store:1"
 
 
+class _SlowStore(protocol.Protocol):
+    """A store whose answer crosses a slow link, part by part."""
+
+    transport: Any
+
+    def __init__(
+        self, clock: Any, *, parts: int = 8, gap_s: float = 0.5
+    ) -> None:
+        self._clock = clock
+        self._parts = parts
+        self._gap_s = gap_s
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Start to answer any request."""
+        value = base64.b64encode(bytes(10_000)).decode()
+        row = {"table": "t", "key": "a", "ver": 3, "value": value}
+        body = json.dumps({"rows": [row], "ver": 3}).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.transport.write(head)
+        self._send(body, -(-len(body) // self._parts))
+
+    def _send(self, rest: bytes, size: int) -> None:
+        if rest:
+            self.transport.write(rest[:size])
+            self._clock.callLater(self._gap_s, self._send, rest[size:], size)
+
+
 class _World:
     """A store and its client on a virtual clock."""
 
@@ -31,9 +61,17 @@
             ADDRESS,
             http_ingress.IngressFactory(self.clock, site, http_ingress.Limits),
         )
+        self.net = net
         pool = upstream.UpstreamPool(None, self.clock, connect=net.connect)
         self.client = store_client.StoreClient(pool, ADDRESS)
 
+    def answer_slowly(self, **options: Any) -> None:
+        """Replace the store by one with a slow link."""
+        factory = protocol.Factory.forProtocol(
+            lambda: _SlowStore(self.clock, **options)
+        )
+        self.net.listen(ADDRESS, factory)
+
     def wait(self, work: Awaitable[Any], seconds: float = 1.0) -> Any:
         """Advance the clock, and return the result or raise the failure."""
         results: list[Any] = []
@@ -105,3 +143,26 @@
     monkeypatch.setattr(world.client, "_get", _page)
     with pytest.raises(errors.HistoryGoneError, match="restored"):
         world.wait(world.client.read_table("t"))
+
+
+def test_answer_that_arrives_slowly_is_read_to_its_end() -> None:
+    world = _World()
+    world.answer_slowly()
+    found = world.wait(world.client.read_table("t"), 5.0)
+    assert [len(row.value) for row in found.rows] == [10_000]
+
+
+def test_answer_that_stops_arriving_is_given_up() -> None:
+    world = _World()
+    world.answer_slowly(gap_s=store_client.ANSWER_TIMEOUT_S + 0.1)
+    with pytest.raises(errors.StoreError, match="of the body arrived"):
+        world.wait(world.client.read_table("t"), 3.5)
+
+
+def test_answer_without_end_is_given_up_in_time() -> None:
+    world = _World()
+    world.answer_slowly(parts=1_000, gap_s=1.0)
+    with pytest.raises(errors.StoreError, match="of the body arrived"):
+        world.wait(
+            world.client.read_table("t"), store_client.READ_TIMEOUT_S + 1.0
+        )
