A host that knows of a later configuration denies neither routes nor keys

Change: while a peer has announced a later version within the last 3 s, what would be 404 or 401 is refused with 503, a Retry-After, and the reason config_outdated: not run, another host may allow it. Hosts that pass requests on take it as a reason to ask another host.

Tests: three in test_large_configurations failed before (404, 401, 404).

--- a/nutmegscale/explanation.py
+++ b/nutmegscale/explanation.py
@@ -45,6 +45,10 @@
     ),
     "quarantined": "refused: the same content crashed two servers",
     "no_config": "refused: this host had no configuration yet",
+    "config_outdated": (
+        "refused: this host's configuration doesn't allow it, but another host"
+        " has a later one"
+    ),
     "host_is_leaving": "refused: this host was shutting down",
     "retry_budget_spent": "refused: the retry budget was exhausted",
     "rejected_by_servers": "refused: each server that was tried rejected it",
--- a/nutmegscale/peer_relay.py
+++ b/nutmegscale/peer_relay.py
@@ -34,6 +34,7 @@
     {
         b"unreached",
         b"no_config",
+        b"config_outdated",
         b"no_route",
         b"unknown_customer",
         b"no_server",
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -494,12 +494,12 @@
             return
         route = board.table.find(request.host, request.path)
         if route is None:
-            self._reject(incoming, 404, "no_route", request.path, request.id)
+            self._deny(incoming, request, 404, "no_route", request.path)
             return
         identity = self._identify(incoming, route)
         if identity.rejection == "unknown_key":
-            self._reject(
-                incoming, 401, "unknown_key", "the key is unknown", request.id
+            self._deny(
+                incoming, request, 401, "unknown_key", "the key is unknown"
             )
             return
         if identity.rejection:
@@ -702,6 +702,23 @@
             share.record_request(now)
         return share
 
+    def _deny(
+        self,
+        incoming: http_ingress.IncomingRequest,
+        request: caller_request.CallerRequest,
+        status: int,
+        kind: str,
+        why: str,
+    ) -> None:
+        """Reject a request that the configuration in force doesn't allow.
+
+        It is refused instead while a later configuration may allow it.
+        """
+        if self.board.is_outdated:
+            self._refuse(incoming, request, "config_outdated")
+        else:
+            self._reject(incoming, status, kind, why, request.id)
+
     def _reject(
         self,
         incoming: http_ingress.IncomingRequest,
--- a/nutmegscale/routing_board.py
+++ b/nutmegscale/routing_board.py
@@ -33,6 +33,8 @@
       packed_config: Its encoded form, without customers' keys, or None; routing
         controller.
       table: Index of its routes; routing controller.
+      outdated_until: Time until which this host takes its configuration for
+        outdated, seconds; routing controller.
       backends: Registered backend servers; backend controller.
       loads: Load and failures of backend servers; plain runner, stream runner
         and reach controller. The backend controller drops removed servers.
@@ -68,6 +70,7 @@
         self.config: routes.RoutingConfig | None = None
         self.packed_config: config_transfer.PackedConfig | None = None
         self.table: routes.RouteTable | None = None
+        self.outdated_until = 0.0
         self.backends = backend.BackendDirectory()
         self.loads = loads or server_loads.ServerLoads()
         self.estimates = adaptive.ServerEstimates()
@@ -89,6 +92,11 @@
             and not self.is_draining
         )
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether another host has announced a later configuration."""
+        return self.now() < self.outdated_until
+
     @property
     def limits(self) -> http_ingress.Limits:
         """Limits on callers' requests; the defaults without a configuration."""
--- a/nutmegscale/routing_controller.py
+++ b/nutmegscale/routing_controller.py
@@ -21,10 +21,13 @@
 
 # Number of peers that a host asks after it joined.
 ASKED_PEERS = 2
+# Time after the announcement of a later version for which this host takes its
+# own for outdated, seconds: several periods of the membership's probes.
+OUTDATED_MEMORY_S = 3.0
 
 
 class RoutingController:
-    """Writes `RoutingBoard.config`, `packed_config` and `table`.
+    """Writes the configuration of a `RoutingBoard`, and whether it's outdated.
 
     It also sets the version that the membership messages announce.
     """
@@ -73,6 +76,7 @@
 
     def fetch_from(self, host: str) -> None:
         """Fetch the configuration of a peer that has a later version."""
+        self._board.outdated_until = self._board.now() + OUTDATED_MEMORY_S
         self._fetcher.ask(host)
 
     def stop(self) -> None:
@@ -100,6 +104,8 @@
                 )
             return
         self._board.config = config
+        # A peer with a yet later version announces it again.
+        self._board.outdated_until = 0.0
         self._board.packed_config = config_transfer.pack(
             config.version, self._remove_keys(content)
         )
--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -9,6 +9,7 @@
 import random
 from typing import Any
 
+from nutmegscale import messages
 from standins import platform_rows
 from standins import router_world
 
@@ -60,3 +61,56 @@
     world.run(APPLY_S)
     received = world.peer_network.delivered_bytes["host-1"] - before
     assert received < 0.5 * APPLY_S * SLOW_LINK_BYTES_PER_S
+
+
+def _keep_host_1_outdated(
+    world: router_world.Simulation, **changes: Any
+) -> None:
+    """Let a host hear of a later version that it can't get."""
+    for host in world.hosts:
+        host.router.mesh.on(messages.RoutingRequest, lambda *_: None)
+    world.store.refused_hosts = {"host-1"}
+    world.configure(2, **changes)
+    world.run(1.5)
+
+
+def test_host_that_knows_a_later_version_denies_no_route() -> None:
+    world = router_world.Simulation(hosts=3)
+    world.start_default_workers()
+    world.start()
+    routes = json.loads(platform_rows.config_row())["routes"]
+    added = {**routes[-1], "name": "added", "pathPrefix": "/added/"}
+    _keep_host_1_outdated(world, routes=[*routes, added])
+    assert _versions(world) == [2, 1, 2]
+    refused = world.ask("added", host=1)
+    assert refused.status == 503
+    assert refused.headers[b"retry-after"]
+    assert world.ask("added", host=0).status == 200
+    assert world.ask("slot", host=1).status == 200
+
+
+def test_host_that_knows_a_later_version_rejects_no_key() -> None:
+    customers: list[dict[str, Any]] = [
+        {"name": "club-a", "apiKeys": ["k" * 20]}
+    ]
+    world = router_world.Simulation(hosts=3)
+    world.start_default_workers()
+    world.configure(tenants=customers)
+    world.start()
+    customers.append({"name": "club-b", "apiKeys": ["o" * 20]})
+    _keep_host_1_outdated(world, tenants=customers)
+    key = "Token " + "o" * 20
+    assert world.ask("slot", host=1, Authorization=key).status == 503
+    assert world.ask("slot", host=0, Authorization=key).status == 200
+
+
+def test_host_denies_routes_again_once_it_is_up_to_date() -> None:
+    world = router_world.Simulation(hosts=3)
+    world.start_default_workers()
+    world.start()
+    _keep_host_1_outdated(world)
+    assert world.ask("none", host=1).status == 503
+    world.store.refused_hosts = set()
+    world.run(2.0)
+    assert _versions(world) == [2, 2, 2]
+    assert world.ask("none", host=1).status == 404
