Answers that end by a close before their request was sent are incomplete

Cause: a clean close completed every answer without a length, even while the server lacked a part of the request, so that nothing tells an answer from one that was given up.

Change: when the server ends its side, the answer is complete only if the request was handed to the socket and acknowledged. A connection whose request isn't sent is reset then, not flushed.

Answers with a length, and those of servers that have read everything, stay complete.

--- a/nutmegscale/tcp_options.py
+++ b/nutmegscale/tcp_options.py
@@ -1,6 +1,9 @@
 """Socket options that detect unresponsive connections and avoid delays."""
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
 
 # An unresponsive connection should be detected before a configuration change
@@ -23,8 +26,7 @@
     Args:
       transport: Transport of a Twisted connection.
     """
-    get_handle = getattr(transport, "getHandle", None)
-    handle = get_handle() if get_handle is not None else None
+    handle = _handle(transport)
     if handle is None:
         return
     transport.setTcpNoDelay(True)
@@ -37,3 +39,22 @@
     )
     for option, value in options:
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def unacknowledged_bytes(transport: Any) -> int:
+    """Return how many of the bytes in the socket's buffer the peer lacks.
+
+    Args:
+      transport: Transport of a Twisted connection; 0 is returned for one
+        without a socket handle.
+    """
+    handle = _handle(transport)
+    if handle is None:
+        return 0
+    answer = fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int(struct.unpack("i", answer)[0])
+
+
+def _handle(transport: Any) -> Any:
+    get_handle = getattr(transport, "getHandle", None)
+    return get_handle() if get_handle is not None else None
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -8,12 +8,15 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.internet import protocol
+from zope.interface import implementer
 
 from nutmegscale import decoding
 from nutmegscale import errors
 from nutmegscale import http_message
 from nutmegscale import memory_budget
+from nutmegscale import sent_watch
 from nutmegscale import tcp_options
 from nutmegscale import upstream_call
 
@@ -40,6 +43,7 @@
 MAX_REQUESTS_PER_CONNECTION = 200
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class _Connection(protocol.Protocol):
     """Connection to a server that carries one call at a time.
 
@@ -64,6 +68,7 @@
         self._carried_ids: set[bytes] = set()
         self._is_trusted = False
         self._is_head_request = False
+        self._is_request_sent = True
         self._is_closed = False
         self._is_ignoring_message = False
         self._must_abort = False
@@ -116,6 +121,14 @@
         self.transport.write(
             http_message.encode_request(request.head, request.body)
         )
+        if request.body:
+            self._is_request_sent = False
+            watch = sent_watch.SentWatch(self._on_request_sent)
+            self.transport.registerProducer(watch, False)
+
+    def _on_request_sent(self) -> None:
+        self._is_request_sent = True
+        self.transport.unregisterProducer()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received data; close the connection if no call is pending."""
@@ -229,16 +242,40 @@
             self.transport.loseConnection()
         call.got_end()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """End the call and the connection, since the server sends no more."""
+        is_sent = self._is_request_sent and not (
+            tcp_options.unacknowledged_bytes(self.transport)
+        )
+        self._end_call(is_clean=True, is_request_sent=is_sent)
+        if is_sent:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: this host never closes only its side."""
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """End the call; a clean close completes a response without a length."""
+        """End the call, unless it has ended."""
+        is_clean = reason is not None and reason.check(error.ConnectionDone)
+        self._end_call(
+            is_clean=bool(is_clean), is_request_sent=self._is_request_sent
+        )
+
+    def _end_call(self, *, is_clean: bool, is_request_sent: bool) -> None:
+        """End the call; a clean close completes a response without a length.
+
+        While the server lacks a part of the request, a close completes nothing:
+        a server that gives up closes in the same way.
+        """
         self._is_closed = True
         self.stop_idle_timer()
         self._pool.discard(self)
         call, self._call = self._call, None
         if call is None:
             return
-        is_clean = reason is not None and reason.check(error.ConnectionDone)
-        if self._body_ends_at_close and is_clean:
+        if self._body_ends_at_close and is_clean and is_request_sent:
             call.got_end()
         elif is_clean:
             call.failed(
