A status that HTTP doesn't have ends a call at once

Cause: all below 200 counted as interim, and nothing above had a bound.

Change: an answer whose status isn't in 100 to 599 is malformed: the call fails and its connection is closed.

Tests: four in test_upstream failed before (000, 099, 600, 999).

--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -31,6 +31,8 @@
 # Bytes since a request was sent, or since the last part of its answer's body,
 # that aren't body: heads, trailers, and answers to other requests.
 MAX_OVERHEAD_BYTES = 256 << 10
+# Statuses that HTTP defines, those of interim answers included.
+STATUSES = range(100, 600)
 # Lines of the heads and trailers of a response. Those of sound servers have
 # some twenty; in 256 KB there are up to 65,000, which take 6 MB.
 MAX_HEADER_LINES = 1_000
@@ -182,6 +184,14 @@
         if self._call is None:
             return
         status = self._parser.get_status_code()
+        if status not in STATUSES:
+            self._fail(
+                errors.MalformedAnswerError(
+                    f"status {status}, expected {STATUSES[0]} to {STATUSES[-1]}"
+                )
+            )
+            self._must_abort = True
+            return
         head = http_message.ResponseHead(status, tuple(self._headers))
         # A late second response to an earlier request may arrive first.
         self._is_ignoring_message = status < 200 or not self._is_own(head)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -185,3 +185,18 @@
     calling = defer.ensureDeferred(pool.call("no-such-server:80", _request()))
     calling.addErrback(outcomes.append)
     assert outcomes[0].check(errors.ConnectError)
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_status_that_http_does_not_have_ends_the_call_at_once(
+    status: bytes,
+) -> None:
+    net = _FakeNetwork()
+    failed: list[Any] = []
+    call = net.run(net.pool.call(ADDRESS, _request()))
+    defer.ensureDeferred(call.head(5.0)).addErrback(failed.append)
+    net.connections[0].dataReceived(
+        b"HTTP/1.1 " + status + b" X\r\nContent-Length: 2\r\n\r\nok"
+    )
+    assert failed[0].check(errors.MalformedAnswerError)
+    assert not net.transports[0].connected
