--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -129,3 +129,16 @@
         reply = simulation.ask("slot", 1.0)
         assert reply.status in (200, 502, 503), end
         _check_no_short_success(reply)
+
+
+@pytest.mark.parametrize("route", ["slot", "confirm"])
+@pytest.mark.parametrize("status", [b"000", b"099", b"999"])
+def test_callers_of_servers_with_a_broken_status_are_answered_at_once(
+    status: bytes, route: str
+) -> None:
+    simulation = _simulation()
+    head, body = _answer("length")
+    for name in ("w1", "w2"):
+        worker = simulation.workers[name]
+        worker.raw_response = head.replace(b"200", status) + body
+    assert simulation.ask(route, 0.2).status in (502, 503)
