Heads without end of many servers are bounded together

A report of other operators: a faulty worker sends bytes without end, in a head or in a body, and the machine that called it runs out of memory.

Cause, here: bodies share a bound, but each connection could hold 256 KB that are no body. With 400 calls in progress, heads without end took 106 MB (one long header) and 149 MB (many lines) where a host has 128 MB.

Change: the bytes since the last part of a body are counted over all calls. Beyond the bound of buffered answers, heads of more than 8 KB fail. What was received of an answer that is given up is dropped at once. BodyMemory is ResponseMemory now, since it counts heads, too.

Tests: two in test_unbounded_servers failed before (106 and 149 MB, 20 allowed); the head of a sound server beside them is read.

--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -119,7 +119,7 @@
         self._headers = []
         self._is_ignoring_message = False
         self._body_ends_at_close = False
-        self._overhead_bytes = 0
+        self._set_overhead(0)
         self.transport.write(
             http_message.encode_request(request.head, request.body)
         )
@@ -137,7 +137,7 @@
         if self._call is None:
             self.abort()
             return
-        self._overhead_bytes += len(data)
+        self._set_overhead(self._overhead_bytes + len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -146,11 +146,13 @@
                 errors.MalformedAnswerError(f"malformed HTTP response: {exc}")
             )
             self._must_abort = True
-        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+        size = self._overhead_bytes
+        if size > MAX_OVERHEAD_BYTES or not self._pool.memory.allows_head(size):
             self._fail(
                 errors.MalformedAnswerError(
-                    f"{self._overhead_bytes} bytes without a part of the "
-                    f"answer's body, expected at most {MAX_OVERHEAD_BYTES}"
+                    f"{size} bytes without a part of the answer's body, "
+                    f"expected at most {MAX_OVERHEAD_BYTES}, and less while "
+                    f"all calls hold {self._pool.memory.head_bytes} of them"
                 )
             )
             self._must_abort = True
@@ -159,6 +161,11 @@
         elif self._must_abort:
             self.abort()
 
+    def _set_overhead(self, size: int) -> None:
+        """Set the bytes since the last part of a body, also in the sum."""
+        self._pool.memory.head_bytes += size - self._overhead_bytes
+        self._overhead_bytes = size
+
     def on_message_begin(self) -> None:
         """Handle the start of a message; see httptools."""
         if self._call is None:
@@ -215,7 +222,7 @@
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body; see httptools."""
         if self._call is not None and not self._is_ignoring_message:
-            self._overhead_bytes = 0
+            self._set_overhead(0)
             self._call.got_data(body)
 
     def on_message_complete(self) -> None:
@@ -241,6 +248,7 @@
         response may be left in the parser by then.
         """
         self._completed_call = None
+        self._set_overhead(0)
         idle_timeout_s = (
             _idle_timeout_s(self._headers) if self._keeps_alive else 0.0
         )
@@ -282,6 +290,7 @@
         self._is_closed = True
         self.stop_idle_timer()
         self._pool.discard(self)
+        self._forget_response()
         call, self._call = self._call, None
         if call is None:
             return
@@ -301,6 +310,12 @@
                 )
             )
 
+    def _forget_response(self) -> None:
+        """Drop what was received of a response that is given up."""
+        self._set_overhead(0)
+        self._headers = []
+        self._parser = None
+
     def _fail(self, failure: errors.TransportError) -> None:
         call, self._call = self._call, None
         if call is not None:
@@ -309,6 +324,7 @@
     def abort(self) -> None:
         """Close the connection at once."""
         self._fail(errors.TransportError("connection aborted by this host"))
+        self._forget_response()
         if not self._is_closed:
             self._is_closed = True
             self._pool.discard(self)
@@ -407,6 +423,7 @@
 
     Attributes:
       opened: Number of connections that the pool tried to open.
+      memory: What all calls keep of their responses.
     """
 
     def __init__(
@@ -423,7 +440,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._connect = connect or self._connect_tcp
         self._idle: dict[str, list[_Connection]] = {}
-        self._bodies = upstream_call.BodyMemory(limits)
+        self.memory = upstream_call.ResponseMemory(limits)
         self._on_connect: Callable[[str, Exception | None], None] = lambda *_: (
             None
         )
@@ -449,12 +466,12 @@
     @property
     def collected_bytes(self) -> int:
         """Bytes of the bodies that all calls are collecting."""
-        return self._bodies.collected_bytes
+        return self.memory.collected_bytes
 
     @property
     def buffered_bytes(self) -> int:
         """Bytes of responses that were received and not taken yet."""
-        return self._bodies.buffered_bytes
+        return self.memory.buffered_bytes
 
     async def call(
         self,
@@ -496,7 +513,7 @@
             self.add_idle(connection, IDLE_TIMEOUT_S)
             raise
         call = upstream_call.Call(
-            connection, self._clock, self._bodies, on_head=on_head
+            connection, self._clock, self.memory, on_head=on_head
         )
         connection.send(call, request)
         return call
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -20,6 +20,9 @@
 # While the bodies of all calls are beyond their limit, the calls whose body is
 # longer than this fail, bytes.
 MAX_BODY_WHEN_FULL_BYTES = 256 << 10
+# While the heads of all calls are beyond their limit, the calls whose head is
+# longer than this fail, bytes.
+MAX_HEAD_WHEN_FULL_BYTES = 8 << 10
 
 
 class Connection(Protocol):
@@ -55,12 +58,13 @@
     is_trusted: bool = False
 
 
-class BodyMemory:
+class ResponseMemory:
     """Counts what all calls of a pool keep of their responses.
 
     Attributes:
       collected_bytes: Bytes of the bodies that are collected.
       buffered_bytes: Bytes that were received and not taken yet.
+      head_bytes: Bytes that were received and belong to no body.
     """
 
     def __init__(
@@ -69,6 +73,12 @@
         self._limits = limits or memory_budget.MemoryLimits()
         self.collected_bytes = 0
         self.buffered_bytes = 0
+        self.head_bytes = 0
+
+    def allows_head(self, size: int) -> bool:
+        """Whether a head of a size may go on growing."""
+        is_full = self.head_bytes > self._limits.buffered_bytes
+        return not is_full or size <= MAX_HEAD_WHEN_FULL_BYTES
 
     def allows(self, size: int) -> bool:
         """Whether a body of a size may go on growing."""
@@ -89,12 +99,12 @@
         self,
         connection: Connection,
         clock: Any,
-        bodies: BodyMemory,
+        memory: ResponseMemory,
         *,
         on_head: Callable[[http_message.ResponseHead], None] = lambda _: None,
     ) -> None:
         self._connection = connection
-        self._bodies = bodies
+        self._memory = memory
         self._clock = clock
         self._on_head = on_head
         self._head: http_message.ResponseHead | None = None
@@ -173,25 +183,25 @@
                 if not data:
                     return bytes(collected)
                 size += len(data)
-                self._bodies.collected_bytes += len(data)
+                self._memory.collected_bytes += len(data)
                 if size > max_bytes:
                     raise errors.TransportError(
                         f"response body exceeds {max_bytes} bytes"
                     )
-                if not self._bodies.allows(size):
+                if not self._memory.allows(size):
                     raise errors.TransportError(
                         f"response body of {size} bytes or more, and "
-                        f"{self._bodies.collected_bytes} bytes in all calls"
+                        f"{self._memory.collected_bytes} bytes in all calls"
                     )
                 collected += data
         finally:
-            self._bodies.collected_bytes -= size
+            self._memory.collected_bytes -= size
 
     def _take(self) -> bytes:
         """Return what is buffered, and keep nothing."""
         data = bytes(self._buffer)
         self._buffer = bytearray()
-        self._bodies.buffered_bytes -= len(data)
+        self._memory.buffered_bytes -= len(data)
         return data
 
     def abort(self) -> None:
@@ -238,8 +248,8 @@
         if self._is_dropped:
             return
         self._buffer += data
-        self._bodies.buffered_bytes += len(data)
-        if self._bodies.must_pause(len(self._buffer)):
+        self._memory.buffered_bytes += len(data)
+        if self._memory.must_pause(len(self._buffer)):
             self._connection.pause()
         self._wake()
 
--- a/tests/test_unbounded_servers.py
+++ b/tests/test_unbounded_servers.py
@@ -194,3 +194,40 @@
         if failed:
             break
     assert failed[0].check(errors.StoreError)
+
+
+@pytest.mark.parametrize("piece", [b"x" * 4_096, b"x-a: %s\r\n" % (b"y" * 300)])
+def test_heads_without_end_of_many_servers_are_bounded_together(
+    piece: bytes,
+) -> None:
+    net = _Connections()
+    failed: list[Any] = []
+    for _ in range(400):
+        waiting = defer.ensureDeferred(net.call().head(5.0))
+        waiting.addErrback(failed.append)
+
+    def _receive() -> None:
+        for connection in net.opened:
+            connection.dataReceived(b"HTTP/1.1 200 OK\r\nx: ")
+        for _ in range(300_000 // len(piece)):
+            for connection in net.opened:
+                if connection.transport.connected:
+                    connection.dataReceived(piece)
+
+    assert _peak_bytes(_receive) < 20 * MEGABYTE
+    assert len(failed) == 400
+    assert failed[0].check(errors.MalformedAnswerError)
+
+
+def test_head_of_a_sound_server_is_read_beside_heads_without_end() -> None:
+    net = _Connections()
+    for _ in range(400):
+        defer.ensureDeferred(net.call().head(5.0)).addErrback(lambda _: None)
+    for connection in net.opened:
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\nx: " + b"x" * 60_000)
+    call = net.call()
+    heads: list[Any] = []
+    defer.ensureDeferred(call.head(5.0)).addCallback(heads.append)
+    lines = b"".join(b"x-%d: %s\r\n" % (n, b"y" * 100) for n in range(30))
+    net.opened[-1].dataReceived(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n")
+    assert len(heads[0].headers) == 30
