--- a/nutmegscale/table_follower.py
+++ b/nutmegscale/table_follower.py
@@ -60,6 +60,8 @@
         self._running: defer.Deferred[Any] | None = None
         self._starts = 0
         self._version: int | None = None
+        # Whether changes were read since the last snapshot.
+        self._has_followed = False
         self._era = 0
         self._is_reachable: bool | None = None
 
@@ -82,7 +84,8 @@
         while start == self._starts:
             try:
                 await self._step()
-                pause_s = FIRST_RETRY_S
+                if self._has_followed:
+                    pause_s = FIRST_RETRY_S
                 continue
             except errors.HistoryGoneError as exc:
                 self._record_contact(True)
@@ -93,7 +96,10 @@
                     message=str(exc),
                 )
                 self._version = None
-                continue
+                # The snapshot itself may be older than the history.
+                if self._has_followed:
+                    self._has_followed = False
+                    continue
             except errors.StoreError as exc:
                 self._record_contact(False, exc)
             except defer.CancelledError:
@@ -144,6 +150,7 @@
             )
             self._version = None
             return
+        self._has_followed = True
         self._apply_all(changes)
 
     def _apply_all(self, changes: row_store.StoreResult) -> None:
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -147,3 +147,18 @@
     )
     reader.run(0.1)
     assert failures
+
+
+def test_snapshots_older_than_the_history_are_not_read_in_a_loop() -> None:
+    reader = _Reader()
+    reader.store.put(TABLE, "a", b"1")
+    reader.run(1.0)
+    calls = reader.store.call_count
+    reader.store.oldest_version = reader.store.version + 1
+    reader.store.put("other", "x", b"")
+    reader.store.version -= 1
+    reader.run(5.0)
+    assert reader.store.call_count - calls < 30
+    reader.store.put(TABLE, "a", b"2")
+    reader.run(2.0)
+    assert reader.rows == {"a": b"2"}
