--- a/nutmegscale/config_fetcher.py
+++ b/nutmegscale/config_fetcher.py
@@ -37,7 +37,7 @@
         link: mesh.Mesh,
         *,
         version: Callable[[], int],
-        on_content: Callable[[bytes, str], None],
+        on_content: Callable[[int, bytes, str], None],
         rng: random.Random,
     ) -> None:
         """Create the fetcher.
@@ -47,8 +47,8 @@
           link: Messages between hosts.
           version: Returns the version in force on this host, 0 if there is
             none.
-          on_content: Called with a later configuration and the host that sent
-            its last part.
+          on_content: Called with a later version, its content and the host
+            that sent its last part.
           rng: Source of random numbers.
         """
         self._clock = clock
@@ -137,7 +137,7 @@
             )
         if content is None:
             return
-        self._on_content(content, host)
+        self._on_content(reply.version, content, host)
         if self._version() < reply.version:
             raise errors.MalformedDataError(
                 f"version {reply.version} can't be used"
@@ -162,3 +162,28 @@
             sent_bytes=counts.sent_bytes - before.sent_bytes,
             silent_s=round(now - self._mesh.last_heard(host), 3),
         )
+
+
+def reply_to(
+    request: messages.RoutingRequest,
+    packed: config_transfer.PackedConfig | None,
+    *,
+    version: int,
+) -> messages.RoutingReply:
+    """Return the answer to a host that asks for a later configuration.
+
+    Args:
+      request: The request.
+      packed: The configuration in force.
+      version: Its version, 0 if there is none.
+    """
+    if packed is None or packed.version <= request.known_version:
+        return messages.RoutingReply(version, b"")
+    if request.offset == messages.WHOLE:
+        return messages.RoutingReply(packed.version, packed.content)
+    part = config_transfer.part_of(
+        packed, digest=request.digest, offset=request.offset
+    )
+    return messages.RoutingReply(
+        part.version, part.data, part.digest, part.size, part.offset
+    )
--- a/nutmegscale/routing_controller.py
+++ b/nutmegscale/routing_controller.py
@@ -51,7 +51,7 @@
             board.clock,
             link,
             version=lambda: self._version,
-            on_content=self._adopt,
+            on_content=lambda _, content, host: self._adopt(content, host),
             # Pauses only have to differ between hosts.
             rng=random.Random(board.host),
         )
@@ -123,14 +123,6 @@
     def _receive_request(
         self, sender: str, request: messages.RoutingRequest
     ) -> messages.RoutingReply:
-        packed = self._board.packed_config
-        if packed is None or packed.version <= request.known_version:
-            return messages.RoutingReply(self._version, b"")
-        if request.offset == messages.WHOLE:
-            return messages.RoutingReply(packed.version, packed.content)
-        part = config_transfer.part_of(
-            packed, digest=request.digest, offset=request.offset
-        )
-        return messages.RoutingReply(
-            part.version, part.data, part.digest, part.size, part.offset
+        return config_fetcher.reply_to(
+            request, self._board.packed_config, version=self._version
         )
--- a/tests/test_config_transfer.py
+++ b/tests/test_config_transfer.py
@@ -124,7 +124,7 @@
             rng=random.Random(1),
         )
 
-    def _use(self, content: bytes, source: str) -> None:
+    def _use(self, version: int, content: bytes, source: str) -> None:
         self.contents.append(content)
         self.version = 7
 
