Own configurations are transferred in parts, too

The same cause in the embedded product: a host that missed more than the patches hold asked each announcing peer at once for the whole content, in calls of 0.3 s. 2,200 callers on links of 5 Mbit/s: not in force within 10 s.

Change: a content of more than one part isn't sent in ConfigReply to hosts that take parts; they fetch it with config_fetcher. Hosts of the build before get and send it whole, as before.

Test: test_large_configuration_reaches_a_host_over_a_slow_link failed before (not in force in 10 s).

--- a/nutmegscale/config_controller.py
+++ b/nutmegscale/config_controller.py
@@ -10,6 +10,8 @@
 
 from nutmegscale import blackboard
 from nutmegscale import config
+from nutmegscale import config_fetcher
+from nutmegscale import config_transfer
 from nutmegscale import decoding
 from nutmegscale import errors
 from nutmegscale import merge_patch
@@ -101,10 +103,20 @@
         self._fetching: set[str] = set()
         self._patches: tuple[tuple[int, bytes], ...] = ()
         self._on_adopted: Callable[[], None] = lambda: None
+        self._packed: config_transfer.PackedConfig | None = None
+        self._fetcher = config_fetcher.ConfigFetcher(
+            board.clock,
+            link,
+            version=lambda: self.revision,
+            on_content=self._adopt_fetched,
+            # Pauses only have to differ between hosts.
+            rng=random.Random(board.host),
+        )
         self._last_poll: float | None = None
         self._poll_s = board.settings["config_poll_s"]
         self._polls = periodic.Periodic(board.clock, self._poll_s, self._poll)
         link.on(messages.ConfigRequest, self._receive_request)
+        link.on(messages.RoutingRequest, self._receive_part_request)
 
     @property
     def revision(self) -> int:
@@ -122,6 +134,7 @@
     def stop(self) -> None:
         """Stop polling for new revisions."""
         self._polls.stop()
+        self._fetcher.stop()
 
     async def _poll(self) -> None:
         self._detect_suspend()
@@ -258,13 +271,16 @@
         try:
             reply = await self._mesh.call(
                 peer,
-                messages.ConfigRequest(self.revision),
+                messages.ConfigRequest(self.revision, takes_parts=True),
                 messages.ConfigReply,
             )
         except errors.PeerError:
             return False
         if reply.revision <= self.revision:
             return True
+        if reply.is_in_parts:
+            self._fetcher.ask(peer)
+            return False
         if not self._apply_patches(reply.revision, reply.digest, reply.patches):
             self._adopt(reply.revision, reply.content, peer)
             self._patches = reply.patches
@@ -295,10 +311,32 @@
         if len(patches) != current.revision - request.known_revision:
             patches = ()
             content = config.canonical(current.document)
+        if request.takes_parts and len(content) > config_transfer.PART_BYTES:
+            return messages.ConfigReply(
+                current.revision, current.digest, (), b"", is_in_parts=True
+            )
         return messages.ConfigReply(
             current.revision, current.digest, patches, content
         )
 
+    def _receive_part_request(
+        self, sender: str, request: messages.RoutingRequest
+    ) -> messages.RoutingReply:
+        current = self._board.config
+        if current is None or current.revision <= request.known_version:
+            return messages.RoutingReply(self.revision, b"")
+        if self._packed is None or self._packed.version != current.revision:
+            self._packed = config_transfer.pack(
+                current.revision, config.canonical(current.document)
+            )
+        return config_fetcher.reply_to(
+            request, self._packed, version=self.revision
+        )
+
+    def _adopt_fetched(self, revision: int, content: bytes, peer: str) -> None:
+        self._adopt(revision, content, peer)
+        self._patches = ()
+
     def _adopt(self, revision: int, content: bytes, source: str) -> None:
         try:
             adopted = config.decode(content, revision)
--- a/nutmegscale/messages.py
+++ b/nutmegscale/messages.py
@@ -19,9 +19,12 @@
 
     Attributes:
       known_revision: Revision that the sender already has.
+      takes_parts: Whether the sender fetches a long content in parts; see
+        `RoutingRequest`.
     """
 
     known_revision: int
+    takes_parts: bool = False
 
 
 class ConfigReply(NamedTuple):
@@ -34,12 +37,14 @@
         oldest first.
       content: Full content if the patches don't reach back to the known
         revision; empty if they do, or if the revision isn't newer.
+      is_in_parts: Whether the content must be fetched in parts.
     """
 
     revision: int
     digest: str
     patches: tuple[tuple[int, bytes], ...]
     content: bytes
+    is_in_parts: bool = False
 
 
 class ClaimRequest(NamedTuple):
--- a/tests/test_config_controller.py
+++ b/tests/test_config_controller.py
@@ -9,6 +9,7 @@
 from standins import deployment
 
 IN_FORCE_S = 10.0
+SLOW_LINK_BYTES_PER_S = 5e6 / 8
 
 
 def _revisions(system: deployment.Deployment) -> set[int]:
@@ -255,3 +256,23 @@
     system.run(IN_FORCE_S)
     assert _apply(system, "giza-1", 0.7, "c").state == "accepted"
     system.run_until(lambda: len(_revisions(system)) == 1, IN_FORCE_S)
+
+
+def test_large_configuration_reaches_a_host_over_a_slow_link() -> None:
+    system = deployment.federation()
+    first = next(iter(system.document["callers"].values()))
+    added = {
+        f"caller-{n}": {**first, "key_sha256": f"{n:064x}"}
+        for n in range(2_200)
+    }
+    callers = {**system.document["callers"], **added}
+    document = system.document_with(callers=callers)
+    system.wait(system.hosts["giza-2"].configs.apply(document, 1, "x"))
+    system.run_until(lambda: _revisions(system) == {2}, IN_FORCE_S)
+    system.kill("maadi-1")
+    system.run(4.0)
+    system.platform.is_down = True
+    system.network.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+    system.restart_host("maadi-1")
+    system.run_until(lambda: _revisions(system) == {2}, IN_FORCE_S)
+    assert len(_contents(system)) == 1
