--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -107,3 +107,12 @@
     )
     assert not _violations(output), output[-2_000:]
     assert output.count(" of the limit itself") == 3, output[-2_000:]
+
+
+def test_soak_of_large_configurations_brings_them_into_force_in_time(
+    tmp_path: pathlib.Path,
+) -> None:
+    options = ("--minutes", "0.25", "--hosts", "5", "--callers", "6")
+    output = _run_soak(tmp_path, SEED, *options, "--configs", "--recovery", "4")
+    found = _without_poison(_violations(output))
+    assert not found, output[-2_000:]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,7 +2,7 @@
 
     python -m tools.soak --seed N --minutes M [--hosts N] [--callers N]
         [--grey] [--limits] [--cuts] [--stops] [--split] [--roll REVISION]
-        [--customers] [--recovery SECONDS]
+        [--customers] [--configs] [--recovery SECONDS]
 
 All random choices come from the seed. Writes faults and results as JSON lines
 to out/soak-SEED/soak-SEED.jsonl; ends only the processes that it started.
@@ -22,6 +22,7 @@
 
 from nutmegscale import periodic
 from tools import soak_callers
+from tools import soak_configs
 from tools import soak_customers
 from tools import soak_cuts
 from tools import soak_grey
@@ -135,6 +136,10 @@
             log_event=self.log_event,
         )
         self._has_customers = arguments.customers
+        self._configs = soak_configs.LargeConfigs(
+            self.deployment, random.Random(arguments.seed + 13)
+        )
+        self._has_configs = arguments.configs
         self.figures: list[str] = []
         self.deployment.on_poison = self._crash_on_poison
         self._log_file = open(folder / f"soak-{arguments.seed}.jsonl", "w")  # noqa: SIM115
@@ -169,7 +174,7 @@
             for _ in range(self._rng.choice((1, 1, 2, 3))):
                 if self._is_planned:
                     self._inject_planned_change()
-                elif not self._has_limits:
+                elif not self._has_limits and not self._has_configs:
                     self._inject_fault()
             await periodic.sleep(reactor, self._rng.uniform(0.3, 3.0))
         await self._stop_parts()
@@ -209,6 +214,8 @@
             self._leavers.start()
         if self._has_stops:
             self._stops.start()
+        if self._has_configs:
+            self._configs.start()
 
     async def _stop_parts(self) -> None:
         if self._roll:
@@ -223,6 +230,8 @@
         self._pauses.stop()
         self._leavers.stop()
         await self._stops.stop()
+        if self._has_configs:
+            await self._configs.stop()
 
     def _inject_fault(self) -> None:
         self._fault_count += 1
@@ -514,6 +523,7 @@
         self._check_limits()
         self._check_cuts()
         self._check_customers()
+        self._check_configs()
         if self._has_stops:
             self.figures.append(self._stops.check())
         self._resumes.check()
@@ -601,6 +611,15 @@
         self.figures += figures
         self.log_event("customers", figures=figures)
 
+    def _check_configs(self) -> None:
+        """Check that large configurations were in force in time."""
+        if not self._has_configs:
+            return
+        figures, late = self._configs.check()
+        self.figures.append(figures)
+        for detail in late:
+            self._record_violation(soak_configs.PROMISE, "", detail)
+
     def _check_planned_stops(self) -> None:
         """Check that planned stops cut off no answer in progress."""
         for name, stopped_at in self._planned_stops:
@@ -687,6 +706,11 @@
         action="store_true",
         help="change keys and limits of customers while hosts are disturbed",
     )
+    parser.add_argument(
+        "--configs",
+        action="store_true",
+        help="write large configurations while the store refuses some hosts",
+    )
     parser.add_argument(
         "--recovery",
         type=float,
