--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -2,6 +2,7 @@
 
 # Modules that take long to load are imported by the functions that use them:
 # until `main` runs, SIGHUP ends the process.
+import faulthandler
 import functools
 import signal
 import sys
@@ -261,6 +262,8 @@
 
 def main() -> None:
     """Run the daemon until a signal stops it."""
+    # A crash in a library names the line that called it.
+    faulthandler.enable()
     reload_signal = ReloadSignal()
     signal.signal(signal.SIGHUP, reload_signal.on_signal)
     from nutmegscale import daemon  # noqa: PLC0415
