Origins of streams are kept under short names of their attempts

Cause: up to 20,000 origins are kept for 120 s under the callers' own ids, bounded by number alone, and sent to 7 further hosts and the store.

Change: names of more than 64 characters are replaced by a digest where a stream begins, is looked for, or comes from a host of the build before.

Test: test_long_names_of_attempts_are_kept_as_digests failed before.

--- a/nutmegscale/stream_origins.py
+++ b/nutmegscale/stream_origins.py
@@ -1,11 +1,15 @@
 """Where resumable streams began, as one host remembers it; does no I/O."""
 
+import hashlib
 from typing import NamedTuple
 
 # Time for which an origin is remembered, seconds: streams last some seconds,
 # and their callers take them up again within their deadline.
 RETENTION_S = 120.0
 MAX_ORIGINS = 20_000
+# Longest name of an attempt that is kept as it is, characters. Callers choose
+# the names, which may be as long as a head.
+MAX_NAME_LENGTH = 64
 
 
 class Origin(NamedTuple):
@@ -22,6 +26,19 @@
     version: str
 
 
+def short_name(stream: str) -> str:
+    """Return the name of an attempt, or a digest of it if it's long."""
+    if len(stream) <= MAX_NAME_LENGTH:
+        return stream
+    digest = hashlib.blake2b(stream.encode(), digest_size=16)
+    return f"digest:{digest.hexdigest()}"
+
+
+def shortened(origin: Origin) -> Origin:
+    """Return an origin whose stream has its short name."""
+    return origin._replace(stream=short_name(origin.stream))
+
+
 class StreamOrigins:
     """Origins of streams, by the digest of their requests.
 
@@ -44,6 +61,7 @@
           content: Digest of its request.
           origin: Where it began.
         """
+        origin = shortened(origin)
         key = (content, origin.stream)
         self._origins.pop(key, None)
         self._origins[key] = (now, origin)
@@ -87,7 +105,11 @@
           stream: Name of the attempt that began it; "" for all streams of that
             digest.
         """
-        names = [stream] if stream else sorted(self._streams.get(content, ()))
+        names = (
+            [short_name(stream)]
+            if stream
+            else sorted(self._streams.get(content, ()))
+        )
         known = [self._origins.get((content, name)) for name in names]
         return [
             origin
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -113,6 +113,7 @@
           content: Digest of its request.
           origin: Where it began.
         """
+        origin = stream_origins.shortened(origin)
         self._keep(content, origin)
         keeper = self._versions.keeper(origin.service)
         hosts = dict.fromkeys([*self._replicas(content), keeper])
@@ -145,6 +146,7 @@
         """
         if not stream:
             return await self._find_unnamed(content, services)
+        stream = stream_origins.short_name(stream)
         known = self._origins.find(self._board.now(), content, stream)
         if not known:
             known = (await self._ask(content, stream)).origins
@@ -286,8 +288,10 @@
         return [stream_origins.Origin(*origin) for origin in reply.origins]
 
     def _receive(self, sender: str, message: messages.StreamBegan) -> None:
-        content, *origin = message
-        self._keep(content, stream_origins.Origin(*origin))
+        content, *fields = message
+        # Hosts of an earlier build send long names.
+        origin = stream_origins.shortened(stream_origins.Origin(*fields))
+        self._keep(content, origin)
 
     def _receive_query(
         self, sender: str, query: messages.StreamQuery
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -43,3 +43,14 @@
         origins.record(0.0, b"%d" % number, A1)
     assert len(origins) == stream_origins.MAX_ORIGINS
     assert origins.find(0.0, b"0", "a") == []
+
+
+def test_long_names_of_attempts_are_kept_as_digests() -> None:
+    origins = stream_origins.StreamOrigins()
+    long = [name * 15_900 for name in "ab"]
+    for name in long:
+        origins.record(0.0, b"x", A1._replace(stream=name))
+    found = [origins.find(0.0, b"x", name) for name in long]
+    assert [len(origin) for origin in found] == [1, 1]
+    assert found[0] != found[1]
+    assert all(len(o.stream) < 100 for o in origins.find(0.0, b"x", ""))
