Replies on origins of streams hide no version

Cause: a reply held the first 8 origins in the order of their names, and the asking host took it for complete.

Change: a reply holds one origin of each service and version, which is all that decides. A reply of 8 counts as possibly cut, also from a host of the build before.

Test: test_many_origins_of_one_version_hide_no_other_version failed before.

--- a/nutmegscale/stream_origins.py
+++ b/nutmegscale/stream_origins.py
@@ -122,3 +122,9 @@
     """Return an origin whose service and version all of them have, or None."""
     places = {(origin.service, origin.version) for origin in origins}
     return origins[0] if len(places) == 1 else None
+
+
+def distinct(origins: list[Origin]) -> list[Origin]:
+    """Return one origin of each service and version, in their order."""
+    by_place = {(origin.service, origin.version): origin for origin in origins}
+    return list(by_place.values())
--- a/nutmegscale/stream_registry.py
+++ b/nutmegscale/stream_registry.py
@@ -33,7 +33,7 @@
 EARLIER_S = 20.0
 # Shortest time between two reads of the origins in the store, seconds.
 READ_PAUSE_S = 0.3
-# Origins in one reply: streams of one digest, whose caller names none.
+# Origins in one reply, each of another service or version.
 MAX_REPLIED = 8
 
 
@@ -271,7 +271,11 @@
             self._query(host, query) for host in self._candidates(content)
         )
         origins = [o for reply in replies if reply for o in reply]
-        return _Asked(origins, is_complete=None not in replies)
+        # A reply of this length may have been cut by its sender.
+        is_complete = all(
+            r is not None and len(r) < MAX_REPLIED for r in replies
+        )
+        return _Asked(origins, is_complete=is_complete)
 
     async def _query(
         self, host: str, query: messages.StreamQuery
@@ -299,7 +303,8 @@
         found = self._origins.find(
             self._board.now(), query.content, query.stream
         )
-        return messages.StreamReply(tuple(found[:MAX_REPLIED]))
+        distinct = stream_origins.distinct(found)
+        return messages.StreamReply(tuple(distinct[:MAX_REPLIED]))
 
     def _replicas(self, content: bytes) -> list[str]:
         """Return the hosts to tell of a stream that begins here.
--- a/tests/test_streams_across_versions.py
+++ b/tests/test_streams_across_versions.py
@@ -5,8 +5,12 @@
 up again at other hosts.
 """
 
+from typing import Any
 from typing import NamedTuple
 
+from nutmegscale import periodic
+from nutmegscale import stream_origins
+from standins import platform_rows
 from standins import platform_worker
 from standins import raw_caller
 from standins import router_world
@@ -328,3 +332,36 @@
     stream = _begin_and_break(simulation)
     resumed = _resume(simulation, stream, host=0)
     assert _is_refused_at_once(simulation, resumed)
+
+
+def test_many_origins_of_one_version_hide_no_other_version() -> None:
+    """Guards against a cut list of origins that passes for a complete one."""
+    simulation = _simulation(hosts=12)
+    content = bytes(16)
+    first = simulation.hosts[0].router._origins
+    for number in range(20):
+        first.record(content, _origin(f"a{number:02}", "v1"))
+    first.record(content, _origin("z", "v2"))
+    simulation.run(0.1)
+    told = [
+        bool(
+            host.router._origins._origins.find(
+                simulation.clock.seconds(), content, ""
+            )
+        )
+        for host in simulation.hosts
+    ]
+    others = [h for h, t in zip(simulation.hosts, told, strict=True) if not t]
+    assert others
+    for host in others:
+        found: list[Any] = []
+        finding = host.router._origins.find(
+            content, "", {platform_rows.MODEL_SERVICE}
+        )
+        periodic.spawn(finding).addCallback(found.append)
+        simulation.run(2.0)
+        assert found == [None]
+
+
+def _origin(stream: str, version: str) -> stream_origins.Origin:
+    return stream_origins.Origin(stream, platform_rows.MODEL_SERVICE, version)
