Requests to servers are written part by part

Cause: a body was counted once and existed up to three times: as received, joined with its head, and in the transport's buffer.

Change: the transport gets the head with the first 256 KB of the body, and each further part once it has sent what it had.

Test: test_long_body_is_written_part_by_part. The stand-in for a transport asks pull producers again as Twisted does, not only once.

--- a/nutmegscale/answer_sender.py
+++ b/nutmegscale/answer_sender.py
@@ -6,13 +6,35 @@
 
 from twisted.internet import defer
 
-from nutmegscale import sent_watch
-
 # Most bytes that the transport is given before it has sent them. What exceeds
 # it waits here, so that its size is known and it isn't copied.
 MAX_WRITTEN_BYTES = 256 << 10
 
 
+class _SentWatch:
+    """Pull producer that reports when all written data was sent.
+
+    A transport asks it for data once when it is registered, and again when it
+    has sent what was written.
+
+    Args:
+      on_sent: Called each time when that is so.
+    """
+
+    def __init__(self, on_sent: Callable[[], None]) -> None:
+        self._on_sent = on_sent
+        self._is_registered = False
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Handle a call of the transport; see twisted's IPullProducer."""
+        if self._is_registered:
+            self._on_sent()
+        self._is_registered = True
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the loss of the connection is handled apart."""
+
+
 class AnswerSender:
     """Sends answers over one connection and knows what isn't sent yet.
 
@@ -82,9 +104,7 @@
     def _watch(self) -> None:
         if not self._is_watching:
             self._is_watching = True
-            self._transport.registerProducer(
-                sent_watch.SentWatch(self._on_sent), False
-            )
+            self._transport.registerProducer(_SentWatch(self._on_sent), False)
 
     def _stop_watching(self) -> None:
         if self._is_watching:
--- a/nutmegscale/http_message.py
+++ b/nutmegscale/http_message.py
@@ -118,10 +118,14 @@
     return [(n, v) for n, v in headers if n.lower() not in excluded]
 
 
-def encode_request(head: RequestHead, body: bytes) -> bytes:
-    """Return the bytes of a request with its Content-Length.
+def encode_request_head(head: RequestHead, body_bytes: int) -> bytes:
+    """Return the bytes of a request's head with its Content-Length.
 
     GET, HEAD and DELETE requests without a body get no Content-Length.
+
+    Args:
+      head: The head.
+      body_bytes: Length of the body.
     """
     lines = [head.method + b" " + head.target + b" HTTP/1.1"]
     # No longer than the caller sent it: a server may limit the length as well.
@@ -129,9 +133,9 @@
         name + (b": " + value if value else b":")
         for name, value in head.headers
     ]
-    if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if body_bytes or head.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d" % body_bytes)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def encode_response_head(status: int, headers: Iterable[Header]) -> bytes:
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -16,7 +16,7 @@
 from nutmegscale import errors
 from nutmegscale import http_message
 from nutmegscale import memory_budget
-from nutmegscale import sent_watch
+from nutmegscale import request_sender
 from nutmegscale import tcp_options
 from nutmegscale import upstream_call
 
@@ -120,17 +120,17 @@
         self._is_ignoring_message = False
         self._body_ends_at_close = False
         self._set_overhead(0)
-        self.transport.write(
-            http_message.encode_request(request.head, request.body)
+        self._is_request_sent = not request.body
+        sender = request_sender.RequestSender(
+            self.transport,
+            http_message.encode_request_head(request.head, len(request.body)),
+            request.body,
+            on_sent=self._on_request_sent,
         )
-        if request.body:
-            self._is_request_sent = False
-            watch = sent_watch.SentWatch(self._on_request_sent)
-            self.transport.registerProducer(watch, False)
+        sender.start()
 
     def _on_request_sent(self) -> None:
         self._is_request_sent = True
-        self.transport.unregisterProducer()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received data; close the connection if no call is pending."""
--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -105,6 +105,8 @@
         """Ask a producer for more, since all written data was sent."""
         if self._producer is producer and not self._is_blocked:
             producer.resumeProducing()
+            # It may have written another part.
+            self._net.clock.callLater(0, self._ask_producer, producer)
 
     def unregisterProducer(self) -> None:  # noqa: N802
         """Remove the producer."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -16,6 +16,7 @@
 from nutmegscale import errors
 from nutmegscale import http_message
 from nutmegscale import memory_budget
+from nutmegscale import request_sender
 from nutmegscale import upstream
 from nutmegscale import upstream_call
 
@@ -200,3 +201,29 @@
     )
     assert failed[0].check(errors.MalformedAnswerError)
     assert not net.transports[0].connected
+
+
+def _post(size: int) -> upstream_call.Request:
+    head = http_message.RequestHead(b"POST", b"/", ())
+    return upstream_call.Request(head, bytes(size), b"", is_trusted=True)
+
+
+def test_long_body_is_written_part_by_part() -> None:
+    net = _FakeNetwork()
+    size = 3 * request_sender.PART_BYTES + 1
+    net.run(net.pool.call(ADDRESS, _post(size)))
+    transport = net.transports[0]
+    producer: Any = transport.producer
+    written = len(transport.value())
+    assert written < request_sender.PART_BYTES + 1_000
+    # The first call is the registration.
+    producer.resumeProducing()
+    assert len(transport.value()) == written
+    while transport.producer is not None:
+        before = len(transport.value())
+        producer.resumeProducing()
+        grown = len(transport.value()) - before
+        assert grown <= request_sender.PART_BYTES
+    head, _, body = transport.value().partition(b"\r\n\r\n")
+    assert head.endswith(b"Content-Length: %d" % size)
+    assert body == bytes(size)
