Connections whose request wasn't read aren't taken for idle

Cause: once the answer was complete, the call had ended: nothing counted what the server hadn't read yet, and the connection went to the pool with it.

Change: a connection whose request isn't sent when its answer is complete is closed.

Test: test_answer_to_a_request_that_is_not_sent_ends_its_connection failed before.

--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -252,7 +252,8 @@
         idle_timeout_s = (
             _idle_timeout_s(self._headers) if self._keeps_alive else 0.0
         )
-        if self._must_abort:
+        if self._must_abort or not self._is_request_sent:
+            # What the server hasn't read would wait in the connection.
             self.abort()
         elif idle_timeout_s > 0.0:
             self._pool.add_idle(self, idle_timeout_s)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -227,3 +227,15 @@
     head, _, body = transport.value().partition(b"\r\n\r\n")
     assert head.endswith(b"Content-Length: %d" % size)
     assert body == bytes(size)
+
+
+def test_answer_to_a_request_that_is_not_sent_ends_its_connection() -> None:
+    net = _FakeNetwork()
+    answers: list[bytes] = []
+    call = net.run(net.pool.call(ADDRESS, _post(request_sender.PART_BYTES + 1)))
+    defer.ensureDeferred(call.body(5.0, 10)).addCallback(answers.append)
+    net.connections[0].dataReceived(RESPONSE)
+    assert answers == [b"ok"]
+    assert not net.transports[0].connected
+    net.run(net.pool.call(ADDRESS, _request()))
+    assert len(net.transports) == 2
