--- a/standins/memory_net.py
+++ b/standins/memory_net.py
@@ -103,7 +103,8 @@
 
     def _ask_producer(self, producer: Any) -> None:
         """Ask a producer for more, since all written data was sent."""
-        if self._producer is producer and not self._is_blocked:
+        is_asked = self._producer is producer and not self.is_closed
+        if is_asked and not self._is_blocked:
             producer.resumeProducing()
             # It may have written another part.
             self._net.clock.callLater(0, self._ask_producer, producer)
