A request is freed with its body as soon as it ends

Cause: what serves a request and its connection held each other (the function called when the caller leaves, the one that reports retries, and the trace of the kept failure), so that the body of each ended request stayed until Python collected garbage.

Change: these are dropped when the request ends; the kept failure is raised as a copy.

Tests: nine in test_request_memory failed before.

--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -262,6 +262,7 @@
         """Abort the connection, so that the response doesn't look complete."""
         if not self.is_ended:
             self._state = _AnswerState.ENDED
+            self._on_disconnect = None
             self._connection.abort()
 
     def _may(self, action: str, state: _AnswerState) -> bool:
@@ -284,6 +285,8 @@
 
     def _end(self) -> None:
         self._state = _AnswerState.ENDED
+        # It holds what serves the request, which holds the request.
+        self._on_disconnect = None
         self._connection.on_response_sent()
 
     def on_connection_lost(self) -> None:
@@ -291,8 +294,9 @@
         if self.is_ended:
             return
         self._state = _AnswerState.ENDED
-        if self._on_disconnect is not None:
-            self._on_disconnect()
+        on_disconnect, self._on_disconnect = self._on_disconnect, None
+        if on_disconnect is not None:
+            on_disconnect()
 
 
 class IngressConnection(protocol.Protocol):
--- a/nutmegscale/request_sender.py
+++ b/nutmegscale/request_sender.py
@@ -57,6 +57,7 @@
             self._transport.write(part)
         else:
             self._transport.unregisterProducer()
+            self._body = b""
             self._on_sent()
 
     def stopProducing(self) -> None:  # noqa: N802
--- a/nutmegscale/request_sends.py
+++ b/nutmegscale/request_sends.py
@@ -102,6 +102,10 @@
             self._paid -= 1
             self._share.give_back()
 
+    def detach(self) -> None:
+        """Drop the function that reports retries, which holds the request."""
+        self._on_retry = lambda _: None
+
 
 class Send:
     """One send of a request, as a context manager around it.
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -656,6 +656,7 @@
     ) -> None:
         self._live.pop(context, None)
         context.sends.close()
+        context.sends.detach()
         if context.outcome in ("ran", "maybe_run"):
             took_s = self.board.now() - context.incoming.arrived
             self._durations.record(context.service, took_s)
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -1,6 +1,7 @@
 """One request to a server and its response as it is received."""
 
 from collections.abc import Callable
+import copy
 import math
 from typing import Any
 from typing import NamedTuple
@@ -126,7 +127,8 @@
         deadline = self._clock.seconds() + timeout_s
         while self._head is None:
             if self._failure is not None:
-                raise self._failure
+                # The trace of the one that is kept would hold the request.
+                raise copy.copy(self._failure)
             await self._wait(deadline)
         return self._head
 
@@ -142,7 +144,8 @@
             if self._is_complete:
                 return b""
             if self._failure is not None:
-                raise self._failure
+                # The trace of the one that is kept would hold the request.
+                raise copy.copy(self._failure)
             await self._wait(deadline)
         data = self._take()
         self._connection.resume()
