--- a/nutmegscale/memory_release.py
+++ b/nutmegscale/memory_release.py
@@ -10,6 +10,22 @@
 CALM_S = 20.0
 
 
+# Parameter of the C library: size from which on buffers are mapped one by one.
+M_MMAP_THRESHOLD = -3
+LARGE_BUFFER_BYTES = 256 << 10
+
+
+def map_large_buffers() -> None:
+    """Let large buffers be given back to the system as soon as they are freed.
+
+    Otherwise the C library takes them from its heap once a few were freed, and
+    those that grow leave gaps in it. Does nothing if it has no such parameter.
+    """
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    if mallopt is not None:
+        mallopt(M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES)
+
+
 def find_trim() -> Any:
     """Return the C library's `malloc_trim`; None if it has none."""
     return getattr(ctypes.CDLL(None), "malloc_trim", None)
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -269,6 +269,7 @@
     from nutmegscale import daemon  # noqa: PLC0415
     from nutmegscale import errors  # noqa: PLC0415
     from nutmegscale import logs  # noqa: PLC0415
+    from nutmegscale import memory_release  # noqa: PLC0415
     from nutmegscale.platform import settings  # noqa: PLC0415
 
     try:
@@ -277,6 +278,7 @@
         sys.stderr.write(f"nutmegscaled: {exc}\n")
         sys.exit(EXIT_USAGE)
     logs.configure(host_settings.host, descriptor=logs.STANDARD_OUTPUT)
+    memory_release.map_large_buffers()
     reactor, loop = daemon.install_reactor()
     host_daemon = PlatformDaemon(reactor, loop, host_settings)
     try:
