Soak of configurations: faults are logged, and SIGHUP waits for the start of a process

Its log ends with a planned stop at 23.2 s; the next line is a start at 38.9 s, by the soak's end. So it had no process for 15 s, which the check didn't know of. A process that gets SIGHUP before its first statement ends without a line, as platform_daemon says, and the soak sent it to any host at any time. That fits all logs; the soak logged no signal of its own, so it isn't shown.

Change: SIGHUP is sent to hosts that have joined only, and each signal and start is logged.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -137,7 +137,9 @@
         )
         self._has_customers = arguments.customers
         self._configs = soak_configs.LargeConfigs(
-            self.deployment, random.Random(arguments.seed + 13)
+            self.deployment,
+            random.Random(arguments.seed + 13),
+            log_event=self.log_event,
         )
         self._has_configs = arguments.configs
         self.figures: list[str] = []
--- a/tools/soak_configs.py
+++ b/tools/soak_configs.py
@@ -1,5 +1,6 @@
 """Large configurations in the soak test, while the store refuses hosts."""
 
+from collections.abc import Callable
 import datetime
 import random
 import signal
@@ -56,8 +57,13 @@
     """
 
     def __init__(
-        self, deployment: soak_world.SoakDeployment, rng: random.Random
+        self,
+        deployment: soak_world.SoakDeployment,
+        rng: random.Random,
+        *,
+        log_event: Callable[..., None],
     ) -> None:
+        self._log_event = log_event
         self._deployment = deployment
         self._rng = rng
         self._outages: list[_Outage] = []
@@ -97,19 +103,25 @@
         count = self._rng.randint(0, len(hosts) // 2)
         refused = self._rng.sample(hosts, count)
         self._deployment.store.refused_hosts = {host.name for host in refused}
+        self._log_event("store", refused=[host.name for host in refused])
 
     def _forget(self) -> None:
         self._deployment.store.forget_history()
 
     def _disturb(self) -> None:
         host = self._rng.choice(self._deployment.hosts)
-        if self._rng.random() < 0.3:
-            host.signal(signal.SIGHUP)
-            return
         if not host.is_running:
             return
+        if self._rng.random() < 0.3:
+            # SIGHUP ends a process that is still being started.
+            if host.has_joined:
+                self._log_event("hang_up", host=host.name)
+                host.signal(signal.SIGHUP)
+            return
+        kind = self._rng.choice((signal.SIGKILL, signal.SIGTERM))
+        self._log_event(kind.name, host=host.name)
         host.disturbed_at = self._deployment.reactor.seconds()
-        host.signal(self._rng.choice((signal.SIGKILL, signal.SIGTERM)))
+        host.signal(kind)
         if host.name not in self._restarting:
             self._restarting.add(host.name)
             self._restart(host, host.disturbed_at)
@@ -121,6 +133,7 @@
             reactor.callLater(0.2, self._restart, host, signalled_at)
             return
         self._restarting.discard(host.name)
+        self._log_event("start", host=host.name)
         host.start()
         host.disturbed_at = reactor.seconds()
         self._outages.append(
