A cut while a body is awaited stays a cut

Found when reading the diff: callers would have got 504 where another host can answer.

Change: only the timeout of the wait itself is reworded.

Test: test_body_that_a_cut_ends_fails_as_cut_off failed before.

--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -179,6 +179,8 @@
                 try:
                     data = await self.chunk(min(left_s, idle_timeout_s))
                 except errors.ResponseTimeoutError as exc:
+                    if self._failure is not None:
+                        raise
                     waited_s = self._clock.seconds() - began_at
                     raise errors.ResponseTimeoutError(
                         f"{size} bytes of the body arrived in {waited_s:.2f} s"
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -239,3 +239,15 @@
     assert not net.transports[0].connected
     net.run(net.pool.call(ADDRESS, _request()))
     assert len(net.transports) == 2
+
+
+def test_body_that_a_cut_ends_fails_as_cut_off() -> None:
+    net = _FakeNetwork()
+    failed: list[Any] = []
+    call = net.run(net.pool.call(ADDRESS, _request()))
+    defer.ensureDeferred(call.body(5.0, 10)).addErrback(failed.append)
+    net.connections[0].dataReceived(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no"
+    )
+    call.failed(errors.CutOffError("cut off"))
+    assert failed[0].check(errors.CutOffError)
