Which host is asked for a configuration is decided apart from the fetching

config_sources decides the host, the pause and the time to answer, without I/O; config_fetcher sends and receives. One function makes a part of a reply, for the code and the test that had it twice. No change of behaviour; two tests of the decision.

--- a/nutmegscale/config_fetcher.py
+++ b/nutmegscale/config_fetcher.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import defer
 
+from nutmegscale import config_sources
 from nutmegscale import config_transfer
 from nutmegscale import errors
 from nutmegscale import logs
@@ -13,22 +14,11 @@
 from nutmegscale import messages
 from nutmegscale import periodic
 
-# Time in which a host answers, seconds: at first, and at most after failures.
-FIRST_ANSWER_S = mesh.CALL_TIMEOUT_S
-MAX_ANSWER_S = 1.2
-# Pause after a failure, seconds: after the first one, and at most.
-FIRST_PAUSE_S = 0.1
-MAX_PAUSE_S = 1.0
-FAILURE_FACTOR = 2.0
-JITTER_FRACTION = 0.3
-
 
 class ConfigFetcher:
     """Fetches a configuration from the hosts that may have a later one.
 
-    One part is requested at a time, from the same host as long as it answers.
-    After each failure the pause and the time to answer are longer, so that a
-    slow link isn't filled with parts that come too late.
+    One part is requested at a time, from a host that `config_sources` chooses.
     """
 
     def __init__(
@@ -55,13 +45,8 @@
         self._mesh = link
         self._version = version
         self._on_content = on_content
-        self._rng = rng
+        self._sources = config_sources.ConfigSources(rng)
         self._parts = config_transfer.Collector()
-        # Hosts that may have a later version; a dict keeps their order.
-        self._sources: dict[str, None] = {}
-        self._source = ""
-        self._pause_s = FIRST_PAUSE_S
-        self._answer_s = FIRST_ANSWER_S
         self._running: defer.Deferred[Any] | None = None
         self._is_stopped = False
 
@@ -69,7 +54,7 @@
         """Ask a host for a later configuration, after a pause if one is due."""
         if self._is_stopped:
             return
-        self._sources[host] = None
+        self._sources.add(host)
         if self._running is None or self._running.called:
             self._running = periodic.spawn(self._run())
 
@@ -80,19 +65,10 @@
             self._running.cancel()
 
     async def _run(self) -> None:
-        while self._sources:
-            if self._source not in self._sources:
-                self._source = self._rng.choice(list(self._sources))
-            if not await self._fetch_part(self._source):
-                self._sources.pop(self._source, None)
-                await self._pause()
-
-    async def _pause(self) -> None:
-        jitter = 1.0 + JITTER_FRACTION * (2.0 * self._rng.random() - 1.0)
-        pause_s = self._pause_s * jitter
-        self._pause_s = min(MAX_PAUSE_S, self._pause_s * FAILURE_FACTOR)
-        self._answer_s = min(MAX_ANSWER_S, self._answer_s * FAILURE_FACTOR)
-        await periodic.sleep(self._clock, pause_s)
+        while (host := self._sources.next_host()) is not None:
+            if not await self._fetch_part(host):
+                pause_s = self._sources.record_failure(host)
+                await periodic.sleep(self._clock, pause_s)
 
     async def _fetch_part(self, host: str) -> bool:
         """Ask a host for the next part; return whether it answered."""
@@ -104,7 +80,7 @@
                     self._version(), self._parts.digest, self._parts.offset
                 ),
                 messages.RoutingReply,
-                timeout_s=self._answer_s,
+                timeout_s=self._sources.answer_s,
             )
             self._receive(host, reply)
         except (errors.PeerError, errors.MalformedDataError) as exc:
@@ -120,21 +96,13 @@
             the configuration is invalid.
         """
         if reply.version <= self._version():
-            self._sources.pop(host, None)
+            self._sources.remove(host)
             self._parts.clear()
             return
         content: bytes | None = reply.content
         # A host of an earlier build answers with the whole configuration.
         if reply.size:
-            content = self._parts.add(
-                config_transfer.Part(
-                    reply.version,
-                    reply.digest,
-                    reply.size,
-                    reply.offset,
-                    reply.content,
-                )
-            )
+            content = self._parts.add(part_of_reply(reply))
         if content is None:
             return
         self._on_content(reply.version, content, host)
@@ -142,10 +110,7 @@
             raise errors.MalformedDataError(
                 f"version {reply.version} can't be used"
             )
-        # Those that have a yet later version announce it again.
-        self._sources.clear()
-        self._pause_s = FIRST_PAUSE_S
-        self._answer_s = FIRST_ANSWER_S
+        self._sources.record_success()
 
     def _log_failure(
         self, host: str, why: str, began_at: float, before: mesh.Counts
@@ -164,6 +129,13 @@
         )
 
 
+def part_of_reply(reply: messages.RoutingReply) -> config_transfer.Part:
+    """Return the part that a reply holds."""
+    return config_transfer.Part(
+        reply.version, reply.digest, reply.size, reply.offset, reply.content
+    )
+
+
 def reply_to(
     request: messages.RoutingRequest,
     packed: config_transfer.PackedConfig | None,
--- a/tests/test_config_transfer.py
+++ b/tests/test_config_transfer.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from nutmegscale import config_fetcher
+from nutmegscale import config_sources
 from nutmegscale import config_transfer
 from nutmegscale import envelope
 from nutmegscale import errors
@@ -184,5 +185,35 @@
     hosts.network.heal("b")
     hosts.answer("b", messages.RoutingReply(7, CONTENT))
     hosts.fetcher.ask("b")
-    hosts.run(config_fetcher.MAX_ANSWER_S + 2 * config_fetcher.MAX_PAUSE_S)
+    hosts.run(config_sources.MAX_ANSWER_S + 2 * config_sources.MAX_PAUSE_S)
     assert hosts.contents == [CONTENT]
+
+
+def test_pauses_and_times_to_answer_grow_up_to_their_bounds() -> None:
+    sources = config_sources.ConfigSources(random.Random(1))
+    assert sources.next_host() is None
+    pauses = []
+    for _ in range(2_000):
+        sources.add("b")
+        host = sources.next_host()
+        assert host == "b"
+        pauses.append(sources.record_failure(host))
+    assert pauses[0] < pauses[3] < pauses[-1] * 2
+    longest_s = config_sources.MAX_PAUSE_S * (
+        1 + config_sources.JITTER_FRACTION
+    )
+    assert max(pauses) <= longest_s
+    assert sources.answer_s == config_sources.MAX_ANSWER_S
+    sources.record_success()
+    assert sources.answer_s == config_sources.FIRST_ANSWER_S
+
+
+def test_the_same_host_is_asked_as_long_as_it_answers() -> None:
+    sources = config_sources.ConfigSources(random.Random(1))
+    for host in "abcdef":
+        sources.add(host)
+    first = sources.next_host()
+    assert first is not None
+    assert {sources.next_host() for _ in range(20)} == {first}
+    sources.record_failure(first)
+    assert sources.next_host() not in (first, None)
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -7,6 +7,7 @@
 import pytest
 import structlog
 
+from nutmegscale import config_fetcher
 from nutmegscale import config_transfer
 from nutmegscale import customers
 from nutmegscale import envelope
@@ -242,15 +243,7 @@
         if kind is messages.RoutingReply and header.receiver == receiver:
             reply = msgspec.msgpack.decode(message, type=messages.RoutingReply)
             if reply.size:
-                content = collector.add(
-                    config_transfer.Part(
-                        reply.version,
-                        reply.digest,
-                        reply.size,
-                        reply.offset,
-                        reply.content,
-                    )
-                )
+                content = collector.add(config_fetcher.part_of_reply(reply))
                 found += [content] if content else []
     return found
 
