--- a/nutmegscale/http_ingress.py
+++ b/nutmegscale/http_ingress.py
@@ -285,7 +285,7 @@
 
     def _end(self) -> None:
         self._state = _AnswerState.ENDED
-        # It holds what serves the request, which holds the request.
+        # Ends the reference cycle with the request's handler.
         self._on_disconnect = None
         self._connection.on_response_sent()
 
--- a/nutmegscale/memory_release.py
+++ b/nutmegscale/memory_release.py
@@ -18,8 +18,8 @@
 def map_large_buffers() -> None:
     """Let large buffers be given back to the system as soon as they are freed.
 
-    Otherwise the C library takes them from its heap once a few were freed, and
-    those that grow leave gaps in it. Does nothing if it has no such parameter.
+    Otherwise the C library allocates them from its heap once a few were freed,
+    and those that grow fragment it. Does nothing if it has no such parameter.
     """
     mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
     if mallopt is not None:
--- a/nutmegscale/mesh.py
+++ b/nutmegscale/mesh.py
@@ -285,12 +285,7 @@
             self._silence_version += 1
             self._on_return(header.sender)
         if header.is_reply:
-            pending = self._pending_calls.get(header.call)
-            if pending is not None and pending.host == header.sender:
-                del self._pending_calls[header.call]
-                pending.reply.callback(message)
-            else:
-                self._record_late_reply(header, message, len(data))
+            self._receive_reply(header, message, len(data))
             return
         handler = self._handlers.get(type(message))
         if handler is None:
@@ -312,6 +307,17 @@
         elif header.call and result is not None:
             self._send(header.sender, result, header.call, is_reply=True)
 
+    def _receive_reply(
+        self, header: envelope.Header, message: Any, size: int
+    ) -> None:
+        """Pass a reply to the call that waits for it."""
+        pending = self._pending_calls.get(header.call)
+        if pending is not None and pending.host == header.sender:
+            del self._pending_calls[header.call]
+            pending.reply.callback(message)
+        else:
+            self._record_late_reply(header, message, size)
+
     def _remember_overdue(self, number: int, call: _PendingCall) -> None:
         """Remember a call that timed out, and forget the old ones."""
         forgotten_before = self._clock.seconds() - LATE_REPLY_MEMORY_S
--- a/nutmegscale/request_sends.py
+++ b/nutmegscale/request_sends.py
@@ -103,7 +103,7 @@
             self._share.give_back()
 
     def detach(self) -> None:
-        """Drop the function that reports retries, which holds the request."""
+        """Drop the callback for retries, which references the request."""
         self._on_retry = lambda _: None
 
 
--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -179,24 +179,7 @@
         self.backends = backend_controller.BackendController(
             self.board, self.mesh, codecs.decode_entry
         )
-        configs = table_follower.TableFollower(
-            clock,
-            store,
-            codecs.config_table,
-            on_snapshot=self.configs.apply_rows,
-            on_change=self.configs.apply_row,
-            rng=self._rng,
-        )
-        entries = table_follower.TableFollower(
-            clock,
-            store,
-            codecs.entry_table,
-            on_snapshot=self.backends.apply_rows,
-            on_change=self.backends.apply_row,
-            on_contact=self.backends.record_contact,
-            rng=self._rng,
-        )
-        self._followers = [configs, entries]
+        entries = self._make_followers(clock, store)
         self._rows = host_rows.HostRegistry(
             self.board,
             store,
@@ -321,6 +304,31 @@
         self._durations = planned_stop.CallDurations()
         self._joined_at: float | None = None
 
+    def _make_followers(
+        self, clock: Any, store: row_store.RowStore
+    ) -> table_follower.TableFollower:
+        """Create the followers of the tables; return that of the entries."""
+        codecs = self._codecs
+        configs = table_follower.TableFollower(
+            clock,
+            store,
+            codecs.config_table,
+            on_snapshot=self.configs.apply_rows,
+            on_change=self.configs.apply_row,
+            rng=self._rng,
+        )
+        entries = table_follower.TableFollower(
+            clock,
+            store,
+            codecs.entry_table,
+            on_snapshot=self.backends.apply_rows,
+            on_change=self.backends.apply_row,
+            on_contact=self.backends.record_contact,
+            rng=self._rng,
+        )
+        self._followers = [configs, entries]
+        return entries
+
     def _make_streams(
         self,
         pool: upstream.UpstreamPool,
--- a/nutmegscale/upstream.py
+++ b/nutmegscale/upstream.py
@@ -253,7 +253,7 @@
             _idle_timeout_s(self._headers) if self._keeps_alive else 0.0
         )
         if self._must_abort or not self._is_request_sent:
-            # What the server hasn't read would wait in the connection.
+            # What isn't sent would stay in the transport's buffer.
             self.abort()
         elif idle_timeout_s > 0.0:
             self._pool.add_idle(self, idle_timeout_s)
--- a/nutmegscale/upstream_call.py
+++ b/nutmegscale/upstream_call.py
@@ -127,7 +127,8 @@
         deadline = self._clock.seconds() + timeout_s
         while self._head is None:
             if self._failure is not None:
-                # The trace of the one that is kept would hold the request.
+                # A copy: the traceback of the stored one would reference the
+                # request.
                 raise copy.copy(self._failure)
             await self._wait(deadline)
         return self._head
@@ -144,7 +145,7 @@
             if self._is_complete:
                 return b""
             if self._failure is not None:
-                # The trace of the one that is kept would hold the request.
+                # See `head`.
                 raise copy.copy(self._failure)
             await self._wait(deadline)
         data = self._take()
@@ -170,38 +171,53 @@
           errors.TransportError: The response broke off or is too long.
         """
         began_at = self._clock.seconds()
-        deadline = began_at + timeout_s
         collected = bytearray()
         size = 0
         try:
             while True:
-                left_s = max(0.0, deadline - self._clock.seconds())
-                try:
-                    data = await self.chunk(min(left_s, idle_timeout_s))
-                except errors.ResponseTimeoutError as exc:
-                    if self._failure is not None:
-                        raise
-                    waited_s = self._clock.seconds() - began_at
-                    raise errors.ResponseTimeoutError(
-                        f"{size} bytes of the body arrived in {waited_s:.2f} s"
-                    ) from exc
+                left_s = began_at + timeout_s - self._clock.seconds()
+                wait_s = min(max(0.0, left_s), idle_timeout_s)
+                data = await self._body_part(wait_s, began_at, size)
                 if not data:
                     return bytes(collected)
                 size += len(data)
                 self._memory.collected_bytes += len(data)
-                if size > max_bytes:
-                    raise errors.TransportError(
-                        f"response body exceeds {max_bytes} bytes"
-                    )
-                if not self._memory.allows(size):
-                    raise errors.TransportError(
-                        f"response body of {size} bytes or more, and "
-                        f"{self._memory.collected_bytes} bytes in all calls"
-                    )
+                self._check_size(size, max_bytes)
                 collected += data
         finally:
             self._memory.collected_bytes -= size
 
+    async def _body_part(
+        self, timeout_s: float, began_at: float, size: int
+    ) -> bytes:
+        """Wait for the next part; name in a timeout what arrived before."""
+        try:
+            return await self.chunk(timeout_s)
+        except errors.ResponseTimeoutError as exc:
+            if self._failure is not None:
+                raise
+            waited_s = self._clock.seconds() - began_at
+            raise errors.ResponseTimeoutError(
+                f"{size} bytes of the body arrived in {waited_s:.2f} s"
+            ) from exc
+
+    def _check_size(self, size: int, max_bytes: int) -> None:
+        """Check the size of a body so far.
+
+        Raises:
+          errors.TransportError: It is too long, by itself or while the bodies
+            of all calls are beyond their limit.
+        """
+        if size > max_bytes:
+            raise errors.TransportError(
+                f"response body exceeds {max_bytes} bytes"
+            )
+        if not self._memory.allows(size):
+            raise errors.TransportError(
+                f"response body of {size} bytes or more, and "
+                f"{self._memory.collected_bytes} bytes in all calls"
+            )
+
     def _take(self) -> bytes:
         """Return what is buffered, and keep nothing."""
         data = bytes(self._buffer)
