--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -10,7 +10,6 @@
 import socket
 import struct
 import threading
-import time
 from typing import Any
 
 import pytest
@@ -31,6 +30,8 @@
 )
 
 Script = Callable[[socket.socket], None]
+# Set once the caller has its answer or failure.
+_answered = threading.Event()
 
 
 def _read_head(connection: socket.socket) -> int:
@@ -50,7 +51,7 @@
     _read_head(connection)
     connection.sendall(UNFRAMED)
     connection.shutdown(socket.SHUT_WR)
-    time.sleep(0.2)
+    _answered.wait(TIMEOUT_S)
     _reset(connection)
 
 
@@ -84,7 +85,7 @@
 def _reject_early(connection: socket.socket) -> None:
     _read_head(connection)
     connection.sendall(FRAMED)
-    time.sleep(0.2)
+    _answered.wait(TIMEOUT_S)
 
 
 def _serve(listener: socket.socket, script: Script) -> None:
@@ -112,12 +113,14 @@
 
 def _ask(script: Script) -> tuple[int, bytes]:
     """Send a long upload to a server; return its answer."""
+    _answered.clear()
     with socket.create_server(("127.0.0.1", 0)) as listener:
         thread = threading.Thread(target=_serve, args=(listener, script))
         thread.start()
         try:
             return asyncio.run(_call(f"127.0.0.1:{listener.getsockname()[1]}"))
         finally:
+            _answered.set()
             thread.join(TIMEOUT_S)
 
 
