The longest wait for an answer of the store follows from the host's link

15 s were enough for the longest answer (8 MB) on 5 Mbit/s only; on a slower link it would have been dropped and read again for ever. Now twice its time on the link that the settings state, at least 5 s (10 Mbit/s: 13.4 s; 5: 26.8 s).

Test: test_longest_answer_may_take_its_time_on_any_link (1 Mbit/s to 10 Gbit/s).

--- a/nutmegscale/platform/store_client.py
+++ b/nutmegscale/platform/store_client.py
@@ -18,9 +18,12 @@
 # each further part of it, seconds. A slow store takes up to 62 times its
 # typical 4 ms, several calls in a row.
 ANSWER_TIMEOUT_S = 1.5
-# Longest wait for a whole answer, seconds: a link of 5 Mbit/s takes 13.4 s for
-# the longest one.
-READ_TIMEOUT_S = 15.0
+# Shortest of the longest waits for a whole answer, seconds.
+MIN_READ_TIMEOUT_S = 5.0
+# The longest wait for a whole answer, as a multiple of the time that the longest
+# answer takes on an idle link.
+LINK_SHARE_FACTOR = 2.0
+DEFAULT_LINK_MBPS = 10.0
 MAX_ANSWER_BYTES = 8 << 20
 PAGE_ROWS = 500
 # Longest table that is read, in all its pages: keys and values, bytes. The
@@ -54,10 +57,12 @@
         address: str,
         *,
         answer_timeout_s: float = ANSWER_TIMEOUT_S,
+        link_mbps: float = DEFAULT_LINK_MBPS,
     ) -> None:
         self._pool = pool
         self._address = address
         self._answer_timeout_s = answer_timeout_s
+        self._read_timeout_s = read_timeout_s(link_mbps)
 
     async def read_table(self, table: str) -> row_store.StoreResult:
         """Read all rows of a table; see `row_store.RowStore`."""
@@ -168,7 +173,7 @@
         try:
             answer = await call.head(timeout_s)
             data = await call.body(
-                READ_TIMEOUT_S,
+                self._read_timeout_s,
                 MAX_ANSWER_BYTES,
                 idle_timeout_s=self._answer_timeout_s,
             )
@@ -179,6 +184,12 @@
         return answer, data
 
 
+def read_timeout_s(link_mbps: float) -> float:
+    """Return the longest wait for a whole answer over a link, seconds."""
+    longest_s = MAX_ANSWER_BYTES * 8 / (link_mbps * 1e6)
+    return max(MIN_READ_TIMEOUT_S, LINK_SHARE_FACTOR * longest_s)
+
+
 def read_era(head: http_message.ResponseHead) -> int:
     """Return the era that an answer states, 0 if it states none.
 
--- a/nutmegscale/platform_daemon.py
+++ b/nutmegscale/platform_daemon.py
@@ -113,7 +113,11 @@
         self._router = router.Router(
             _router_settings(host_settings, peer_address),
             clock,
-            store=store_client.StoreClient(pool, host_settings.store_address),
+            store=store_client.StoreClient(
+                pool,
+                host_settings.store_address,
+                link_mbps=host_settings.link_mbps,
+            ),
             pool=pool,
             transport=self._transport,
             codecs=codecs.make_codecs(),
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -163,6 +163,11 @@
     world = _World()
     world.answer_slowly(parts=1_000, gap_s=1.0)
     with pytest.raises(errors.StoreError, match="of the body arrived"):
-        world.wait(
-            world.client.read_table("t"), store_client.READ_TIMEOUT_S + 1.0
-        )
+        longest_s = store_client.read_timeout_s(store_client.DEFAULT_LINK_MBPS)
+        world.wait(world.client.read_table("t"), longest_s + 1.0)
+
+
+@pytest.mark.parametrize("link_mbps", [1.0, 5.0, 10.0, 100.0, 10_000.0])
+def test_longest_answer_may_take_its_time_on_any_link(link_mbps: float) -> None:
+    longest_s = store_client.MAX_ANSWER_BYTES * 8 / (link_mbps * 1e6)
+    assert store_client.read_timeout_s(link_mbps) > longest_s
