--- a/nutmegscale/platform/store_client.py
+++ b/nutmegscale/platform/store_client.py
@@ -20,8 +20,8 @@
 ANSWER_TIMEOUT_S = 1.5
 # Shortest of the longest waits for a whole answer, seconds.
 MIN_READ_TIMEOUT_S = 5.0
-# The longest wait for a whole answer, as a multiple of the time that the longest
-# answer takes on an idle link.
+# The longest wait for a whole answer, in times that the longest answer takes on
+# an idle link.
 LINK_SHARE_FACTOR = 2.0
 DEFAULT_LINK_MBPS = 10.0
 MAX_ANSWER_BYTES = 8 << 20
