--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -114,3 +114,28 @@
     world.run(2.0)
     assert _versions(world) == [2, 2, 2]
     assert world.ask("none", host=1).status == 404
+
+
+def test_callers_get_added_routes_at_refused_hosts_on_slow_links() -> None:
+    """Three of eight hosts are refused at each change, others restart."""
+    world = _make_world(hosts=8)
+    routes = _large_routes(1_400)
+    for number in range(3):
+        refused = [(3 * number + n) % 8 for n in range(3)]
+        world.store.refused_hosts = {f"host-{n}" for n in refused}
+        added = {
+            **routes[3],
+            "name": f"added-{number}",
+            "pathPrefix": f"/added-{number}/",
+        }
+        routes = [*routes, added]
+        world.configure(number + 2, routes=routes)
+        world.run(0.2)
+        world.restart_host((3 * number + 5) % 8)
+        world.run(APPLY_S - 0.2)
+        callers = [
+            world.send(f"added-{number}", host=n, method="GET", body=b"")
+            for n in range(8)
+        ]
+        world.run(1.0)
+        assert [c.replies[-1].status for c in callers] == [200] * 8
