Soak of configurations: hosts stand still, too

SIGSTOP for up to 4 s beside the kills, stops and reloads; a host that ran throughout must have each version in force within 3 s, as before.

--- a/tools/soak_configs.py
+++ b/tools/soak_configs.py
@@ -17,6 +17,8 @@
 ROUTES = 1_400
 # Bound of the deployment on the time until a change is in force, seconds.
 APPLY_S = 3.0
+# Longest time for which a host stands still, seconds.
+MAX_PAUSE_S = 4.0
 # Time after the start of a process for which it may be late, seconds.
 UNDISTURBED_S = 4.0
 
@@ -36,7 +38,7 @@
 
 
 class _Outage(NamedTuple):
-    """Time from the signal that ends a process to the start of the next one.
+    """Time in which a host didn't run: stopped to its next start, or paused.
 
     Times are in seconds of the reactor clock.
     """
@@ -50,7 +52,7 @@
     """Writes large configurations in series, and disturbs hosts meanwhile.
 
     The store refuses some hosts, forgets its history, and hosts are killed,
-    stopped and reloaded, one beside the other.
+    stopped, paused and reloaded, one beside the other.
 
     Attributes:
       changes: The configurations, in order.
@@ -118,14 +120,33 @@
                 self._log_event("hang_up", host=host.name)
                 host.signal(signal.SIGHUP)
             return
-        kind = self._rng.choice((signal.SIGKILL, signal.SIGTERM))
+        kind = self._rng.choice(
+            (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP)
+        )
+        if kind is signal.SIGSTOP and host.name in self._restarting:
+            return
         self._log_event(kind.name, host=host.name)
         host.disturbed_at = self._deployment.reactor.seconds()
         host.signal(kind)
+        if kind is signal.SIGSTOP:
+            self._deployment.reactor.callLater(
+                self._rng.uniform(0.3, MAX_PAUSE_S),
+                self._resume,
+                host,
+                host.disturbed_at,
+            )
+            return
         if host.name not in self._restarting:
             self._restarting.add(host.name)
             self._restart(host, host.disturbed_at)
 
+    def _resume(self, host: soak_world.Host, paused_at: float) -> None:
+        """Let a paused host run again, unless it was killed meanwhile."""
+        self._log_event("resume", host=host.name)
+        host.signal(signal.SIGCONT)
+        resumed_at = self._deployment.reactor.seconds()
+        self._outages.append(_Outage(host.name, paused_at, resumed_at))
+
     def _restart(self, host: soak_world.Host, signalled_at: float) -> None:
         """Start a host once its process has ended."""
         reactor = self._deployment.reactor
