--- a/nutmegscale/router.py
+++ b/nutmegscale/router.py
@@ -10,6 +10,7 @@
 import functools
 import random
 from typing import Any
+from typing import NamedTuple
 
 from twisted.internet import defer
 
@@ -91,6 +92,14 @@
 Runner = Callable[[request_context.RequestContext], Coroutine[Any, Any, None]]
 
 
+class _Admitted(NamedTuple):
+    """A request that the configuration allows."""
+
+    request: caller_request.CallerRequest
+    route: routes.Route
+    customer: customers.Customer | None
+
+
 class Router:
     """Owns the components of one host and dispatches its callers' requests."""
 
@@ -496,28 +505,11 @@
         except errors.MalformedRequestError as exc:
             self._reject(incoming, 400, "malformed_request", str(exc))
             return
-        board = self.board
-        if board.config is None or board.table is None:
-            self._refuse(incoming, request, "no_config")
-            return
-        route = board.table.find(request.host, request.path)
-        if route is None:
-            self._deny(incoming, request, 404, "no_route", request.path)
-            return
-        identity = self._identify(incoming, route)
-        if identity.rejection == "unknown_key":
-            self._deny(
-                incoming, request, 401, "unknown_key", "the key is unknown"
-            )
-            return
-        if identity.rejection:
-            self._refuse(incoming, request, identity.rejection)
+        admitted = self._admit(incoming, request)
+        if admitted is None:
             return
-        if board.config.customer_directory is not None:
-            request = self._codecs.callers.set_customer(
-                request, identity.customer.name if identity.customer else ""
-            )
-            incoming.head = request.head
+        request, route, customer = admitted
+        board = self.board
         names = [t.service for t in route.targets]
         usable = [name for name in names if board.backends.usable(name)]
         if not usable:
@@ -557,12 +549,48 @@
                 service, is_counted=not incoming.is_relayed
             ),
             waited_s=self._patience.waited_s(route.name, request.patience_s),
-            customer=identity.customer,
+            customer=customer,
         )
         if self._stop is not None and route.kind != "stream":
             context.deadline = min(context.deadline, self._stop.answer_by)
         self._run(context)
 
+    def _admit(
+        self,
+        incoming: http_ingress.IncomingRequest,
+        request: caller_request.CallerRequest,
+    ) -> _Admitted | None:
+        """Find the route and the customer of a request.
+
+        Returns:
+          The request as its customer's, its route and its customer; None if it
+          was answered, since the configuration doesn't allow it.
+        """
+        board = self.board
+        if board.config is None or board.table is None:
+            self._refuse(incoming, request, "no_config")
+            return None
+        route = board.table.find(request.host, request.path)
+        if route is None:
+            self._deny(incoming, request, 404, "no_route", request.path)
+            return None
+        identity = self._identify(incoming, route)
+        if identity.rejection == "unknown_key":
+            self._deny(
+                incoming, request, 401, "unknown_key", "the key is unknown"
+            )
+            return None
+        if identity.rejection:
+            self._refuse(incoming, request, identity.rejection)
+            return None
+        customer = identity.customer
+        if board.config.customer_directory is not None:
+            request = self._codecs.callers.set_customer(
+                request, customer.name if customer else ""
+            )
+            incoming.head = request.head
+        return _Admitted(request, route, customer)
+
     def _identify(
         self, incoming: http_ingress.IncomingRequest, route: routes.Route
     ) -> customers.Identity:
