--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -17,6 +17,7 @@
 import shlex
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -29,17 +30,44 @@
 LAPSE_S = 3 * HEARTBEAT_S
 # Time that the store takes for a call, seconds.
 STORE_ANSWER_S = 0.004
-FRONT_PORT = 18_144
-READY_PORT = 18_140
-STORE_PORT = 18_142
-PEER_PORT = 17_660
-# First port of the workers.
-WORKER_PORT = 18_200
+# Ports of a run are drawn below those that the system gives out itself.
+PORT_RANGE = range(12_000, 30_000)
+PORTS_OF_RUN = 100
 GRACE_S = 8.0
 START_TIMEOUT_S = 20.0
 COULD_NOT_RUN = 2
 
 
+def _is_free(port: int) -> bool:
+    """Whether nothing uses a port on this machine."""
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def _free_ports() -> int:
+    """Return the first of `PORTS_OF_RUN` free ports in a row."""
+    while True:
+        first = random.randrange(
+            PORT_RANGE.start, PORT_RANGE.stop - PORTS_OF_RUN
+        )
+        if all(_is_free(first + offset) for offset in range(PORTS_OF_RUN)):
+            return first
+
+
+FRONT_PORT = _free_ports()
+READY_PORT = FRONT_PORT + 1
+STORE_PORT = FRONT_PORT + 2
+# Port of a program that isn't part of the deployment.
+OTHER_PORT = FRONT_PORT + 3
+PEER_PORT = FRONT_PORT + 10
+# First port of the workers.
+WORKER_PORT = FRONT_PORT + 50
+
+
 class Record:
     """Writes what was sent, answered and run, with times since the start."""
 
@@ -911,9 +939,13 @@
 
     async def _run() -> int:
         world = World(folder)
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             held = await asyncio.wait_for(run(world), limit_s)
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             world.record.write("could_not_run", error=repr(exc))
             return COULD_NOT_RUN
         finally:
