--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -18,6 +18,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -574,7 +575,8 @@
         self._store = store_address
         self._path = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
-        self.process: asyncio.subprocess.Process | None = None
+        self._is_closed = False
+        self.process: subprocess.Popen[bytes] | None = None
 
     @property
     def front(self) -> tuple[str, int]:
@@ -593,9 +595,12 @@
         }
         environment["NUTMEGSCALE_SETTINGS"] = str(self._path)
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
+        if self._is_closed:
+            return
+        # Without a point at which a cancelled task loses the process.
         with self._log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
     def _settings(self, *, is_first: bool) -> str:
@@ -646,7 +651,7 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
     async def is_ready(self) -> bool:
@@ -663,8 +668,13 @@
     async def kill(self) -> None:
         """End the process at once and wait for its end."""
         self.signal(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
+        while self.process is not None and self.process.poll() is None:
+            await asyncio.sleep(0.01)
+
+    async def close(self) -> None:
+        """End the process, and start none any more."""
+        self._is_closed = True
+        await self.kill()
 
 
 def route(
@@ -914,7 +924,7 @@
     async def stop(self) -> None:
         """End all processes that were started."""
         for daemon in self.daemons:
-            await daemon.kill()
+            await daemon.close()
             log = self._folder / f"{daemon.name}.log"
             if os.environ.get("KEEP_LOGS") and log.exists():
                 shutil.copy(log, os.environ["KEEP_LOGS"])
